Route requests end to end through lease holders

Cause: there was no code; the first need is a thin path from a caller to the backend server that owns the key, in separate processes that can fail.

Change: entry VM as a library with the programs hickorylug, hickoryctl and hickorybench.

--- /dev/null
+++ b/cmd/hickorylug/serve.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug"
+	"github.com/hickorylug/hickorylug/protocol/trace"
+	"github.com/hickorylug/hickorylug/state/settings"
+)
+
+// serveCommand runs the entry VM; flags and the environment override the settings file.
+type serveCommand struct {
+	Settings        string   `help:"File with the settings, in JSON." required:"" type:"existingfile" env:"HICKORYLUG_SETTINGS"`
+	VM              string   `help:"Name of the entry VM." name:"vm" env:"HICKORYLUG_VM"`
+	FailureDomain   string   `help:"Failure domain of the entry VM." env:"HICKORYLUG_FAILURE_DOMAIN"`
+	CallerAddress   string   `help:"Where callers' requests are taken." env:"HICKORYLUG_CALLER_ADDRESS"`
+	PeerAddress     string   `help:"Where other entry VMs reach this one." env:"HICKORYLUG_PEER_ADDRESS"`
+	OperatorAddress string   `help:"Where operators see health and metrics." env:"HICKORYLUG_OPERATOR_ADDRESS"`
+	Store           string   `help:"Base URL of the platform's store." env:"HICKORYLUG_STORE"`
+	LogLevel        string   `help:"debug, info, warn or error." env:"HICKORYLUG_LOG_LEVEL"`
+	TraceShare      *float64 `help:"Share of requests whose spans are written." env:"HICKORYLUG_TRACE_SHARE"`
+}
+
+// Run serves until a signal comes.
+func (c *serveCommand) Run() (err error) {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return errors.Wrap(err, "LogLevel")
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	tracer, stop, err := trace.NewTracer(os.Stdout, string(s.VM), s.TraceShare)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, stop(context.Background())) }()
+	vm, err := hickorylug.NewVM(hickorylug.WithSettings(s), hickorylug.WithLog(log), hickorylug.WithTracer(tracer))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	return vm.Run(ctx)
+}
+
+// read returns the settings of the file with what flags and environment override.
+func (c *serveCommand) read() (s settings.Settings, err error) {
+	defer func() { err = errors.Wrapf(err, "settings %s", c.Settings) }()
+	data, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return s, err
+	}
+	s, problems := settings.Decode(data)
+	c.override(&s)
+	return s, append(problems, s.Check()...).Err()
+}
+
+func (c *serveCommand) override(s *settings.Settings) {
+	overrideText((*string)(&s.VM), c.VM)
+	overrideText((*string)(&s.FailureDomain), c.FailureDomain)
+	overrideText(&s.CallerAddress, c.CallerAddress)
+	overrideText(&s.PeerAddress, c.PeerAddress)
+	overrideText(&s.OperatorAddress, c.OperatorAddress)
+	overrideText(&s.LogLevel, c.LogLevel)
+	if c.Store != "" {
+		if s.VMList == s.Store {
+			s.VMList = c.Store
+		}
+		s.Store = c.Store
+	}
+	if c.TraceShare != nil {
+		s.TraceShare = *c.TraceShare
+	}
+}
+
+func overrideText(field *string, value string) {
+	if value != "" {
+		*field = value
+	}
+}
--- /dev/null
+++ b/coordination/directory/keys.go
@@ -0,0 +1,73 @@
+package directory
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/coordination/lease"
+	"github.com/hickorylug/hickorylug/protocol/store"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
+)
+
+// Keys of the store.
+const (
+	// Prefix begins every key of the system.
+	Prefix = "hickorylug/"
+	// KeyConfiguration holds the accepted configuration.
+	KeyConfiguration = Prefix + "configuration"
+	// KeyHistory holds the configurations before it.
+	KeyHistory    = Prefix + "history"
+	prefixLease   = Prefix + "lease/"
+	prefixTable   = Prefix + "table/"
+	prefixRetired = Prefix + "retired/"
+)
+
+// KeyLease returns the key of a lease's record.
+func KeyLease(g id.Group) string { return prefixLease + string(g) }
+
+// KeyTable returns the key of a service's slice table.
+func KeyTable(s id.Service) string { return prefixTable + string(s) }
+
+// KeyRetired returns the key by which operators state that a VM has stopped for good.
+func KeyRetired(vm id.VM) string { return prefixRetired + string(vm) }
+
+// DecodeLease reads a lease's record.
+func DecodeLease(item store.Item) (r lease.Record, err error) {
+	defer func() { err = errors.Wrapf(err, "decode lease record %s", item.Key) }()
+	if item.Revision == 0 {
+		return lease.Record{Group: id.Group(strings.TrimPrefix(item.Key, prefixLease))}, nil
+	}
+	err = json.Unmarshal(item.Value, &r)
+	r.Revision = item.Revision
+	return r, err
+}
+
+// Apply takes an item of the store; keys that it doesn't know are left alone.
+func (d *Directory) Apply(item store.Item) (err error) {
+	defer func() { err = errors.Wrapf(err, "item %s of the store", item.Key) }()
+	switch {
+	case item.Revision == 0:
+		return nil
+	case item.Key == KeyConfiguration:
+		_, err := d.SetConfiguration(item.Revision, item.Value)
+		return err
+	case strings.HasPrefix(item.Key, prefixLease):
+		r, err := DecodeLease(item)
+		if err != nil {
+			return err
+		}
+		d.SetLease(r)
+	case strings.HasPrefix(item.Key, prefixTable):
+		t := &table.Table{}
+		if err := json.Unmarshal(item.Value, t); err != nil {
+			return err
+		}
+		d.SetTable(item.Revision, t)
+	case strings.HasPrefix(item.Key, prefixRetired):
+		d.retire(id.VM(strings.TrimPrefix(item.Key, prefixRetired)))
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/group/options.go
@@ -0,0 +1,93 @@
+package group
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/hickorylug/hickorylug/coordination/idempotency"
+	"github.com/hickorylug/hickorylug/coordination/pick"
+	"github.com/hickorylug/hickorylug/coordination/poison"
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+// Shares of extra sendings in the real traffic, and how many may be saved up.
+const (
+	retryShare = 0.1
+	retrySaved = 20
+	hedgeShare = 0.05
+	hedgeSaved = 5
+)
+
+// Options are the settings of a group.
+type Options struct {
+	Clock  clock.Clock
+	Lease  Lease
+	Pick   pick.Policy
+	Poison *poison.Tracker
+	Log    *slog.Logger
+	Memory []idempotency.Option
+	// Since is the time from which the memory of requests is complete.
+	Since time.Time
+	// Seen returns what this VM has last seen of a backend server's limit, for a warm takeover.
+	Seen func(id.Server) (boot id.Incarnation, limit int)
+	// Lost is called when a backend server is lost or leaves.
+	Lost func(id.Server)
+	// Died is called when a request was in flight at a backend server that died.
+	Died func(f poison.Fingerprint, deaths int)
+}
+
+// Option changes one setting.
+type Option func(*Options)
+
+// WithClock sets the source of time.
+func WithClock(c clock.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithLease sets the lease that the group works under.
+func WithLease(l Lease) Option { return func(o *Options) { o.Lease = l } }
+
+// WithPick sets the policy that chooses backend servers.
+func WithPick(p pick.Policy) Option { return func(o *Options) { o.Pick = p } }
+
+// WithPoison sets the tracker of requests that kill backend servers.
+func WithPoison(t *poison.Tracker) Option { return func(o *Options) { o.Poison = t } }
+
+// WithLog sets the logger.
+func WithLog(l *slog.Logger) Option { return func(o *Options) { o.Log = l } }
+
+// WithMemory sets the bounds of the memory and the time from which it is complete.
+func WithMemory(since time.Time, opts ...idempotency.Option) Option {
+	return func(o *Options) { o.Since, o.Memory = since, opts }
+}
+
+// WithSeen sets the source of limits for a warm takeover.
+func WithSeen(f func(id.Server) (id.Incarnation, int)) Option {
+	return func(o *Options) { o.Seen = f }
+}
+
+// WithLost sets the function that is told of lost backend servers.
+func WithLost(f func(id.Server)) Option { return func(o *Options) { o.Lost = f } }
+
+// WithDied sets the function that is told of suspects.
+func WithDied(f func(poison.Fingerprint, int)) Option { return func(o *Options) { o.Died = f } }
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		Clock:  clock.System{},
+		Pick:   pick.Least(),
+		Poison: poison.NewTracker(),
+		Log:    slog.Default(),
+		Lease: Lease{
+			Term:  func() id.Term { return 1 },
+			Valid: func() bool { return true },
+			Until: func() clock.Instant { return 1 << 62 },
+		},
+		Seen: func(id.Server) (id.Incarnation, int) { return "", 0 },
+		Lost: func(id.Server) {},
+		Died: func(poison.Fingerprint, int) {},
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/coordination/idempotency/options.go
@@ -0,0 +1,47 @@
+package idempotency
+
+import "time"
+
+// Default settings of a memory.
+const (
+	defaultRemember       = 10 * time.Minute
+	defaultMaxBytes       = 8 << 20
+	defaultClockAllowance = 250 * time.Millisecond
+)
+
+// Options are the settings of a memory.
+type Options struct {
+	// Remember is the time for which an answer is kept.
+	Remember time.Duration
+	// MaxBytes bounds the memory.
+	MaxBytes int
+	// ClockAllowance is the most that a caller's clock may be ahead of the VMs'.
+	ClockAllowance time.Duration
+	// Entries are what a former holder remembers.
+	Entries []Kept
+}
+
+// Option changes one setting.
+type Option func(*Options)
+
+// WithRemember sets the time for which an answer is kept.
+func WithRemember(d time.Duration) Option { return func(o *Options) { o.Remember = d } }
+
+// WithMaxBytes bounds the memory.
+func WithMaxBytes(n int) Option { return func(o *Options) { o.MaxBytes = n } }
+
+// WithClockAllowance sets the most that a caller's clock may be ahead.
+func WithClockAllowance(d time.Duration) Option {
+	return func(o *Options) { o.ClockAllowance = d }
+}
+
+// WithEntries sets what a former holder remembers.
+func WithEntries(kept []Kept) Option { return func(o *Options) { o.Entries = kept } }
+
+func newOptions(opts []Option) Options {
+	o := Options{Remember: defaultRemember, MaxBytes: defaultMaxBytes, ClockAllowance: defaultClockAllowance}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/coordination/lease/holder.go
@@ -0,0 +1,147 @@
+package lease
+
+import (
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+// maxRounds bounds the renewals whose answers are still waited for.
+const maxRounds = 16
+
+// Round numbers the renewals of a term.
+type Round uint64
+
+// Renewal asks a witness to confirm the holder of a term.
+type Renewal struct {
+	Group id.Group
+	Term  id.Term
+	Round Round
+}
+
+// RenewalAnswer is a witness's answer to a renewal.
+type RenewalAnswer struct {
+	Group id.Group
+	// Term is the newest term that the witness knows.
+	Term    id.Term
+	Round   Round
+	Granted bool
+}
+
+type round struct {
+	number Round
+	sentAt clock.Instant
+	grants map[id.VM]bool
+}
+
+// Holder is the lease holder's side of one term.
+type Holder struct {
+	options Options
+	record  Record
+	rounds  []round
+	last    Round
+	until   clock.Instant
+	started bool
+	lapsed  bool
+	// startBy ends the time in which the term may begin: a witness that has
+	// forgotten a refusal stays silent for just as long.
+	startBy clock.Instant
+}
+
+// NewHolder returns the holder of a record whose swap was sent at swapSentAt.
+func NewHolder(r Record, swapSentAt clock.Instant, opts ...Option) *Holder {
+	o := newOptions(opts)
+	return &Holder{options: o, record: r, startBy: swapSentAt.Add(o.Timing.hold())}
+}
+
+// Record returns the record that the holder holds.
+func (h *Holder) Record() Record { return h.record }
+
+// Until returns the end of the lease as far as it is known.
+func (h *Holder) Until() clock.Instant { return h.until }
+
+// Renew begins a round of renewals; ok is false once the lease has lapsed.
+func (h *Holder) Renew(now clock.Instant) (r Renewal, ok bool) {
+	if h.Lapsed(now) {
+		return Renewal{}, false
+	}
+	h.last++
+	h.rounds = append(h.rounds, round{number: h.last, sentAt: now, grants: map[id.VM]bool{}})
+	if len(h.rounds) > maxRounds {
+		h.rounds = h.rounds[1:]
+	}
+	return Renewal{Group: h.record.Group, Term: h.record.Term, Round: h.last}, true
+}
+
+// Answer takes a witness's answer; an answer of a later term ends the lease.
+func (h *Holder) Answer(now clock.Instant, witness id.VM, a RenewalAnswer) {
+	if h.Lapsed(now) || !h.record.IsWitness(witness) {
+		return
+	}
+	if a.Term > h.record.Term {
+		h.lapsed = true
+		return
+	}
+	if !a.Granted || a.Term != h.record.Term {
+		return
+	}
+	for i := range h.rounds {
+		if h.rounds[i].number == a.Round {
+			h.rounds[i].grants[witness] = true
+			h.count(now, h.rounds[i])
+			return
+		}
+	}
+}
+
+// count extends the lease where a majority has answered the round.
+func (h *Holder) count(now clock.Instant, r round) {
+	if len(r.grants) < h.record.Majority() {
+		return
+	}
+	until := r.sentAt.Add(h.options.Timing.hold())
+	if until.After(h.until) && until.After(now) {
+		h.until = until
+		h.started = true
+	}
+}
+
+// Valid reports whether the holder may act on the lease now.
+func (h *Holder) Valid(now clock.Instant) bool {
+	return h.started && !h.Lapsed(now)
+}
+
+// Lapsed reports whether the term is over for this holder; it never comes back.
+//
+// A holder that resumed a lapsed term could find witnesses that have restarted
+// and forgotten that they refused it.
+func (h *Holder) Lapsed(now clock.Instant) bool {
+	end := h.startBy
+	if h.started {
+		end = h.until
+	}
+	if now >= end {
+		h.lapsed = true
+	}
+	return h.lapsed
+}
+
+// Resign ends the lease at once.
+func (h *Holder) Resign() { h.lapsed = true }
+
+// Missing returns the witnesses that have answered none of the last rounds.
+func (h *Holder) Missing(rounds int) (out []id.VM) {
+	if len(h.rounds) <= rounds {
+		return nil
+	}
+	recent := h.rounds[len(h.rounds)-1-rounds : len(h.rounds)-1]
+	for _, w := range h.record.Witnesses {
+		heard := false
+		for _, r := range recent {
+			heard = heard || r.grants[w]
+		}
+		if !heard {
+			out = append(out, w)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/pick/pick.go
@@ -0,0 +1,85 @@
+// Package pick chooses the backend server of a request that any one of a group may answer.
+//
+// Least is what the router uses. The other policies are the baselines that the
+// benchmarks hold it against.
+//
+// # Usage
+//
+//	p := pick.Least()
+//	i := p(candidates)
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Candidate is a backend server that may take another request.
+type Candidate struct {
+	// Running is the number of requests in flight.
+	Running int
+	// Limit is the number of requests that may be in flight.
+	Limit int
+	// Reported is the load that the backend server itself reported last.
+	Reported int
+	// Latency is the smoothed latency, or 0 where it isn't known.
+	Latency time.Duration
+}
+
+// Policy returns the index of the chosen candidate; there is at least one.
+type Policy func(candidates []Candidate) int
+
+// Least chooses the smallest share of slots in use, then the shortest latency.
+//
+// Each further tie is broken in turn, so that idle backend servers share the work.
+func Least() Policy {
+	turn := 0
+	return func(candidates []Candidate) int {
+		turn++
+		best := turn % len(candidates)
+		for i := range candidates {
+			at := (turn + i) % len(candidates)
+			if less(candidates[at], candidates[best]) {
+				best = at
+			}
+		}
+		return best
+	}
+}
+
+// slownessThatCounts is the ratio of latencies from which the faster candidate is preferred.
+const slownessThatCounts = 3
+
+func less(a, b Candidate) bool {
+	shareA, shareB := (a.Running+1)*b.Limit, (b.Running+1)*a.Limit
+	slowA, slowB := a.Latency > slownessThatCounts*b.Latency && b.Latency > 0, b.Latency > slownessThatCounts*a.Latency && a.Latency > 0
+	if slowA != slowB {
+		return slowB
+	}
+	return shareA < shareB
+}
+
+// Random chooses without looking.
+func Random(rng *rand.Rand) Policy {
+	return func(candidates []Candidate) int { return rng.IntN(len(candidates)) }
+}
+
+// RoundRobin chooses in turn.
+func RoundRobin() Policy {
+	turn := 0
+	return func(candidates []Candidate) int {
+		turn++
+		return turn % len(candidates)
+	}
+}
+
+// TwoChoices chooses the better of two by the load that the backend servers reported.
+func TwoChoices(rng *rand.Rand) Policy {
+	return func(candidates []Candidate) int {
+		a, b := rng.IntN(len(candidates)), rng.IntN(len(candidates))
+		if candidates[b].Reported < candidates[a].Reported {
+			return b
+		}
+		return a
+	}
+}
--- /dev/null
+++ b/coordination/planner/balance.go
@@ -0,0 +1,100 @@
+package planner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/hickorylug/hickorylug/state/table"
+)
+
+// isolateHotKeys takes keys out of their slice that are too hot to be balanced with it.
+//
+// A single key whose share of an owner's work is over the bound goes to the
+// coolest owner on its own; a key that has cooled down returns to its slice's
+// owner and is then dropped from the exceptions.
+func (p *plan) isolateHotKeys() {
+	rates := map[table.Hash]float64{}
+	for _, k := range p.load.Keys {
+		rates[k.Key] = k.Rate
+		if _, single := p.next.Keys[k.Key]; !single && k.Rate > p.options.HotKey*p.mean && len(p.next.Keys) < p.options.MaxKeys {
+			p.isolate(k)
+		}
+	}
+	for _, h := range slices.Sorted(maps.Keys(p.next.Keys)) {
+		if rates[h] < p.options.HotKey*p.mean/4 {
+			p.rejoin(h)
+		}
+	}
+}
+
+func (p *plan) isolate(k KeyLoad) {
+	slice := p.next.Slices[p.next.SliceOf(k.Key)]
+	from, ok := p.shares[slice.Owner]
+	to := p.coolest()
+	if !ok || from == to || from.load/from.owner.Weight < p.options.Bound*p.mean {
+		return
+	}
+	from.load -= k.Rate
+	to.load += k.Rate
+	p.next.Keys[k.Key] = moved(slice, to.index)
+	p.changed = true
+}
+
+// rejoin brings a cooled key back to the owner of its slice.
+func (p *plan) rejoin(h table.Hash) {
+	home := p.next.Slices[p.next.SliceOf(h)]
+	e := p.next.Keys[h]
+	switch {
+	case home.Moving():
+	case e.Owner == home.Owner:
+		delete(p.next.Keys, h)
+		p.changed = true
+	default:
+		p.next.Keys[h] = moved(e, home.Owner)
+		p.changed = true
+	}
+}
+
+// balance moves the fewest slices that bring the hottest owner under the bound.
+func (p *plan) balance() {
+	budget := int(p.options.Churn * float64(len(p.next.Slices)))
+	for range max(budget, 1) {
+		from, to := p.hottest(), p.coolest()
+		if from == to || from.load/from.owner.Weight <= p.options.Bound*p.mean {
+			return
+		}
+		if to.owner.Warming >= 0 && to.gained >= to.owner.Warming {
+			return
+		}
+		i := p.best(from, to)
+		if i < 0 {
+			return
+		}
+		p.give(i, to)
+	}
+}
+
+// best returns the slice whose move evens out two owners most, or -1 where none helps.
+func (p *plan) best(from, to *share) int {
+	gap := from.load/from.owner.Weight - to.load/to.owner.Weight
+	candidates := []int{}
+	for i, e := range p.next.Slices {
+		if e.Owner == from.index && !e.Moving() && p.loadOf(i) < gap {
+			candidates = append(candidates, i)
+		}
+	}
+	if len(candidates) == 0 {
+		return -1
+	}
+	return slices.MinFunc(candidates, func(a, b int) int {
+		return cmp.Compare(abs(p.loadOf(a)-gap/2), abs(p.loadOf(b)-gap/2))
+	})
+}
+
+func abs(v float64) float64 {
+	if v < 0 {
+		return -v
+	}
+	return v
+}
--- /dev/null
+++ b/handover.go
@@ -0,0 +1,178 @@
+package hickorylug
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickorylug/hickorylug/coordination/idempotency"
+	"github.com/hickorylug/hickorylug/coordination/lease"
+	"github.com/hickorylug/hickorylug/coordination/member"
+	"github.com/hickorylug/hickorylug/protocol/peerpb"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/peer"
+)
+
+// Times of a hand-over.
+const (
+	// claimsTime is the time that requests which run at most once have to finish before the memory is copied.
+	claimsTime   = time.Second
+	handoverTime = 2 * time.Second
+	handoverPoll = 5 * time.Millisecond
+)
+
+// legacy is what a former holder leaves to this VM.
+type legacy struct {
+	// term is the one that the former holder has resigned.
+	term   id.Term
+	memory []idempotency.Kept
+	since  time.Time
+}
+
+// takeLegacy returns what the holder of the term before has left, if this VM follows it directly.
+func (vm *VM) takeLegacy(g id.Group, term id.Term) (l legacy, ok bool) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	l, ok = vm.legacies[g]
+	delete(vm.legacies, g)
+	if !ok || l.term+1 != term {
+		return legacy{}, false
+	}
+	return l, true
+}
+
+// handOver gives every lease to another VM, all at once.
+func (vm *VM) handOver(ctx context.Context) {
+	vm.mu.Lock()
+	held := vm.keeper.Held()
+	vm.mu.Unlock()
+	done := make(chan struct{}, len(held))
+	for _, g := range held {
+		vm.tasks.Go(ctx, func(ctx context.Context) {
+			vm.handOverGroup(ctx, g)
+			done <- struct{}{}
+		})
+	}
+	for range held {
+		<-done
+	}
+}
+
+func (vm *VM) handOverGroup(ctx context.Context, g id.Group) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTime)
+	defer cancel()
+	successor, ok := vm.successor(g)
+	if !ok {
+		vm.log.Warn("no VM can take a lease over", "group", g)
+		return
+	}
+	request := &peerpb.HandoverRequest{}
+	vm.mu.Lock()
+	r, runs := vm.groups[g]
+	delete(vm.groups, g)
+	vm.mu.Unlock()
+	if runs {
+		r.group.Stop()
+		vm.packMemory(ctx, r, request)
+	}
+	vm.mu.Lock()
+	record, held := vm.keeper.Resign(g)
+	vm.mu.Unlock()
+	if !held {
+		return
+	}
+	request.Lease = peer.LeaseOf(record)
+	p, err := vm.client.Peer(successor.VM)
+	if err == nil {
+		_, err = p.Handover(ctx, request)
+	}
+	if err != nil {
+		vm.log.Warn("a lease could not be handed over", "group", g, "to", successor.VM, "error", err)
+	}
+	if runs {
+		r.stop()
+	}
+}
+
+// packMemory copies the memory of a group, complete if all that runs at most once has finished.
+func (vm *VM) packMemory(ctx context.Context, r *running, request *peerpb.HandoverRequest) {
+	waiting, cancel := context.WithTimeout(ctx, claimsTime)
+	defer cancel()
+	since := vm.options.Clock.Now()
+	if r.group.AwaitClaims(waiting) {
+		since = r.group.Memory().Since()
+		for _, kept := range r.group.Memory().Export() {
+			request.Memory = append(request.Memory, peer.MemoryOf(kept, vm.options.Clock.Now()))
+		}
+	}
+	request.SinceNanos = since.UnixNano()
+	if since.IsZero() {
+		request.SinceNanos = 0
+	}
+	for _, s := range r.group.Report().Servers {
+		request.Servers = append(request.Servers, &peerpb.ServerState{Server: string(s.Server), Boot: string(s.Boot), Limit: float64(s.Limit)})
+	}
+}
+
+// successor returns the VM that takes a lease over at a planned stop.
+func (vm *VM) successor(g id.Group) (m member.Member, ok bool) {
+	home := vm.directory.View().Groups[g].FailureDomain
+	now := vm.options.Clock.Boot()
+	record := vm.directory.View().Leases[g]
+	for _, m := range vm.members.Live(now) {
+		if m.VM == vm.options.Settings.VM || m.Leaving || home != "" && m.FailureDomain != home {
+			continue
+		}
+		if record.IsWitness(m.VM) {
+			return m, true
+		}
+	}
+	for _, m := range vm.members.Live(now) {
+		if m.VM != vm.options.Settings.VM && !m.Leaving && (home == "" || m.FailureDomain == home) {
+			return m, true
+		}
+	}
+	return m, false
+}
+
+// acceptHandover makes this VM the holder of a lease that its holder has resigned.
+func (vm *VM) acceptHandover(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverAnswer, error) {
+	record := peer.RecordOf(r.GetLease())
+	vm.inherit(record.Group, r)
+	scene := vm.scene()
+	vm.mu.Lock()
+	actions := vm.keeper.Accept(vm.options.Clock.Boot(), scene, record)
+	vm.mu.Unlock()
+	for _, a := range actions {
+		vm.swap(ctx, a.Swap.Record)
+	}
+	// The tick renews at once, so that the lease begins with the first answers.
+	vm.tick(context.WithoutCancel(ctx))
+	return &peerpb.HandoverAnswer{Accepted: vm.awaitLease(ctx, record)}, nil
+}
+
+func (vm *VM) inherit(g id.Group, r *peerpb.HandoverRequest) {
+	l := legacy{term: id.Term(r.GetLease().GetTerm())}
+	if r.GetSinceNanos() != 0 {
+		l.since = time.Unix(0, r.GetSinceNanos())
+	}
+	for _, m := range r.GetMemory() {
+		l.memory = append(l.memory, peer.KeptOf(m, vm.options.Clock.Now()))
+	}
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	vm.legacies[g] = l
+	for _, s := range r.GetServers() {
+		vm.seen[id.Server(s.GetServer())] = sighting{boot: id.Incarnation(s.GetBoot()), limit: int(s.GetLimit())}
+	}
+}
+
+func (vm *VM) awaitLease(ctx context.Context, record lease.Record) bool {
+	for !vm.holds(record.Group) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-vm.options.Clock.After(handoverPoll):
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/status.go
@@ -0,0 +1,164 @@
+package hickorylug
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/coordination/directory"
+	"github.com/hickorylug/hickorylug/coordination/route"
+	"github.com/hickorylug/hickorylug/state/config"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
+	"github.com/hickorylug/hickorylug/transport/operator"
+)
+
+// Ready returns an error while the VM can't take callers' requests.
+func (vm *VM) Ready() error {
+	vm.mu.Lock()
+	leaving := vm.leaving
+	vm.mu.Unlock()
+	switch {
+	case leaving:
+		return errors.New("the VM is leaving")
+	case vm.directory.View().Revision == 0:
+		return errors.New("the VM has no configuration yet")
+	default:
+		return nil
+	}
+}
+
+// Status returns what the VM knows and holds.
+func (vm *VM) Status() operator.Status {
+	view := vm.directory.View()
+	set := vm.options.Settings
+	s := operator.Status{
+		VM:            set.VM,
+		Incarnation:   vm.incarnation,
+		Site:          set.Site,
+		FailureDomain: set.FailureDomain,
+		Ready:         vm.Ready() == nil,
+		Revision:      view.Revision,
+	}
+	if accepted, err := config.DecodeAccepted(view.Accepted); err == nil {
+		s.Change = accepted.Change
+	}
+	vm.mu.Lock()
+	s.Leaving, s.Holds = vm.leaving, vm.keeper.Held()
+	vm.mu.Unlock()
+	for _, name := range view.SortedGroups() {
+		s.Groups = append(s.Groups, vm.groupStatus(view, name))
+	}
+	for _, m := range vm.members.Live(vm.options.Clock.Boot())[1:] {
+		s.Members = append(s.Members, operator.MemberStatus{VM: m.VM, FailureDomain: m.FailureDomain, Leaving: m.Leaving})
+	}
+	for _, t := range view.Tables {
+		s.Tables = append(s.Tables, tableStatus(t))
+	}
+	slices.SortFunc(s.Tables, func(a, b operator.TableStatus) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+func (vm *VM) groupStatus(view *directory.View, name id.Group) operator.GroupStatus {
+	g, record := view.Groups[name], view.Leases[name]
+	s := operator.GroupStatus{
+		Group: name, Service: g.Service, FailureDomain: g.FailureDomain, Out: g.Out,
+		Holder: record.Holder, Term: record.Term, Witnesses: record.Witnesses,
+	}
+	vm.mu.Lock()
+	held, ok := vm.groups[name]
+	vm.mu.Unlock()
+	if ok {
+		for _, r := range held.group.Condition() {
+			s.Servers = append(s.Servers, operator.ServerStatus{Server: r.Server, Lost: r.Lost, Limit: r.Limit, Slots: r.Slots})
+		}
+	}
+	return s
+}
+
+func tableStatus(t *table.Table) operator.TableStatus {
+	s := operator.TableStatus{Service: t.Service, Version: t.Version, Slices: len(t.Slices), Owned: map[id.Owner]int{}, Keys: len(t.Keys)}
+	for _, e := range t.Slices {
+		switch {
+		case e.Moving():
+			s.Moving++
+		case e.Owner < 0:
+			s.Vacant++
+		default:
+			s.Owned[t.Name(e.Owner)]++
+		}
+	}
+	return s
+}
+
+// Explain says where a request would go, and why.
+func (vm *VM) Explain(r *http.Request) (e operator.Explanation, err error) {
+	view := vm.directory.View()
+	m, err := view.Routes.Match(r)
+	if err != nil {
+		return e, err
+	}
+	service := view.Site.Services[m.Route.Service]
+	e = operator.Explanation{Route: m.Name, Service: m.Route.Service, Keyed: service.Keyed}
+	e.Why = append(e.Why, "route "+string(m.Name)+" is the most particular one for "+r.Method+" "+r.URL.Path)
+	if !service.Keyed {
+		e.Why = append(e.Why, "the service is not divided by key: any group may answer, the least loaded one near by first")
+		return e, nil
+	}
+	if e.Key, err = m.Key(r); err != nil {
+		return e, err
+	}
+	e.Hash = table.HashKey(e.Key)
+	explainOwner(&e, view, m)
+	return e, nil
+}
+
+func explainOwner(e *operator.Explanation, view *directory.View, m route.Match) {
+	t, ok := view.Tables[m.Route.Service]
+	if !ok {
+		e.Why = append(e.Why, "the service has no slice table yet")
+		return
+	}
+	slice := t.SliceOf(e.Hash)
+	entry := t.Find(e.Hash)
+	e.Slice, e.Moving = &slice, entry.Moving()
+	e.Server = id.Server(t.Name(entry.Owner))
+	if _, single := t.Keys[e.Hash]; single {
+		e.Why = append(e.Why, "the key is hot and has an owner of its own")
+	}
+	if e.Moving {
+		e.Why = append(e.Why, "the slice is on its way to "+string(t.Name(entry.Next)))
+	}
+	if g, ok := view.GroupOfServer(m.Route.Service, e.Server); ok {
+		e.Group, e.Holder = g, view.Leases[g].Holder
+		e.Why = append(e.Why, "the owner is in group "+string(g)+", whose lease "+string(e.Holder)+" holds")
+	}
+}
+
+// publishMetrics adds what the VM itself counts to its metrics.
+func (vm *VM) publishMetrics() {
+	vm.metrics.Set("StoreReads", func() any { return vm.calls.Reads.Load() })
+	vm.metrics.Set("StoreWrites", func() any { return vm.calls.Writes.Load() })
+	vm.metrics.Set("ControlBytes", func() any { return vm.ControlBytes() })
+	vm.metrics.Set("ConfigurationRevision", func() any { return vm.directory.View().Revision })
+	vm.metrics.Set("LeasesHeld", func() any {
+		vm.mu.Lock()
+		defer vm.mu.Unlock()
+		return len(vm.keeper.Held())
+	})
+}
+
+// ControlBytes returns the bytes that the VM has spent on control so far.
+func (vm *VM) ControlBytes() int64 {
+	n := vm.controlBytes.Load() + vm.calls.Bytes.Load() + vm.client.ControlBytes()
+	if vm.datagrams != nil {
+		n += vm.datagrams.Bytes.Load()
+	}
+	return n
+}
--- /dev/null
+++ b/transport/peer/convert.go
@@ -0,0 +1,205 @@
+package peer
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/coordination/idempotency"
+	"github.com/hickorylug/hickorylug/coordination/lease"
+	"github.com/hickorylug/hickorylug/protocol/exchange"
+	"github.com/hickorylug/hickorylug/protocol/outcome"
+	"github.com/hickorylug/hickorylug/protocol/peerpb"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
+)
+
+func fieldsOf(h http.Header) (out []*peerpb.Field) {
+	out = make([]*peerpb.Field, 0, len(h))
+	for name, values := range h {
+		out = append(out, &peerpb.Field{Name: name, Values: values})
+	}
+	return out
+}
+
+func headerOf(fields []*peerpb.Field) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h[f.GetName()] = f.GetValues()
+	}
+	return h
+}
+
+func headOf(r *exchange.Request, now time.Time) *peerpb.RequestHead {
+	return &peerpb.RequestHead{
+		Method:       r.Method,
+		Target:       r.Target,
+		Host:         r.Host,
+		Header:       fieldsOf(r.Header),
+		Length:       r.Length,
+		Route:        string(r.Route),
+		Service:      string(r.Service),
+		Group:        string(r.Group),
+		Keyed:        r.Keyed,
+		Key:          uint64(r.Key),
+		Identity:     r.Identity,
+		Idempotent:   r.Idempotent,
+		Retries:      int32(r.Retries),
+		Hedge:        r.Hedge,
+		WaitNanos:    int64(r.Wait),
+		TimeoutNanos: int64(r.Deadline.Sub(now)),
+		HasBody:      r.Length != 0,
+	}
+}
+
+func requestOf(h *peerpb.RequestHead, now time.Time) *exchange.Request {
+	return &exchange.Request{
+		Method:     h.GetMethod(),
+		Target:     h.GetTarget(),
+		Host:       h.GetHost(),
+		Header:     headerOf(h.GetHeader()),
+		Length:     h.GetLength(),
+		Route:      id.Route(h.GetRoute()),
+		Service:    id.Service(h.GetService()),
+		Group:      id.Group(h.GetGroup()),
+		Keyed:      h.GetKeyed(),
+		Key:        table.Hash(h.GetKey()),
+		Identity:   h.GetIdentity(),
+		Idempotent: h.GetIdempotent(),
+		Retries:    int(h.GetRetries()),
+		Hedge:      h.GetHedge(),
+		Wait:       time.Duration(h.GetWaitNanos()),
+		Deadline:   now.Add(time.Duration(h.GetTimeoutNanos())),
+	}
+}
+
+func answerHeadOf(a *exchange.Response) *peerpb.ResponseHead {
+	return &peerpb.ResponseHead{
+		Status:  int32(a.Status),
+		Header:  fieldsOf(a.Header),
+		Length:  a.Length,
+		Server:  string(a.Server),
+		Running: int32(a.Load.Running),
+		Waiting: int32(a.Load.Waiting),
+		Limit:   int32(a.Load.Limit),
+	}
+}
+
+func answerOf(h *peerpb.ResponseHead) *exchange.Response {
+	return &exchange.Response{
+		Status: int(h.GetStatus()),
+		Header: headerOf(h.GetHeader()),
+		Length: h.GetLength(),
+		Server: id.Server(h.GetServer()),
+		Load: exchange.Load{
+			Running: int(h.GetRunning()),
+			Waiting: int(h.GetWaiting()),
+			Limit:   int(h.GetLimit()),
+		},
+	}
+}
+
+func refusalOf(e *outcome.Error) *peerpb.Refusal {
+	return &peerpb.Refusal{
+		Outcome:         string(e.Outcome),
+		Reason:          string(e.Reason),
+		Detail:          e.Detail,
+		RetryAfterNanos: int64(e.RetryAfter),
+	}
+}
+
+// errorOf reads a refusal; anything but a clear "not run" counts as unknown.
+func errorOf(r *peerpb.Refusal) *outcome.Error {
+	e := &outcome.Error{
+		Outcome:    outcome.KindUnknown,
+		Reason:     outcome.Reason(r.GetReason()),
+		Detail:     r.GetDetail(),
+		RetryAfter: time.Duration(r.GetRetryAfterNanos()),
+	}
+	if r.GetOutcome() == string(outcome.KindNotRun) {
+		e.Outcome = outcome.KindNotRun
+	}
+	return e
+}
+
+// LeaseOf converts a record to its message.
+func LeaseOf(r lease.Record) *peerpb.Lease {
+	l := &peerpb.Lease{
+		Group:       string(r.Group),
+		Term:        uint64(r.Term),
+		Holder:      string(r.Holder),
+		Incarnation: string(r.Incarnation),
+		Revision:    uint64(r.Revision),
+	}
+	for _, w := range r.Witnesses {
+		l.Witnesses = append(l.Witnesses, string(w))
+	}
+	return l
+}
+
+// RecordOf converts a message to a record.
+func RecordOf(l *peerpb.Lease) lease.Record {
+	r := lease.Record{
+		Group:       id.Group(l.GetGroup()),
+		Term:        id.Term(l.GetTerm()),
+		Holder:      id.VM(l.GetHolder()),
+		Incarnation: id.Incarnation(l.GetIncarnation()),
+		Revision:    id.Revision(l.GetRevision()),
+	}
+	for _, w := range l.GetWitnesses() {
+		r.Witnesses = append(r.Witnesses, id.VM(w))
+	}
+	return r
+}
+
+// TableMessage converts a table to its message.
+func TableMessage(revision id.Revision, t *table.Table) (m *peerpb.Table, err error) {
+	document, err := json.Marshal(t)
+	return &peerpb.Table{
+		Service:  string(t.Service),
+		Revision: uint64(revision),
+		Version:  uint64(t.Version),
+		Document: document,
+	}, errors.Wrapf(err, "encode the table of service %s", t.Service)
+}
+
+// TableOf converts a message to a table.
+func TableOf(m *peerpb.Table) (t *table.Table, err error) {
+	defer func() { err = errors.Wrapf(err, "table of service %s from a peer", m.GetService()) }()
+	t = &table.Table{}
+	return t, json.Unmarshal(m.GetDocument(), t)
+}
+
+// MemoryOf converts a kept answer to its message.
+func MemoryOf(k idempotency.Kept, now time.Time) *peerpb.Memory {
+	m := &peerpb.Memory{
+		Identity: k.ID.Identity,
+		Service:  string(k.ID.Service),
+		Status:   int32(k.Answer.Response.Status),
+		Header:   fieldsOf(k.Answer.Response.Header),
+		Body:     k.Answer.Body,
+		AgeNanos: int64(now.Sub(k.Begun)),
+	}
+	if k.Answer.Err != nil {
+		m.Refusal = refusalOf(k.Answer.Err)
+	}
+	return m
+}
+
+// KeptOf converts a message to a kept answer.
+func KeptOf(m *peerpb.Memory, now time.Time) idempotency.Kept {
+	k := idempotency.Kept{
+		ID:    idempotency.ID{Service: id.Service(m.GetService()), Identity: m.GetIdentity()},
+		Begun: now.Add(-time.Duration(m.GetAgeNanos())),
+		Answer: idempotency.Answer{
+			Response: exchange.Response{Status: int(m.GetStatus()), Header: headerOf(m.GetHeader())},
+			Body:     m.GetBody(),
+		},
+	}
+	if m.GetRefusal() != nil {
+		k.Answer.Err = errorOf(m.GetRefusal())
+	}
+	return k
+}
--- /dev/null
+++ b/transport/platform/platform.go
@@ -0,0 +1,186 @@
+// Package platform reaches the platform's key-value store and its list of VMs.
+//
+// The store's rates are a budget that the whole fleet shares, so every call
+// passes a limiter. A write whose answer is lost is reported as ErrUnsettled;
+// the caller settles it by reading.
+//
+// # Usage
+//
+//	p := platform.NewClient("http://10.0.0.2:7000", platform.WithReads(3))
+//	item, err := p.Get(ctx, "hickorylug/config")
+//	item, err = p.Swap(ctx, "hickorylug/config", item.Revision, value)
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/protocol/store"
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+// Errors that callers act on.
+var (
+	// ErrConflict means that the key has another revision than the expected one.
+	ErrConflict = errors.New("the key was changed by another writer")
+	// ErrUnsettled means that a write may or may not have taken effect.
+	ErrUnsettled = errors.New("the write's answer was lost")
+	// ErrUnavailable means that the store did not answer a read, or that a write was not sent.
+	ErrUnavailable = errors.New("the store is unavailable")
+)
+
+// maxAnswer bounds an answer of the store, in bytes.
+const maxAnswer = 64 << 20
+
+// Client calls the store; its function fields are seams for tests.
+type Client struct {
+	// Get returns a key's item; an absent key has the revision 0.
+	Get func(ctx context.Context, key string) (store.Item, error)
+	// Swap writes a value where the key has the expected revision.
+	Swap func(ctx context.Context, key string, expected id.Revision, value []byte) (store.Item, error)
+	// Watch returns what was written under a prefix after a revision, after a wait where nothing was.
+	Watch func(ctx context.Context, prefix string, after id.Revision, wait time.Duration) (store.Changes, error)
+	// VMs returns the platform's list of entry VMs.
+	VMs func(ctx context.Context) ([]store.VM, error)
+}
+
+// Calls counts the calls to the store since the start.
+type Calls struct {
+	Reads  atomic.Int64
+	Writes atomic.Int64
+	Bytes  atomic.Int64
+}
+
+type client struct {
+	options Options
+	base    string
+}
+
+// NewClient returns a client of the store at a base URL.
+func NewClient(base string, opts ...Option) *Client {
+	c := &client{options: newOptions(opts), base: strings.TrimSuffix(base, "/")}
+	return &Client{Get: c.get, Swap: c.swap, Watch: c.watch, VMs: c.vms}
+}
+
+func (c *client) get(ctx context.Context, key string) (item store.Item, err error) {
+	defer func() { err = errors.Wrapf(err, "read %s from the store", key) }()
+	status, body, err := c.read(ctx, store.PathKeys+key, c.options.Timeout)
+	if err != nil {
+		return item, err
+	}
+	if status == http.StatusNotFound {
+		return store.Item{Key: key}, nil
+	}
+	return item, decode(status, body, &item)
+}
+
+func (c *client) watch(ctx context.Context, prefix string, after id.Revision, wait time.Duration) (changes store.Changes, err error) {
+	defer func() { err = errors.Wrapf(err, "watch %s in the store", prefix) }()
+	query := url.Values{
+		"Prefix": {prefix},
+		"After":  {fmt.Sprint(after)},
+		"Wait":   {wait.String()},
+	}
+	status, body, err := c.read(ctx, store.PathWatch+"?"+query.Encode(), wait+c.options.Timeout)
+	if err != nil {
+		return changes, err
+	}
+	return changes, decode(status, body, &changes)
+}
+
+func (c *client) vms(ctx context.Context) (vms []store.VM, err error) {
+	defer func() { err = errors.Wrap(err, "read the platform's list of VMs") }()
+	status, body, err := c.read(ctx, store.PathVMs, c.options.Timeout)
+	if err != nil {
+		return nil, err
+	}
+	return vms, decode(status, body, &vms)
+}
+
+func (c *client) swap(ctx context.Context, key string, expected id.Revision, value []byte) (item store.Item, err error) {
+	defer func() { err = errors.Wrapf(err, "write %s to the store", key) }()
+	if err := c.options.writes.Wait(ctx); err != nil {
+		return item, errors.Mark(err, ErrUnavailable)
+	}
+	c.options.Calls.Writes.Add(1)
+	request, err := json.Marshal(store.Swap{Expected: expected, Value: value})
+	if err != nil {
+		return item, err
+	}
+	status, body, err := c.call(ctx, http.MethodPut, store.PathKeys+key, request, c.options.Timeout)
+	switch {
+	case err != nil || status >= http.StatusInternalServerError:
+		return item, errors.Mark(errors.Newf("status %d: %v", status, err), ErrUnsettled)
+	case status == http.StatusConflict:
+		return item, ErrConflict
+	}
+	return item, decode(status, body, &item)
+}
+
+func (c *client) read(ctx context.Context, path string, timeout time.Duration) (status int, body []byte, err error) {
+	if err := c.options.reads.Wait(ctx); err != nil {
+		return 0, nil, errors.Mark(err, ErrUnavailable)
+	}
+	c.options.Calls.Reads.Add(1)
+	status, body, err = c.call(ctx, http.MethodGet, path, nil, timeout)
+	if err != nil || status >= http.StatusInternalServerError || status == http.StatusTooManyRequests {
+		return status, nil, errors.Mark(errors.Newf("status %d: %v", status, err), ErrUnavailable)
+	}
+	return status, body, nil
+}
+
+func (c *client) call(ctx context.Context, method, path string, request []byte, timeout time.Duration) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(request))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := c.options.HTTP.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	c.options.Calls.Bytes.Add(int64(len(request) + len(body) + len(path)))
+	return resp.StatusCode, body, err
+}
+
+func decode(status int, body []byte, target any) error {
+	if status != http.StatusOK {
+		return errors.Mark(errors.Newf("status %d: %s", status, bytes.TrimSpace(body)), ErrUnavailable)
+	}
+	return errors.Wrap(json.Unmarshal(body, target), "decode the store's answer")
+}
+
+// SwapSettled writes a value and, where the answer is lost, reads until it is known what became of it.
+//
+// Values must differ from write to write, so that the own value can be told from another's.
+func (c *Client) SwapSettled(ctx context.Context, key string, expected id.Revision, value []byte) (item store.Item, err error) {
+	item, err = c.Swap(ctx, key, expected, value)
+	if !errors.Is(err, ErrUnsettled) {
+		return item, err
+	}
+	item, readErr := c.Get(ctx, key)
+	switch {
+	case readErr != nil:
+		return item, errors.CombineErrors(err, readErr)
+	case bytes.Equal(item.Value, value):
+		return item, nil
+	case item.Revision != expected:
+		return item, errors.Mark(err, ErrConflict)
+	default:
+		// The write may still be on its way; only a later write can rule it out.
+		return item, err
+	}
+}
