--- a/coordination/keeper/keeper.go
+++ b/coordination/keeper/keeper.go
@@ -233,9 +233,9 @@
 		actions = append(actions, Action{Start: &Start{Record: record, First: record.Term == 1}})
 	}
 	if now.Sub(h.renewed) >= k.options.Timing.Renewal || h.renewed == 0 {
-		if r, ok := h.current.Renew(now); ok {
+		if r, to, ok := h.current.Renew(now); ok {
 			h.renewed = now
-			for _, w := range h.current.Record().Witnesses {
+			for _, w := range to {
 				m := out.to(w)
 				m.Renewals = append(m.Renewals, r)
 			}
@@ -280,10 +280,15 @@
 		return nil
 	}
 	record := h.current.Record()
-	wanted := k.chooseWitnesses(s, g, record.Witnesses, h.current.Missing(missedRounds))
+	missing := h.current.Missing(missedRounds)
+	wanted := k.chooseWitnesses(s, g, record.Witnesses, missing)
 	if slices.Equal(wanted, record.Witnesses) {
 		return nil
 	}
+	if len(missing) == 0 && k.since(now, g) < k.options.ImproveAfter {
+		// More witnesses are better, but nothing is lost while those in place answer.
+		return nil
+	}
 	k.notBefore[g] = now.Add(k.options.SwapBackoff)
 	return k.swap(now, record.Next(k.self.VM, k.self.Incarnation, wanted))
 }
@@ -377,7 +382,8 @@
 	if keep {
 		return have
 	}
-	return pickWitnesses(rank(g, slices.Collect(maps.Values(live))), s.Groups[g], have)
+	// The order depends on the VM, not on the group, so that one datagram renews all its leases.
+	return pickWitnesses(rank(id.Group(k.self.VM), slices.Collect(maps.Values(live))), s.Groups[g], have)
 }
 
 func pickWitnesses(candidates []Member, home id.Domain, have []id.VM) (out []id.VM) {
--- a/coordination/keeper/options.go
+++ b/coordination/keeper/options.go
@@ -21,6 +21,8 @@
 	UnseenPatience time.Duration
 	// SettleTime is the time after the start in which a process takes no lease, so that it gets to know the others.
 	SettleTime time.Duration
+	// ImproveAfter is the time between two changes of witnesses that all answer.
+	ImproveAfter time.Duration
 }
 
 // Option changes one setting.
@@ -33,11 +35,12 @@
 	o := Options{
 		Timing:         lease.DefaultTiming,
 		TurnDelay:      150 * time.Millisecond,
-		VacateDelay:    350 * time.Millisecond,
+		VacateDelay:    300 * time.Millisecond,
 		SwapBackoff:    250 * time.Millisecond,
 		SwapPatience:   4 * time.Second,
 		UnseenPatience: 2 * time.Second,
-		SettleTime:     2500 * time.Millisecond,
+		SettleTime:     3 * time.Second,
+		ImproveAfter:   2 * time.Second,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/coordination/keeper/seek.go
+++ b/coordination/keeper/seek.go
@@ -19,7 +19,7 @@
 	if p, swapping := k.swaps[g]; swapping {
 		return k.settleLate(now, record, p)
 	}
-	if s.Leaving || now < k.notBefore[g] || now < k.started.Add(k.options.SettleTime) {
+	if s.Leaving || now < k.notBefore[g] || k.settling(now, s) {
 		return nil
 	}
 	if t, ok := k.takeovers[g]; ok {
@@ -34,6 +34,24 @@
 	return k.advance(now, s, record, t, out)
 }
 
+// settling reports whether this VM has just started and doesn't know enough others yet to find witnesses.
+func (k *Keeper) settling(now clock.Instant, s Scene) bool {
+	age := now.Sub(k.started)
+	if age < k.options.SettleTime {
+		return true
+	}
+	others := 0
+	for _, m := range s.Live {
+		if m.VM != k.self.VM && m.Settled {
+			others++
+		}
+	}
+	return others < lease.MaxWitnesses && age < settleFactor*k.options.SettleTime
+}
+
+// settleFactor is the ratio of the longest wait for other VMs to the shortest.
+const settleFactor = 2
+
 // settleLate gives up on a swap whose answer never came; a later record shows what became of it.
 func (k *Keeper) settleLate(now clock.Instant, record lease.Record, p pending) []Action {
 	if now.Sub(p.sentAt) > k.options.SwapPatience || record.Term >= p.record.Term {
--- a/coordination/lease/holder.go
+++ b/coordination/lease/holder.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"slices"
+
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -30,6 +32,7 @@
 type round struct {
 	number Round
 	sentAt clock.Instant
+	asked  []id.VM
 	grants map[id.VM]bool
 }
 
@@ -60,16 +63,35 @@
 func (h *Holder) Until() clock.Instant { return h.until }
 
 // Renew begins a round of renewals; ok is false once the lease has lapsed.
-func (h *Holder) Renew(now clock.Instant) (r Renewal, ok bool) {
+//
+// The renewal is for the first witness, who is the successor and must hear
+// every one, and for the fewest others that make a majority, each in its turn.
+// After a round that no majority has answered, it is for all.
+func (h *Holder) Renew(now clock.Instant) (r Renewal, to []id.VM, ok bool) {
 	if h.Lapsed(now) {
-		return Renewal{}, false
+		return Renewal{}, nil, false
 	}
+	confirmed := len(h.rounds) > 0 && len(h.rounds[len(h.rounds)-1].grants) >= h.record.Majority()
 	h.last++
-	h.rounds = append(h.rounds, round{number: h.last, sentAt: now, grants: map[id.VM]bool{}})
+	to = h.record.Witnesses
+	if confirmed && len(to) > h.record.Majority() {
+		to = h.some(h.record.Majority())
+	}
+	h.rounds = append(h.rounds, round{number: h.last, sentAt: now, asked: to, grants: map[id.VM]bool{}})
 	if len(h.rounds) > maxRounds {
 		h.rounds = h.rounds[1:]
 	}
-	return Renewal{Group: h.record.Group, Term: h.record.Term, Round: h.last}, true
+	return Renewal{Group: h.record.Group, Term: h.record.Term, Round: h.last}, to, true
+}
+
+// some returns the first witness and n-1 others, who change from round to round.
+func (h *Holder) some(n int) (out []id.VM) {
+	others := h.record.Witnesses[1:]
+	out = append(out, h.record.Witnesses[0])
+	for i := range n - 1 {
+		out = append(out, others[(int(h.last)+i)%len(others)])
+	}
+	return out
 }
 
 // Answer takes a witness's answer; an answer of a later term ends the lease.
@@ -128,18 +150,18 @@
 // Resign ends the lease at once.
 func (h *Holder) Resign() { h.lapsed = true }
 
-// Missing returns the witnesses that have answered none of the last rounds.
+// Missing returns the witnesses that have answered none of the last rounds in which they were asked.
 func (h *Holder) Missing(rounds int) (out []id.VM) {
-	if len(h.rounds) <= rounds {
-		return nil
-	}
-	recent := h.rounds[len(h.rounds)-1-rounds : len(h.rounds)-1]
 	for _, w := range h.record.Witnesses {
-		heard := false
-		for _, r := range recent {
-			heard = heard || r.grants[w]
+		asked, heard := 0, false
+		// The newest round may still be answered.
+		for i := len(h.rounds) - 2; i >= 0 && asked < rounds; i-- {
+			if slices.Contains(h.rounds[i].asked, w) {
+				asked++
+				heard = heard || h.rounds[i].grants[w]
+			}
 		}
-		if !heard {
+		if asked >= rounds && !heard {
 			out = append(out, w)
 		}
 	}
--- a/coordination/lease/options.go
+++ b/coordination/lease/options.go
@@ -17,8 +17,8 @@
 // DefaultTiming serves a key again within a second of the loss of its holder.
 var DefaultTiming = Timing{
 	Length:        600 * time.Millisecond,
-	Renewal:       150 * time.Millisecond,
-	Silence:       350 * time.Millisecond,
+	Renewal:       200 * time.Millisecond,
+	Silence:       450 * time.Millisecond,
 	DriftPerMille: 5,
 }
 
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -28,7 +28,7 @@
 // Times of membership.
 const (
 	// liveFor is the time after the last sighting for which a VM counts as live.
-	liveFor = 3 * time.Second
+	liveFor = 6 * time.Second
 	// forgetAfter is the time without a sighting after which an unlisted VM is forgotten.
 	forgetAfter = time.Minute
 )
--- a/coordination/pick/pick.go
+++ b/coordination/pick/pick.go
@@ -29,17 +29,20 @@
 // Policy returns the index of the chosen candidate; there is at least one.
 type Policy func(candidates []Candidate) int
 
-// Least chooses the smallest share of slots in use, then the shortest latency.
+// Least chooses the smallest share of slots in use, and avoids those that are much slower than others.
 //
-// Each further tie is broken in turn, so that idle backend servers share the work.
+// Ties are broken in turn, so that idle backend servers share the work. Now
+// and then a slow one is tried all the same, since its latency is known from
+// its answers only.
 func Least() Policy {
 	turn := 0
 	return func(candidates []Candidate) int {
 		turn++
+		forgive := turn%forgivePeriod == 0
 		best := turn % len(candidates)
 		for i := range candidates {
 			at := (turn + i) % len(candidates)
-			if less(candidates[at], candidates[best]) {
+			if less(candidates[at], candidates[best], forgive) {
 				best = at
 			}
 		}
@@ -47,16 +50,23 @@
 	}
 }
 
-// slownessThatCounts is the ratio of latencies from which the faster candidate is preferred.
-const slownessThatCounts = 3
+const (
+	// slownessThatCounts is the ratio of latencies from which the faster candidate is preferred.
+	slownessThatCounts = 3
+	// forgivePeriod is the number of choices of which one doesn't look at latencies.
+	forgivePeriod = 16
+)
 
-func less(a, b Candidate) bool {
-	shareA, shareB := (a.Running+1)*b.Limit, (b.Running+1)*a.Limit
-	slowA, slowB := a.Latency > slownessThatCounts*b.Latency && b.Latency > 0, b.Latency > slownessThatCounts*a.Latency && a.Latency > 0
-	if slowA != slowB {
+func less(a, b Candidate, forgive bool) bool {
+	slowA, slowB := slower(a, b), slower(b, a)
+	if slowA != slowB && !forgive {
 		return slowB
 	}
-	return shareA < shareB
+	return a.Running*b.Limit < b.Running*a.Limit
+}
+
+func slower(a, b Candidate) bool {
+	return b.Latency > 0 && a.Latency > slownessThatCounts*b.Latency
 }
 
 // Random chooses without looking.
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -56,7 +56,7 @@
 	p.assignVacant()
 	p.evacuate()
 	p.redirect()
-	if !o.NoBalance && !p.moving() {
+	if !o.NoBalance && p.next.Moving() == 0 {
 		p.isolateHotKeys()
 		p.balance()
 	}
@@ -199,20 +199,6 @@
 	return out
 }
 
-func (p *plan) moving() bool {
-	for _, e := range p.next.Slices {
-		if e.Moving() {
-			return true
-		}
-	}
-	for _, e := range p.next.Keys {
-		if e.Moving() {
-			return true
-		}
-	}
-	return false
-}
-
 // coolest returns the eligible owner with the least load for its weight.
 func (p *plan) coolest() *share {
 	return slices.MinFunc(p.eligible(), func(a, b *share) int {
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -15,9 +15,9 @@
 const (
 	heartbeatPeriod = time.Second
 	// heartbeatPartners is the number of VMs that get each heartbeat.
-	heartbeatPartners = 3
+	heartbeatPartners = 2
 	// heartbeatSightings is the number of VMs that a heartbeat tells of.
-	heartbeatSightings = 8
+	heartbeatSightings = 3
 )
 
 // heartbeat tells other VMs of this one, and of those that it has heard, until the context ends.
@@ -36,7 +36,7 @@
 // greetSeeds tells the VMs named in the settings of this one, for a start without the platform.
 func (vm *VM) greetSeeds() {
 	for _, address := range vm.options.Settings.Peers {
-		d := vm.datagram()
+		d := vm.introduction()
 		d.Heartbeat = true
 		if err := vm.datagrams.Send(address, d); err != nil {
 			vm.log.Debug("a VM can't be greeted", "address", address, "error", err)
@@ -54,7 +54,7 @@
 	vm.mu.Unlock()
 	now := vm.options.Clock.Boot()
 	for _, m := range vm.members.Partners(partners) {
-		d := vm.datagram()
+		d := vm.introduction()
 		d.Heartbeat = true
 		for _, s := range vm.members.Sightings(now, heartbeatSightings) {
 			d.Sightings = append(d.Sightings, &peerpb.Sighting{
@@ -69,8 +69,8 @@
 	}
 }
 
-// datagram returns a datagram that names this VM.
-func (vm *VM) datagram() *peerpb.Datagram {
+// introduction returns a datagram that tells who this VM is and which configuration it has.
+func (vm *VM) introduction() *peerpb.Datagram {
 	vm.mu.Lock()
 	leaving := vm.leaving
 	vm.mu.Unlock()
@@ -103,7 +103,7 @@
 	if !ok {
 		return
 	}
-	d := vm.datagram()
+	d := &peerpb.Datagram{From: string(vm.options.Settings.VM)}
 	peer.Fill(d, m)
 	vm.send(address, d)
 }
@@ -122,13 +122,15 @@
 func (vm *VM) receive(d *peerpb.Datagram) {
 	now := vm.options.Clock.Boot()
 	from := id.VM(d.GetFrom())
-	vm.members.Heard(now, member.Member{
-		VM:            from,
-		Incarnation:   id.Incarnation(d.GetIncarnation()),
-		FailureDomain: id.Domain(d.GetDomain()),
-		Address:       d.GetAddress(),
-		Leaving:       d.GetLeaving(),
-	})
+	if d.GetIncarnation() != "" {
+		vm.members.Heard(now, member.Member{
+			VM:            from,
+			Incarnation:   id.Incarnation(d.GetIncarnation()),
+			FailureDomain: id.Domain(d.GetDomain()),
+			Address:       d.GetAddress(),
+			Leaving:       d.GetLeaving(),
+		})
+	}
 	for _, s := range d.GetSightings() {
 		vm.members.Sighted(now, member.Member{
 			VM:            id.VM(s.GetVm()),
@@ -145,6 +147,6 @@
 	case id.Revision(d.GetConfigurationRevision()) > mine:
 		vm.tasks.Go(context.Background(), func(ctx context.Context) { vm.fetchFrom(ctx, from) })
 	case d.GetHeartbeat() && id.Revision(d.GetConfigurationRevision()) < mine:
-		vm.send(d.GetAddress(), vm.datagram())
+		vm.send(d.GetAddress(), vm.introduction())
 	}
 }
--- a/hickorylug.go
+++ b/hickorylug.go
@@ -19,6 +19,8 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -102,7 +104,7 @@
 	vm = &VM{
 		options:     o,
 		log:         o.Log.With("vm", string(s.VM)),
-		incarnation: id.Incarnation(uuid.NewString()),
+		incarnation: newIncarnation(),
 		directory:   directory.New(s.Site),
 		poison:      poison.NewTracker(),
 		metrics:     operator.NewMetrics(),
@@ -128,6 +130,12 @@
 	return vm, nil
 }
 
+// newIncarnation returns a name that no process has had; it is short, since every heartbeat carries it.
+func newIncarnation() id.Incarnation {
+	u := uuid.New()
+	return id.Incarnation(base64.RawURLEncoding.EncodeToString(u[:8]))
+}
+
 func (vm *VM) self() member.Member {
 	s := vm.options.Settings
 	return member.Member{VM: s.VM, Incarnation: vm.incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress}
@@ -141,6 +149,7 @@
 		return err
 	}
 	defer vm.client.Close()
+	defer sockets.close()
 	// The parts outlive the context's end, because a graceful shutdown still needs them.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -180,6 +189,13 @@
 	operators net.Listener
 }
 
+// close frees the addresses; most are closed by their servers before.
+func (s sockets) close() {
+	for _, c := range []io.Closer{s.callers, s.peers, s.datagrams, s.operators} {
+		_ = c.Close()
+	}
+}
+
 func (vm *VM) listen() (s sockets, err error) {
 	set := vm.options.Settings
 	if s.callers, err = net.Listen("tcp", set.CallerAddress); err != nil {
--- a/planning.go
+++ b/planning.go
@@ -277,6 +277,7 @@
 		return nil, false
 	}
 	p.vm.directory.SetTable(item.Revision, next)
+	p.vm.log.Info("slice table is written", "service", service, "version", next.Version, "moving", next.Moving())
 	p.publish(ctx, service, item.Revision, next)
 	return next, true
 }
--- a/reports.go
+++ b/reports.go
@@ -13,11 +13,11 @@
 
 // Constants of the reports to the planner.
 const (
-	reportPeriod = time.Second
+	reportPeriod = 2 * time.Second
 	// loadEvery is the number of reports of which one carries the loads of slices and keys.
 	loadEvery = 5
 	// reportedSlices is the number of slices, the most requested ones, whose load is reported.
-	reportedSlices = 256
+	reportedSlices = 64
 	reportTime     = 500 * time.Millisecond
 )
 
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -48,9 +48,9 @@
 	IdleTimeout unit.Duration
 	// MaxHeader bounds the header of a request.
 	MaxHeader unit.Size
-	// StoreReads is this VM's share of the store's reads, per second.
+	// StoreReads is the number of reads of the store that all VMs may make together, per second.
 	StoreReads float64
-	// StoreWrites is this VM's share of the store's writes, per second.
+	// StoreWrites is the number of writes to the store that all VMs may make together, per second.
 	StoreWrites float64
 }
 
@@ -61,8 +61,8 @@
 	defaultDrainTimeout = 30 * time.Second
 	defaultIdleTimeout  = 2 * time.Minute
 	defaultMaxHeader    = 64 << 10
-	defaultReads        = 3
-	defaultWrites       = 2
+	defaultReads        = 1500
+	defaultWrites       = 300
 )
 
 // Defaults returns the settings of a process that is told nothing.
--- a/state/table/codec.go
+++ b/state/table/codec.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"encoding/binary"
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
@@ -8,30 +9,29 @@
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// run is a stretch of neighbouring slices with the same entry.
-type run struct {
-	Count int
-	Owner int32
-	Next  int32
-}
+// maxSlices bounds the slices of a table that is read.
+const maxSlices = 1 << 20
 
+// document is a table as it is kept in the store.
 type document struct {
 	Service id.Service
 	Version id.Version
 	Owners  []id.Owner
-	Runs    []run
-	Keys    map[Hash]Entry `json:",omitempty"`
+	// Slices holds, for each slice, one more than the index of its owner, as a varint.
+	Slices []byte
+	// Next holds the index of the next owner of the slices that move.
+	Next map[int]int32  `json:",omitempty"`
+	Keys map[Hash]Entry `json:",omitempty"`
 }
 
-// MarshalJSON writes the slices as runs, which keeps a table far below the store's limit on values.
+// MarshalJSON writes about a byte and a half for each slice, far below the store's limit on values.
 func (t *Table) MarshalJSON() ([]byte, error) {
-	d := document{Service: t.Service, Version: t.Version, Owners: t.Owners, Keys: t.Keys}
-	for _, e := range t.Slices {
-		if n := len(d.Runs); n > 0 && d.Runs[n-1].Owner == e.Owner && d.Runs[n-1].Next == e.Next {
-			d.Runs[n-1].Count++
-			continue
+	d := document{Service: t.Service, Version: t.Version, Owners: t.Owners, Keys: t.Keys, Next: map[int]int32{}}
+	for i, e := range t.Slices {
+		d.Slices = binary.AppendUvarint(d.Slices, uint64(e.Owner+1))
+		if e.Moving() {
+			d.Next[i] = e.Next
 		}
-		d.Runs = append(d.Runs, run{Count: 1, Owner: e.Owner, Next: e.Next})
 	}
 	return json.Marshal(d)
 }
@@ -47,13 +47,19 @@
 	if t.Keys == nil {
 		t.Keys = map[Hash]Entry{}
 	}
-	for _, r := range d.Runs {
-		if r.Count < 0 || len(t.Slices)+r.Count > 1<<20 {
-			return errors.Newf("run of %d slices is out of range", r.Count)
+	for rest := d.Slices; len(rest) > 0; {
+		v, n := binary.Uvarint(rest)
+		if n <= 0 || v > maxSlices || len(t.Slices) >= maxSlices {
+			return errors.Newf("the owner of slice %d is out of range", len(t.Slices))
 		}
-		for range r.Count {
-			t.Slices = append(t.Slices, Entry{Owner: r.Owner, Next: r.Next})
+		t.Slices = append(t.Slices, Entry{Owner: int32(v) - 1, Next: -1})
+		rest = rest[n:]
+	}
+	for i, next := range d.Next {
+		if i < 0 || i >= len(t.Slices) {
+			return errors.Newf("slice %d moves but there are %d", i, len(t.Slices))
 		}
+		t.Slices[i].Next = next
 	}
 	return t.Check()
 }
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -66,6 +66,21 @@
 	return t
 }
 
+// Moving returns the number of slices and single keys that are on their way.
+func (t *Table) Moving() (n int) {
+	for _, e := range t.Slices {
+		if e.Moving() {
+			n++
+		}
+	}
+	for _, e := range t.Keys {
+		if e.Moving() {
+			n++
+		}
+	}
+	return n
+}
+
 // Clone returns a copy that shares nothing with t.
 func (t *Table) Clone() *Table {
 	return &Table{
--- a/status.go
+++ b/status.go
@@ -154,11 +154,29 @@
 	})
 }
 
+// ControlBytes is what a VM has spent on control so far, in bytes.
+//
+// What passes between two VMs counts at the one that began the exchange, so
+// that the sum over all VMs is what was on the wire.
+type ControlBytes struct {
+	// Datagrams are renewals, refusals and heartbeats.
+	Datagrams int64
+	// Grants are grants to and probes of backend servers.
+	Grants int64
+	// Store are calls to the platform's store.
+	Store int64
+	// Peers are calls to other VMs other than relayed requests.
+	Peers int64
+}
+
+// Total returns the sum over all purposes.
+func (c ControlBytes) Total() int64 { return c.Datagrams + c.Grants + c.Store + c.Peers }
+
 // ControlBytes returns the bytes that the VM has spent on control so far.
-func (vm *VM) ControlBytes() int64 {
-	n := vm.controlBytes.Load() + vm.calls.Bytes.Load() + vm.client.ControlBytes()
+func (vm *VM) ControlBytes() (c ControlBytes) {
+	c = ControlBytes{Grants: vm.controlBytes.Load(), Store: vm.calls.Bytes.Load(), Peers: vm.client.ControlBytes()}
 	if vm.datagrams != nil {
-		n += vm.datagrams.Bytes.Load()
+		c.Datagrams = vm.datagrams.Bytes.Load()
 	}
-	return n
+	return c
 }
--- a/transport/peer/datagram.go
+++ b/transport/peer/datagram.go
@@ -24,7 +24,7 @@
 // Datagrams sends and receives what concerns leases and membership.
 type Datagrams struct {
 	conn *net.UDPConn
-	// Bytes counts what was sent and received, with the headers of IP and UDP.
+	// Bytes counts what was sent, with the headers of IP and UDP; what was received counts at its sender.
 	Bytes atomic.Int64
 	// Drop is a seam for tests: datagrams to an address for which it returns true are lost.
 	Drop func(address string) bool
@@ -68,7 +68,6 @@
 		if err != nil {
 			return err
 		}
-		d.Bytes.Add(int64(n + ipOverhead))
 		m := &peerpb.Datagram{}
 		if proto.Unmarshal(buffer[:n], m) == nil {
 			receive(m)
--- a/transport/platform/options.go
+++ b/transport/platform/options.go
@@ -7,12 +7,14 @@
 	"golang.org/x/time/rate"
 )
 
-// Default settings of a client; the rates are one node's share of the store's budget.
+// Default settings of a client; the rates are what all clients of the store may use together.
 const (
 	defaultTimeout = 2 * time.Second
-	defaultReads   = 3.0
-	defaultWrites  = 2.0
+	defaultReads   = 1500.0
+	defaultWrites  = 300.0
 	burst          = 30
+	// leastShare is the rate that a client has among however many, in calls per second.
+	leastShare = 0.5
 )
 
 // Options are the settings of a client.
@@ -21,6 +23,8 @@
 	HTTP    *http.Client
 	Calls   *Calls
 
+	readBudget, writeBudget float64
+
 	reads  *rate.Limiter
 	writes *rate.Limiter
 }
@@ -33,14 +37,14 @@
 	return func(o *Options) { o.Timeout = d }
 }
 
-// WithReads bounds the reads and watches per second.
+// WithReads bounds the reads and watches per second of all clients together.
 func WithReads(perSecond float64) Option {
-	return func(o *Options) { o.reads = rate.NewLimiter(rate.Limit(perSecond), burst) }
+	return func(o *Options) { o.readBudget = perSecond }
 }
 
-// WithWrites bounds the writes per second.
+// WithWrites bounds the writes per second of all clients together.
 func WithWrites(perSecond float64) Option {
-	return func(o *Options) { o.writes = rate.NewLimiter(rate.Limit(perSecond), burst) }
+	return func(o *Options) { o.writeBudget = perSecond }
 }
 
 // WithCalls counts the calls in c.
@@ -59,5 +63,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	o.reads = rate.NewLimiter(rate.Limit(o.readBudget), burst)
+	o.writes = rate.NewLimiter(rate.Limit(o.writeBudget), burst)
 	return o
 }
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/hickorylug/hickorylug/protocol/store"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -52,6 +53,8 @@
 	Watch func(ctx context.Context, prefix string, after id.Revision, wait time.Duration) (store.Changes, error)
 	// VMs returns the platform's list of entry VMs.
 	VMs func(ctx context.Context) ([]store.VM, error)
+	// Share sets the number of clients among which the store's rates are divided.
+	Share func(clients int)
 }
 
 // Calls counts the calls to the store since the start.
@@ -69,7 +72,12 @@
 // NewClient returns a client of the store at a base URL.
 func NewClient(base string, opts ...Option) *Client {
 	c := &client{options: newOptions(opts), base: strings.TrimSuffix(base, "/")}
-	return &Client{Get: c.get, Swap: c.swap, Watch: c.watch, VMs: c.vms}
+	return &Client{Get: c.get, Swap: c.swap, Watch: c.watch, VMs: c.vms, Share: c.share}
+}
+
+func (c *client) share(clients int) {
+	c.options.reads.SetLimit(rate.Limit(max(leastShare, c.options.readBudget/float64(max(clients, 1)))))
+	c.options.writes.SetLimit(rate.Limit(max(leastShare, c.options.writeBudget/float64(max(clients, 1)))))
 }
 
 func (c *client) get(ctx context.Context, key string) (item store.Item, err error) {
--- a/watch.go
+++ b/watch.go
@@ -93,12 +93,15 @@
 func (w *watcher) verify(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.pause(ctx, verifyPeriod)
-		item, err := w.vm.platform.Get(ctx, directory.KeyConfiguration)
-		if err == nil {
-			err = w.vm.directory.Apply(item)
-		}
-		if err != nil && ctx.Err() == nil {
+		changes, err := w.vm.platform.Watch(ctx, directory.KeyConfiguration, w.vm.directory.View().Revision, 0)
+		if err != nil {
 			w.vm.log.Debug("the configuration can't be verified", "error", err)
+			continue
+		}
+		for _, item := range changes.Items {
+			if err := w.vm.directory.Apply(item); err != nil {
+				w.vm.log.Error("an item of the store can't be used", "key", item.Key, "error", err)
+			}
 		}
 	}
 }
@@ -109,6 +112,7 @@
 		list, err := w.vm.platform.VMs(ctx)
 		if err == nil {
 			w.vm.members.Listed(w.vm.options.Clock.Boot(), list)
+			w.vm.platform.Share(len(list))
 		}
 		period := listPeriod
 		if len(w.vm.members.Live(w.vm.options.Clock.Boot())) < 2 {
