Recall first sendings across moves and spread leases over VMs

Cause: a planned stop or a failure domain taken out moved the places of requests that run at most once to holders without their memory, so that waiting first sendings were answered as unknown. Leases piled up on the first VM of a domain. net/http tries a broken connection again by itself, and the error of the second dial was taken for 'not sent': a false 'not run'.

Change: the new owner of a slice asks the old one what it has seen; VMs that hold two leases more than a neighbour hand one over; what was written counts over all connections of a round trip; one report message a VM; the first table waits for all groups; a new planner waits for reports before balancing.

--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -26,6 +26,7 @@
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/config"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
 	"github.com/hickorylug/hickorylug/state/task"
 )
 
@@ -82,12 +83,20 @@
 	settled chan struct{}
 	// known holds the slices that the group owned in the newest table seen.
 	known map[id.Slice]bool
-	// gained holds the time at which a slice came from another group.
-	gained map[id.Slice]time.Time
+	// before is that table.
+	before *table.Table
+	// gained holds when and from which group a slice came.
+	gained map[id.Slice]origin
 	// claims counts the requests in flight, by slice, that resends have to meet here.
 	claims map[id.Slice]int
 }
 
+// origin is where a slice came from; the zero value means that the group has had it all along.
+type origin struct {
+	at   time.Time
+	from id.Group
+}
+
 // NewGroup returns the group of a service for the process that holds its lease.
 func NewGroup(name id.Group, service id.Service, d *directory.Directory, link *Link, opts ...Option) *Group {
 	o := newOptions(opts)
@@ -106,7 +115,7 @@
 		latency:   newWindow(),
 		wake:      make(chan struct{}, 1),
 		settled:   make(chan struct{}),
-		gained:    map[id.Slice]time.Time{},
+		gained:    map[id.Slice]origin{},
 		claims:    map[id.Slice]int{},
 		tasks:     task.NewSet(),
 	}
--- a/coordination/group/once.go
+++ b/coordination/group/once.go
@@ -10,6 +10,7 @@
 	"github.com/hickorylug/hickorylug/protocol/exchange"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
 )
 
 // maxKeptBody is the largest answer that is kept for resends, in bytes.
@@ -18,12 +19,15 @@
 // once runs a request that is not idempotent, or gives a resend the answer of its first sending.
 func (g *Group) once(ctx context.Context, r *exchange.Request) (answer *exchange.Response, err error) {
 	i := idempotency.ID{Service: g.service, Identity: r.Identity}
-	place, leave, err := g.claim(r)
+	came, leave, err := g.claim(r)
 	if err != nil {
 		return nil, err
 	}
 	defer leave()
-	entry, first, err := g.memory.Begin(g.options.Clock.Now(), i, place)
+	entry, first, err := g.memory.Begin(g.options.Clock.Now(), i, came.at)
+	if err != nil {
+		entry, first, err = g.recall(ctx, i, r.Place(), came, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -40,21 +44,51 @@
 	return g.keep(entry, answer)
 }
 
+// recall begins a request whose first sending the group that had the slice before may know.
+func (g *Group) recall(ctx context.Context, i idempotency.ID, place table.Hash, came origin, refusal error) (entry *idempotency.Entry, first bool, err error) {
+	if came.from == "" {
+		return nil, false, refusal
+	}
+	kept, found, known := g.options.Recall(ctx, came.from, i, place)
+	if !known {
+		return nil, false, refusal
+	}
+	if found {
+		g.memory.Adopt(kept)
+	}
+	return g.memory.Begin(g.options.Clock.Now(), i, time.Time{})
+}
+
+// Recall returns what the group's memory has of a request, for the group that has its slice now.
+//
+// Known is false where the memory can't tell, or where the request is still in flight.
+func (g *Group) Recall(identity string, place table.Hash) (kept idempotency.Kept, found, known bool) {
+	i := idempotency.ID{Service: g.service, Identity: identity}
+	g.mu.Lock()
+	t := g.directory.View().Tables[g.service]
+	var floor time.Time
+	if t != nil && len(t.Slices) > 0 {
+		floor = g.gained[t.SliceOf(place)].at
+	}
+	g.mu.Unlock()
+	return g.memory.Recall(g.options.Clock.Now(), i, floor)
+}
+
 // claim checks that resends of a request are sent to this group, and keeps them here until leave is called.
 //
-// Floor is the time at which the request's slice came to the group.
-func (g *Group) claim(r *exchange.Request) (floor time.Time, leave func(), err error) {
+// Came tells where the request's slice came from.
+func (g *Group) claim(r *exchange.Request) (came origin, leave func(), err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t, ok := g.directory.View().Tables[g.service]
 	if !ok || len(t.Slices) == 0 {
-		return floor, nil, outcome.NotRun(outcome.NoOwner, "service %s has no slice table yet", g.service)
+		return came, nil, outcome.NotRun(outcome.NoOwner, "service %s has no slice table yet", g.service)
 	}
 	hash := r.Place()
 	slice := t.SliceOf(hash)
 	if !r.Keyed {
 		if owner, ok := t.Owner(hash); !ok || owner != id.Owner(g.name) {
-			return floor, nil, outcome.NotRun(outcome.Moved, "resends of the request are sent to another group than %s", g.name)
+			return came, nil, outcome.NotRun(outcome.Moved, "resends of the request are sent to another group than %s", g.name)
 		}
 	}
 	g.claims[slice]++
--- a/coordination/group/options.go
+++ b/coordination/group/options.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
 )
 
 // Shares of extra sendings in the real traffic, and how many may be saved up.
@@ -33,6 +35,8 @@
 	Seen func(id.Server) (boot id.Incarnation, limit int)
 	// Lost is called when a backend server is lost or leaves.
 	Lost func(id.Server)
+	// Recall asks the group that had a slice before whether it has seen a request.
+	Recall func(ctx context.Context, from id.Group, i idempotency.ID, place table.Hash) (kept idempotency.Kept, found, known bool)
 	// Died is called when a request was in flight at a backend server that died.
 	Died func(f poison.Fingerprint, deaths int)
 }
@@ -71,6 +75,11 @@
 // WithDied sets the function that is told of suspects.
 func WithDied(f func(poison.Fingerprint, int)) Option { return func(o *Options) { o.Died = f } }
 
+// WithRecall sets the way to ask the group that had a slice before.
+func WithRecall(f func(context.Context, id.Group, idempotency.ID, table.Hash) (idempotency.Kept, bool, bool)) Option {
+	return func(o *Options) { o.Recall = f }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{
 		Clock:  clock.System{},
@@ -83,6 +92,9 @@
 			Until: func() clock.Instant { return 1 << 62 },
 		},
 		Seen: func(id.Server) (id.Incarnation, int) { return "", 0 },
+		Recall: func(context.Context, id.Group, idempotency.ID, table.Hash) (idempotency.Kept, bool, bool) {
+			return idempotency.Kept{}, false, false
+		},
 		Lost: func(id.Server) {},
 		Died: func(poison.Fingerprint, int) {},
 	}
--- a/coordination/group/server.go
+++ b/coordination/group/server.go
@@ -140,10 +140,22 @@
 		}
 		owned[slice] = true
 		if g.known != nil && !g.known[slice] {
-			g.gained[slice] = g.options.Clock.Now()
+			g.gained[slice] = origin{at: g.options.Clock.Now(), from: g.ownerBefore(view, slice)}
 		}
 	}
-	g.known = owned
+	g.known, g.before = owned, t
+}
+
+// ownerBefore returns the group that had a slice in the table seen before, or an empty name.
+func (g *Group) ownerBefore(view *directory.View, slice id.Slice) id.Group {
+	if g.before == nil || int(slice) >= len(g.before.Slices) {
+		return ""
+	}
+	owner := g.before.Name(g.before.Slices[slice].Owner)
+	if from, ok := view.GroupOfServer(g.service, id.Server(owner)); ok {
+		return from
+	}
+	return id.Group(owner)
 }
 
 // owns reports whether an owner is the group or one of its servers.
--- a/coordination/idempotency/idempotency.go
+++ b/coordination/idempotency/idempotency.go
@@ -90,10 +90,7 @@
 		since:   since,
 	}
 	for _, kept := range m.options.Entries {
-		e := &Entry{id: kept.ID, begun: kept.Begun, done: make(chan struct{}), answer: kept.Answer}
-		close(e.done)
-		m.entries[e.id] = m.order.PushBack(e)
-		m.bytes += entryOverhead + e.answer.Size()
+		m.adopt(kept)
 	}
 	m.options.Entries = nil
 	return m
@@ -146,6 +143,33 @@
 	return e, true, nil
 }
 
+// Recall returns a finished entry for another group; known is false where the memory can't tell.
+func (m *Memory) Recall(now time.Time, i ID, floor time.Time) (kept Kept, found, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if element, ok := m.entries[i]; ok {
+		e := element.Value.(*Entry)
+		return Kept{ID: e.id, Begun: e.begun, Answer: e.answer}, e.finished(), e.finished()
+	}
+	return Kept{}, false, m.checkAge(now, i, floor) == nil
+}
+
+// Adopt takes over an entry of another group's memory.
+func (m *Memory) Adopt(kept Kept) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.entries[kept.ID]; !ok {
+		m.adopt(kept)
+	}
+}
+
+func (m *Memory) adopt(kept Kept) {
+	e := &Entry{id: kept.ID, begun: kept.Begun, done: make(chan struct{}), answer: kept.Answer}
+	close(e.done)
+	m.entries[e.id] = m.order.PushBack(e)
+	m.bytes += entryOverhead + e.answer.Size()
+}
+
 // checkAge refuses an identity whose first sending could have been forgotten.
 func (m *Memory) checkAge(now time.Time, i ID, floor time.Time) error {
 	since := later(m.since, floor)
--- a/coordination/keeper/keeper.go
+++ b/coordination/keeper/keeper.go
@@ -257,10 +257,18 @@
 	return actions
 }
 
+// Swapping reports whether a write of a group's record is on its way.
+func (k *Keeper) Swapping(g id.Group) bool {
+	_, ok := k.swaps[g]
+	return ok
+}
+
 // Resign gives a group up for a successor and returns the record that it may follow.
+//
+// It must not be called while a swap is on its way, which would make the record an old one.
 func (k *Keeper) Resign(g id.Group) (r lease.Record, ok bool) {
 	h, ok := k.held[g]
-	if !ok {
+	if !ok || k.Swapping(g) {
 		return r, false
 	}
 	r = h.current.Record()
@@ -273,10 +281,7 @@
 
 // replaceWitnesses moves the lease to a new term with witnesses that answer.
 func (k *Keeper) replaceWitnesses(now clock.Instant, s Scene, g id.Group, h *held) (actions []Action) {
-	if !h.running || !h.current.Valid(now) || now < k.notBefore[g] {
-		return nil
-	}
-	if _, swapping := k.swaps[g]; swapping {
+	if !h.running || !h.current.Valid(now) || now < k.notBefore[g] || k.Swapping(g) || s.Leaving {
 		return nil
 	}
 	record := h.current.Record()
@@ -319,7 +324,7 @@
 
 // Accept takes a lease over from a holder that has resigned and says so itself.
 func (k *Keeper) Accept(now clock.Instant, s Scene, r lease.Record) []Action {
-	if _, swapping := k.swaps[r.Group]; swapping || s.Leaving {
+	if k.Swapping(r.Group) || s.Leaving {
 		return nil
 	}
 	delete(k.takeovers, r.Group)
--- a/coordination/planner/options.go
+++ b/coordination/planner/options.go
@@ -3,7 +3,7 @@
 // Default settings of a plan.
 const (
 	defaultBound   = 1.15
-	defaultChurn   = 0.02
+	defaultChurn   = 0.04
 	defaultHotKey  = 0.2
 	defaultMaxKeys = 64
 	defaultFloor   = 0.01
--- a/handlers.go
+++ b/handlers.go
@@ -27,8 +27,9 @@
 		Offer:    vm.takeState,
 		Fetch:    vm.giveState,
 		Release:  vm.release,
-		Report:   vm.takeReport,
+		Report:   vm.takeReports,
 		Handover: vm.acceptHandover,
+		Recall:   vm.answerRecall,
 		Warn:     vm.takeWarning,
 	}
 }
--- a/handover.go
+++ b/handover.go
@@ -9,6 +9,7 @@
 	"github.com/hickorylug/hickorylug/coordination/member"
 	"github.com/hickorylug/hickorylug/protocol/peerpb"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
 	"github.com/hickorylug/hickorylug/transport/peer"
 )
 
@@ -20,6 +21,50 @@
 	handoverPoll = 5 * time.Millisecond
 )
 
+// answerRecall tells the new owner of a slice whether a request has been seen here.
+func (vm *VM) answerRecall(_ context.Context, r *peerpb.RecallRequest) (*peerpb.RecallAnswer, error) {
+	vm.mu.Lock()
+	held, ok := vm.groups[id.Group(r.GetGroup())]
+	vm.mu.Unlock()
+	if !ok || !vm.holds(id.Group(r.GetGroup())) {
+		return &peerpb.RecallAnswer{}, nil
+	}
+	kept, found, known := held.group.Recall(r.GetIdentity(), table.Hash(r.GetPlace()))
+	answer := &peerpb.RecallAnswer{Known: known}
+	if found {
+		answer.Memory = peer.MemoryOf(kept, vm.options.Clock.Now())
+	}
+	return answer, nil
+}
+
+// recall asks the holder of the group that had a slice before whether it has seen a request.
+func (vm *VM) recall(ctx context.Context, from id.Group, i idempotency.ID, place table.Hash) (kept idempotency.Kept, found, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, recallTime)
+	defer cancel()
+	request := &peerpb.RecallRequest{Group: string(from), Service: string(i.Service), Identity: i.Identity, Place: uint64(place)}
+	holder := vm.directory.View().Leases[from].Holder
+	var answer *peerpb.RecallAnswer
+	var err error
+	if holder == vm.options.Settings.VM {
+		answer, err = vm.answerRecall(ctx, request)
+	} else {
+		var p peerpb.PeerClient
+		if p, err = vm.client.Peer(holder); err == nil {
+			answer, err = p.Recall(ctx, request)
+		}
+	}
+	if err != nil || !answer.GetKnown() {
+		return kept, false, false
+	}
+	if answer.GetMemory() == nil {
+		return kept, false, true
+	}
+	return peer.KeptOf(answer.GetMemory(), vm.options.Clock.Now()), true, true
+}
+
+// recallTime bounds a question to the former owner of a slice.
+const recallTime = 500 * time.Millisecond
+
 // legacy is what a former holder leaves to this VM.
 type legacy struct {
 	// term is the one that the former holder has resigned.
@@ -48,7 +93,11 @@
 	done := make(chan struct{}, len(held))
 	for _, g := range held {
 		vm.tasks.Go(ctx, func(ctx context.Context) {
-			vm.handOverGroup(ctx, g)
+			if successor, ok := vm.successor(g); ok {
+				vm.handOverGroup(ctx, g, successor.VM)
+			} else {
+				vm.log.Warn("no VM can take a lease over", "group", g)
+			}
 			done <- struct{}{}
 		})
 	}
@@ -57,14 +106,11 @@
 	}
 }
 
-func (vm *VM) handOverGroup(ctx context.Context, g id.Group) {
+// handOverGroup gives a lease to a successor; what is in flight here finishes here.
+func (vm *VM) handOverGroup(ctx context.Context, g id.Group, successor id.VM) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTime)
 	defer cancel()
-	successor, ok := vm.successor(g)
-	if !ok {
-		vm.log.Warn("no VM can take a lease over", "group", g)
-		return
-	}
+	vm.awaitSwap(ctx, g)
 	request := &peerpb.HandoverRequest{}
 	vm.mu.Lock()
 	r, runs := vm.groups[g]
@@ -81,18 +127,35 @@
 		return
 	}
 	request.Lease = peer.LeaseOf(record)
-	p, err := vm.client.Peer(successor.VM)
+	p, err := vm.client.Peer(successor)
 	if err == nil {
 		_, err = p.Handover(ctx, request)
 	}
 	if err != nil {
-		vm.log.Warn("a lease could not be handed over", "group", g, "to", successor.VM, "error", err)
+		vm.log.Warn("a lease could not be handed over", "group", g, "to", successor, "error", err)
 	}
 	if runs {
 		r.stop()
 	}
 }
 
+// awaitSwap waits until no write of a group's record is on its way.
+func (vm *VM) awaitSwap(ctx context.Context, g id.Group) {
+	for {
+		vm.mu.Lock()
+		swapping := vm.keeper.Swapping(g)
+		vm.mu.Unlock()
+		if !swapping {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-vm.options.Clock.After(handoverPoll):
+		}
+	}
+}
+
 // packMemory copies the memory of a group, complete if all that runs at most once has finished.
 func (vm *VM) packMemory(ctx context.Context, r *running, request *peerpb.HandoverRequest) {
 	waiting, cancel := context.WithTimeout(ctx, claimsTime)
--- a/hickorylug.go
+++ b/hickorylug.go
@@ -259,6 +259,7 @@
 	s.Add(part{"members", vm.watcher.listMembers})
 	s.Add(part{"planner", vm.planning.run})
 	s.Add(part{"reports", vm.report})
+	s.Add(part{"spread", vm.spreadLeases})
 	return callers, peers
 }
 
--- a/leases.go
+++ b/leases.go
@@ -169,7 +169,7 @@
 	r := s.Record
 	vm.log.Info("lease begins", "group", r.Group, "term", r.Term, "witnesses", r.Witnesses)
 	if r.Group == id.Planner {
-		vm.planning.wake()
+		vm.planning.begin()
 		return
 	}
 	past, inherited := vm.takeLegacy(r.Group, r.Term)
@@ -189,6 +189,7 @@
 		group.WithSeen(vm.lastSeen),
 		group.WithLost(func(id.Server) { vm.reportSoon() }),
 		group.WithDied(vm.warn),
+		group.WithRecall(vm.recall),
 	)
 	inner, cancel := context.WithCancel(ctx)
 	vm.mu.Lock()
--- a/planning.go
+++ b/planning.go
@@ -19,6 +19,10 @@
 	planPeriod = 500 * time.Millisecond
 	// balancePeriod is the time between two moves for the sake of balance.
 	balancePeriod = 5 * time.Second
+	// firstPatience is the time for which the first table waits until all groups are held.
+	firstPatience = 3 * time.Second
+	// balanceAfter is the time after which a new planner knows the load: two reports that carry it.
+	balanceAfter = 2 * loadEvery * reportPeriod
 	// reportFresh is the time for which a report is believed.
 	reportFresh = 5 * time.Second
 	releaseTime = 2 * time.Second
@@ -36,6 +40,7 @@
 	reportNow chan struct{}
 
 	mu       sync.Mutex
+	since    time.Time
 	reports  map[id.Group]*groupState
 	balanced map[id.Service]time.Time
 	// removed holds the time at which an owner was first missed in the configuration.
@@ -102,8 +107,10 @@
 	for k, v := range s.slices {
 		s.slices[k] = v * (1 - loadSmoothing)
 	}
-	for _, l := range m.GetSlices() {
-		s.slices[id.Slice(l.GetSlice())] += loadSmoothing * l.GetRate()
+	for i, slice := range m.GetSlices() {
+		if i < len(m.GetRates()) {
+			s.slices[id.Slice(slice)] += loadSmoothing * float64(m.GetRates()[i])
+		}
 	}
 	s.keys = map[table.Hash]float64{}
 	for _, l := range m.GetKeys() {
@@ -173,6 +180,10 @@
 
 // first reads a service's table from the store, or makes one where there is none.
 func (p *planning) first(ctx context.Context, service id.Service) *table.Table {
+	if !p.groupsHeld(service) && p.age() < firstPatience {
+		// A table that is made now would leave out groups that are just about to begin.
+		return nil
+	}
 	item, err := p.vm.platform.Get(ctx, directory.KeyTable(service))
 	if err != nil {
 		return nil
@@ -186,12 +197,40 @@
 	return table.New(service, p.vm.directory.View().Site.Services[service].Slices)
 }
 
+// groupsHeld reports whether every group of a service that is in service has a lease holder.
+func (p *planning) groupsHeld(service id.Service) bool {
+	view := p.vm.directory.View()
+	for _, g := range view.ByService[service] {
+		if record, ok := view.Leases[g]; view.Groups[g].Open() && (!ok || record.Vacant()) {
+			return false
+		}
+	}
+	return true
+}
+
+// begin notes the time at which this VM became the planner.
+func (p *planning) begin() {
+	p.mu.Lock()
+	p.since = p.vm.options.Clock.Now()
+	clear(p.balanced)
+	p.mu.Unlock()
+	p.wake()
+}
+
+// age returns how long this VM has been the planner.
+func (p *planning) age() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.vm.options.Clock.Now().Sub(p.since)
+}
+
 // planOptions holds back moves for the sake of balance between two periods.
 func (p *planning) planOptions(service id.Service) []planner.Option {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.vm.options.Clock.Now()
-	if now.Sub(p.balanced[service]) < balancePeriod {
+	// A new planner lets the reports come in before it judges the load.
+	if now.Sub(p.since) < balanceAfter || now.Sub(p.balanced[service]) < balancePeriod {
 		return []planner.Option{planner.WithoutBalance()}
 	}
 	p.balanced[service] = now
--- a/reports.go
+++ b/reports.go
@@ -1,8 +1,8 @@
 package hickorylug
 
 import (
-	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,9 +15,9 @@
 const (
 	reportPeriod = 2 * time.Second
 	// loadEvery is the number of reports of which one carries the loads of slices and keys.
-	loadEvery = 5
-	// reportedSlices is the number of slices, the most requested ones, whose load is reported.
-	reportedSlices = 64
+	loadEvery = 3
+	// successorEvery is the number of reports of which one goes to the successor, too.
+	successorEvery = 2
 	reportTime     = 500 * time.Millisecond
 )
 
@@ -33,18 +33,7 @@
 func (vm *VM) report(ctx context.Context) error {
 	loads := map[id.Group]*pendingLoad{}
 	for turn := 0; ; turn++ {
-		vm.mu.Lock()
-		groups := make([]*group.Group, 0, len(vm.groups))
-		for _, r := range vm.groups {
-			groups = append(groups, r.group)
-		}
-		vm.mu.Unlock()
-		for _, g := range groups {
-			if loads[g.Name()] == nil {
-				loads[g.Name()] = newPendingLoad()
-			}
-			vm.reportGroup(ctx, g, loads[g.Name()], turn%loadEvery == 0)
-		}
+		vm.reportOnce(ctx, loads, turn)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -54,6 +43,38 @@
 	}
 }
 
+// reportOnce sends one message to each VM that has to know.
+func (vm *VM) reportOnce(ctx context.Context, loads map[id.Group]*pendingLoad, turn int) {
+	vm.mu.Lock()
+	groups := make([]*group.Group, 0, len(vm.groups))
+	for _, r := range vm.groups {
+		groups = append(groups, r.group)
+	}
+	vm.mu.Unlock()
+	view := vm.directory.View()
+	messages := map[id.VM]*peerpb.Reports{}
+	add := func(to id.VM, r *peerpb.GroupReport) {
+		if messages[to] == nil {
+			messages[to] = &peerpb.Reports{}
+		}
+		messages[to].Groups = append(messages[to].Groups, r)
+	}
+	plannerVM := view.Leases[id.Planner].Holder
+	for _, g := range groups {
+		if loads[g.Name()] == nil {
+			loads[g.Name()] = newPendingLoad()
+		}
+		condition, load := vm.groupReport(g, loads[g.Name()], turn%loadEvery == 0)
+		add(plannerVM, load)
+		if w := view.Leases[g.Name()].Witnesses; turn%successorEvery == 0 && len(w) > 0 && w[0] != plannerVM {
+			add(w[0], condition)
+		}
+	}
+	for to, m := range messages {
+		vm.passReports(ctx, to, m)
+	}
+}
+
 // pendingLoad gathers counts between two reports that carry them.
 type pendingLoad struct {
 	slices map[id.Slice]int
@@ -74,45 +95,43 @@
 	}
 }
 
-func (vm *VM) reportGroup(ctx context.Context, g *group.Group, l *pendingLoad, withLoad bool) {
+// groupReport returns a group's condition, without and with its load.
+func (vm *VM) groupReport(g *group.Group, l *pendingLoad, withLoad bool) (condition, load *peerpb.GroupReport) {
 	r := g.Report()
 	l.add(r)
-	m := &peerpb.GroupReport{Group: string(g.Name()), Term: uint64(g.Term())}
+	condition = &peerpb.GroupReport{Group: string(g.Name()), Term: uint64(g.Term())}
 	for _, s := range r.Servers {
-		m.Servers = append(m.Servers, &peerpb.ServerReport{
+		condition.Servers = append(condition.Servers, &peerpb.ServerReport{
 			Server: string(s.Server), Lost: s.Lost, Limit: int32(s.Limit), Slots: int32(s.Slots), Boot: string(s.Boot),
 		})
 	}
-	now := vm.options.Clock.Now()
-	if withLoad && !l.since.IsZero() && now.After(l.since) {
-		fillLoad(m, l, now.Sub(l.since))
-	}
-	if withLoad {
-		*l = *newPendingLoad()
-		l.since = now
+	load = &peerpb.GroupReport{Group: condition.Group, Term: condition.Term, Servers: condition.Servers}
+	if !withLoad {
+		return condition, load
 	}
-	record := vm.directory.View().Leases[id.Planner]
-	vm.passReport(ctx, record.Holder, m)
-	if own := vm.directory.View().Leases[g.Name()]; len(own.Witnesses) > 0 && own.Witnesses[0] != record.Holder {
-		vm.passReport(ctx, own.Witnesses[0], m)
+	now := vm.options.Clock.Now()
+	if !l.since.IsZero() && now.After(l.since) {
+		fillLoad(load, l, now.Sub(l.since))
 	}
+	*l = *newPendingLoad()
+	l.since = now
+	return condition, load
 }
 
 func fillLoad(m *peerpb.GroupReport, l *pendingLoad, d time.Duration) {
 	m.Measured = true
-	for slice, n := range l.slices {
-		m.Slices = append(m.Slices, &peerpb.SliceLoad{Slice: uint32(slice), Rate: float64(n) / d.Seconds()})
+	for _, slice := range slices.Sorted(maps.Keys(l.slices)) {
+		m.Slices = append(m.Slices, uint32(slice))
+		m.Rates = append(m.Rates, float32(float64(l.slices[slice])/d.Seconds()))
 	}
-	slices.SortFunc(m.Slices, func(a, b *peerpb.SliceLoad) int { return -cmp.Compare(a.GetRate(), b.GetRate()) })
-	m.Slices = m.Slices[:min(len(m.Slices), reportedSlices)]
 	for key, n := range l.keys {
 		m.Keys = append(m.Keys, &peerpb.KeyLoad{Key: key, Rate: float64(n) / d.Seconds()})
 	}
 }
 
-func (vm *VM) passReport(ctx context.Context, to id.VM, m *peerpb.GroupReport) {
+func (vm *VM) passReports(ctx context.Context, to id.VM, m *peerpb.Reports) {
 	if to == vm.options.Settings.VM {
-		vm.takeReport(ctx, m)
+		vm.takeReports(ctx, m)
 		return
 	}
 	if to == "" {
@@ -131,12 +150,14 @@
 	})
 }
 
-// takeReport notes the condition of a group, as planner or as the one who may take the group over.
-func (vm *VM) takeReport(_ context.Context, m *peerpb.GroupReport) {
-	vm.mu.Lock()
-	for _, s := range m.GetServers() {
-		vm.seen[id.Server(s.GetServer())] = sighting{boot: id.Incarnation(s.GetBoot()), limit: int(s.GetLimit())}
+// takeReports notes the condition of groups, as planner or as the one who may take them over.
+func (vm *VM) takeReports(_ context.Context, m *peerpb.Reports) {
+	for _, r := range m.GetGroups() {
+		vm.mu.Lock()
+		for _, s := range r.GetServers() {
+			vm.seen[id.Server(s.GetServer())] = sighting{boot: id.Incarnation(s.GetBoot()), limit: int(s.GetLimit())}
+		}
+		vm.mu.Unlock()
+		vm.planning.take(r)
 	}
-	vm.mu.Unlock()
-	vm.planning.take(m)
 }
--- /dev/null
+++ b/spread.go
@@ -0,0 +1,74 @@
+package hickorylug
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+// Constants of the spread of leases over the VMs.
+const (
+	spreadPeriod = 2 * time.Second
+	// spreadSettled is the time after which a VM that has started is given leases.
+	spreadSettled = 4 * time.Second
+	// spreadGap is the difference in leases from which one is handed over.
+	spreadGap = 2
+)
+
+// spreadLeases hands leases over to VMs of the same failure domain that hold fewer, one at a time.
+//
+// Restarts and losses pile leases up on the VMs that stay; without this they
+// would never come down again.
+func (vm *VM) spreadLeases(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-vm.options.Clock.After(spreadPeriod):
+		}
+		if g, to, ok := vm.surplus(); ok {
+			vm.log.Info("lease is handed over to a VM that holds fewer", "group", g, "to", to)
+			vm.handOverGroup(ctx, g, to)
+		}
+	}
+}
+
+// surplus returns a lease that this VM should hand over, and to whom.
+func (vm *VM) surplus() (g id.Group, to id.VM, ok bool) {
+	view := vm.directory.View()
+	now := vm.options.Clock.Boot()
+	set := vm.options.Settings
+	vm.mu.Lock()
+	leaving := vm.leaving
+	var mine []id.Group
+	for name := range vm.groups {
+		mine = append(mine, name)
+	}
+	vm.mu.Unlock()
+	if leaving || len(mine) < spreadGap {
+		return "", "", false
+	}
+	held := map[id.VM]int{}
+	for _, r := range view.Leases {
+		held[r.Holder]++
+	}
+	least := held[set.VM] - spreadGap
+	for _, m := range vm.members.Live(now) {
+		if m.VM == set.VM || m.Leaving || m.FailureDomain != set.FailureDomain || !vm.members.Settled(now, m.VM, spreadSettled) {
+			continue
+		}
+		if held[m.VM] <= least {
+			to, least, ok = m.VM, held[m.VM]-1, true
+		}
+	}
+	return highest(mine), to, ok
+}
+
+// highest returns the last name in order, so that the choice doesn't depend on the order of a map.
+func highest(groups []id.Group) (out id.Group) {
+	for _, g := range groups {
+		out = max(out, g)
+	}
+	return out
+}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -72,7 +72,7 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
-				return nil, errors.Mark(err, group.ErrNotSent)
+				return nil, err
 			}
 			return l.track(c), nil
 		},
@@ -127,14 +127,8 @@
 }
 
 func (l *link) send(ctx context.Context, s config.Server, limit int, r *http.Request) (resp *http.Response, err error) {
-	var conn atomic.Pointer[countingConn]
-	var before atomic.Int64
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*countingConn); ok {
-			before.Store(c.written.Load())
-			conn.Store(c)
-		}
-	}}
+	var used usage
+	trace := &httptrace.ClientTrace{GotConn: used.gotConn}
 	ctx, span := l.options.Tracer.Start(ctx, r.Header, "backend")
 	defer span.End()
 	l.options.Tracer.Inject(ctx, r.Header)
@@ -142,12 +136,44 @@
 	if err == nil {
 		return resp, nil
 	}
-	if c := conn.Load(); c == nil || c.written.Load() == before.Load() {
+	if !used.written() {
 		return nil, errors.Mark(err, group.ErrNotSent)
 	}
 	return nil, err
 }
 
+// usage tells whether a round trip wrote anything, on whichever connections.
+//
+// The library may try a second connection after the first one broke; the
+// error of the second alone would hide that the first has carried the request.
+type usage struct {
+	mu     sync.Mutex
+	conns  []*countingConn
+	before []int64
+}
+
+func (u *usage) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conns = append(u.conns, c)
+	u.before = append(u.before, c.written.Load())
+}
+
+func (u *usage) written() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, c := range u.conns {
+		if c.written.Load() != u.before[i] {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *link) probe(ctx context.Context, s config.Server, path string) (boot id.Incarnation, err error) {
 	defer func() { err = errors.Wrapf(err, "probe backend server at %s", s.Address) }()
 	a, err := l.control(ctx, s, http.MethodGet, path, nil)
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -123,8 +123,9 @@
 	Offer    func(ctx context.Context, s *peerpb.State)
 	Fetch    func(ctx context.Context, h *peerpb.Have) (*peerpb.State, error)
 	Release  func(ctx context.Context, r *peerpb.ReleaseRequest) (*peerpb.ReleaseAnswer, error)
-	Report   func(ctx context.Context, r *peerpb.GroupReport)
+	Report   func(ctx context.Context, r *peerpb.Reports)
 	Handover func(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverAnswer, error)
+	Recall   func(ctx context.Context, r *peerpb.RecallRequest) (*peerpb.RecallAnswer, error)
 	Warn     func(ctx context.Context, w *peerpb.Warning)
 }
 
@@ -182,8 +183,8 @@
 	return s.handlers.Release(ctx, r)
 }
 
-// Report takes a group's condition for the planner.
-func (s *Server) Report(ctx context.Context, r *peerpb.GroupReport) (*peerpb.ReportAnswer, error) {
+// Report takes the condition of groups.
+func (s *Server) Report(ctx context.Context, r *peerpb.Reports) (*peerpb.ReportAnswer, error) {
 	s.handlers.Report(ctx, r)
 	return &peerpb.ReportAnswer{}, nil
 }
@@ -193,6 +194,11 @@
 	return s.handlers.Handover(ctx, r)
 }
 
+// Recall tells whether a request that runs at most once has been seen.
+func (s *Server) Recall(ctx context.Context, r *peerpb.RecallRequest) (*peerpb.RecallAnswer, error) {
+	return s.handlers.Recall(ctx, r)
+}
+
 // Warn takes the fingerprint of a request that backend servers died of.
 func (s *Server) Warn(ctx context.Context, w *peerpb.Warning) (*peerpb.WarnAnswer, error) {
 	s.handlers.Warn(ctx, w)
