--- a/coordination/group/health.go
+++ b/coordination/group/health.go
@@ -121,6 +121,7 @@
 		}
 	}
 	g.sweep(s)
+	g.sweepShared()
 	g.dispatchWaiting()
 	g.options.Lost(s.name)
 	g.settledLocked()
--- a/coordination/group/hedge.go
+++ b/coordination/group/hedge.go
@@ -5,15 +5,20 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickorylug/hickorylug/protocol/exchange"
+	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // Constants of the window of latencies that decides when to hedge.
 const (
-	windowSize     = 256
-	windowRefresh  = 32
-	hedgeQuantile  = 0.95
+	windowSize    = 256
+	windowRefresh = 32
+	hedgeQuantile = 0.95
+	// hedgeMargin is the delay in percent of the quantile, so that equal latencies aren't hedged.
+	hedgeMargin    = 120
 	minHedgeDelay  = 2 * time.Millisecond
 	initialHedging = 50 * time.Millisecond
 )
@@ -39,10 +44,13 @@
 	}
 	if w.added++; w.added%windowRefresh == 0 {
 		sorted := slices.Sorted(slices.Values(w.samples))
-		w.delay = max(minHedgeDelay, sorted[int(hedgeQuantile*float64(len(sorted)-1))])
+		w.delay = max(minHedgeDelay, hedgeMargin*sorted[int(hedgeQuantile*float64(len(sorted)-1))]/100)
 	}
 }
 
+// errOutrun cancels the sending that another copy has outrun.
+var errOutrun = errors.New("another copy was faster")
+
 type arrival struct {
 	answer *exchange.Response
 	last   id.Server
@@ -59,11 +67,12 @@
 		return g.attempt(ctx, r, p, avoid)
 	}
 	arrivals := make(chan arrival, 2)
-	cancels := []context.CancelFunc{g.start(ctx, r, p, avoid, 0, arrivals)}
+	cancels := []context.CancelCauseFunc{g.start(ctx, r, p, avoid, 0, arrivals)}
 	g.mu.Lock()
 	delay := g.latency.delay
 	g.mu.Unlock()
 	hedge := g.options.Clock.After(delay)
+	unknown := false
 	for pending := 1; ; {
 		select {
 		case <-hedge:
@@ -75,6 +84,10 @@
 			}
 		case a := <-arrivals:
 			pending--
+			if a.err != nil {
+				a.err = outcome.Final(outcome.Of(a.err), unknown)
+				unknown = outcome.Of(a.err).Outcome == outcome.KindUnknown
+			}
 			if a.err != nil && pending > 0 {
 				continue
 			}
@@ -85,8 +98,8 @@
 }
 
 // start runs one sending, whose end is reported on arrivals.
-func (g *Group) start(ctx context.Context, r *exchange.Request, p *exchange.Payload, avoid id.Server, number int, arrivals chan<- arrival) context.CancelFunc {
-	ctx, cancel := context.WithCancel(ctx)
+func (g *Group) start(ctx context.Context, r *exchange.Request, p *exchange.Payload, avoid id.Server, number int, arrivals chan<- arrival) context.CancelCauseFunc {
+	ctx, cancel := context.WithCancelCause(ctx)
 	g.tasks.Go(ctx, func(ctx context.Context) {
 		answer, last, err := g.attempt(ctx, r, p, avoid)
 		arrivals <- arrival{answer: answer, last: last, err: err, copy: number}
@@ -95,14 +108,14 @@
 }
 
 // settle cancels the loser of a race and ties the winner's context to its body.
-func (g *Group) settle(winner arrival, cancels []context.CancelFunc, pending int, arrivals <-chan arrival) {
+func (g *Group) settle(winner arrival, cancels []context.CancelCauseFunc, pending int, arrivals <-chan arrival) {
 	for i, cancel := range cancels {
 		if i != winner.copy || winner.err != nil {
-			cancel()
+			cancel(errOutrun)
 		}
 	}
 	if winner.err == nil {
-		winner.answer.Body = exchange.OnClose(winner.answer.Body, cancels[winner.copy])
+		winner.answer.Body = exchange.OnClose(winner.answer.Body, func() { cancels[winner.copy](nil) })
 	}
 	if pending > 0 {
 		g.tasks.Go(context.Background(), func(context.Context) {
--- a/coordination/group/lane.go
+++ b/coordination/group/lane.go
@@ -252,6 +252,17 @@
 	}
 }
 
+// sweepShared refuses what waits for any server where none is in service any more.
+func (g *Group) sweepShared() {
+	if g.anyOpen() {
+		return
+	}
+	for t, ok := g.shared.queue.Pop(); ok; t, ok = g.shared.queue.Pop() {
+		t.err = outcome.NotRun(outcome.NoServer, "no backend server of group %s is in service", g.name)
+		t.ready <- nil
+	}
+}
+
 // misplaced refuses a ticket that waits for the wrong server.
 func (g *Group) misplaced(s *server, t *ticket) bool {
 	owner, err := g.owner(t.request)
--- a/coordination/group/send.go
+++ b/coordination/group/send.go
@@ -47,21 +47,25 @@
 	g.retries.Earn()
 	g.hedges.Earn()
 	var avoid id.Server
+	unknown := false
 	for refusals, retries := 0, 0; ; {
 		answer, last, err := g.race(ctx, r, p, avoid)
 		if err == nil {
 			return answer, nil
 		}
 		refusal := outcome.Of(err)
+		if refusal.Outcome == outcome.KindUnknown {
+			unknown = true
+		}
 		switch {
 		case last == "" || !p.Replayable() || ctx.Err() != nil:
-			return nil, refusal
+			return nil, outcome.Final(refusal, unknown)
 		case refusal.Outcome == outcome.KindNotRun && refusal.Retryable() && refusals < maxRefusals:
 			refusals++
 		case refusal.Outcome == outcome.KindUnknown && r.Idempotent && retries < r.Retries && g.retries.Spend():
 			retries++
 		default:
-			return nil, refusal
+			return nil, outcome.Final(refusal, unknown)
 		}
 		avoid = last
 	}
@@ -131,7 +135,7 @@
 	resp, err := g.link.Send(ctx, c, limit, req)
 	watched()
 	if err != nil {
-		err = g.failed(ctx, r, s, f, err)
+		err = g.failed(ctx, s, f, err, g.options.Clock.Boot().Sub(startedAt))
 		finish()
 		return nil, err
 	}
@@ -197,6 +201,13 @@
 	return nil
 }
 
+// outrun takes note of a server that was slower than another one.
+func (g *Group) outrun(s *server, waited time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.ramp.Outrun(waited)
+}
+
 // land ends a sending.
 func (g *Group) land(s *server, f *flight) {
 	g.mu.Lock()
@@ -233,9 +244,7 @@
 	switch cause {
 	case backend.RefusedDraining:
 		if s.condition != leaving {
-			s.condition = leaving
-			g.options.Lost(s.name)
-			g.sweep(s)
+			g.turn(s, leaving)
 		}
 		return outcome.NotRun(outcome.NoServer, "backend server %s is draining", s.name)
 	case backend.RefusedFence, backend.RefusedExpired, backend.RefusedSlice:
@@ -251,7 +260,12 @@
 }
 
 // failed takes note of a sending without an answer and says what became of it.
-func (g *Group) failed(ctx context.Context, r *exchange.Request, s *server, f *flight, cause error) error {
+func (g *Group) failed(ctx context.Context, s *server, f *flight, cause error, waited time.Duration) error {
+	r := f.request
+	if errors.Is(context.Cause(ctx), errOutrun) {
+		g.outrun(s, waited)
+		return outcome.Unknown(outcome.CallerGone, "another copy was answered first")
+	}
 	if errors.Is(cause, ErrNotSent) {
 		g.suspect(s)
 		return outcome.NotRun(outcome.NoServer, "backend server %s can't be reached: %v", s.name, cause)
--- a/coordination/group/server.go
+++ b/coordination/group/server.go
@@ -123,6 +123,7 @@
 	for _, s := range g.servers {
 		g.sweep(s)
 	}
+	g.sweepShared()
 	g.dispatchWaiting()
 }
 
--- a/coordination/pick/pick.go
+++ b/coordination/pick/pick.go
@@ -54,7 +54,7 @@
 	// slownessThatCounts is the ratio of latencies from which the faster candidate is preferred.
 	slownessThatCounts = 3
 	// forgivePeriod is the number of choices of which one doesn't look at latencies.
-	forgivePeriod = 16
+	forgivePeriod = 32
 )
 
 func less(a, b Candidate, forgive bool) bool {
--- a/coordination/ramp/ramp.go
+++ b/coordination/ramp/ramp.go
@@ -25,6 +25,8 @@
 	slowAnswers = 3
 	// smoothing is the weight of a new latency in the average.
 	smoothing = 0.1
+	// maxUsual bounds the usual latency that is concluded from cancelled requests.
+	maxUsual = time.Second
 	// minUsual is the shortest usual latency that slowness is measured against.
 	minUsual = 2 * time.Millisecond
 )
@@ -72,6 +74,14 @@
 	r.good = 0
 }
 
+// Outrun counts a request that was cancelled after a time because another server answered first.
+//
+// How long it would have taken stays unknown, so the usual latency is raised
+// step by step; the next answers bring it back to what it is.
+func (r *Ramp) Outrun(waited time.Duration) {
+	r.usual = min(max(r.usual, waited)*3/2, maxUsual)
+}
+
 // Answered counts an answer and its latency.
 func (r *Ramp) Answered(latency time.Duration) {
 	if r.usual > 0 && latency > slowFactor*max(r.usual, minUsual) {
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -74,7 +74,7 @@
 	r.repeats.Earn()
 	patience := r.options.Clock.Now().Add(min(max(req.Wait, r.options.MinWait), req.Deadline.Sub(r.options.Clock.Now())))
 	tried := map[id.Group]bool{}
-	repeated := 0
+	repeated, unknown := 0, false
 	for move := 0; ; move++ {
 		changed := r.directory.Changed()
 		one := *req
@@ -85,18 +85,19 @@
 		}
 		refusal := outcome.Of(err)
 		if refusal.Outcome == outcome.KindUnknown {
+			unknown = true
 			if !r.repeatable(ctx, req, p, refusal, repeated) {
 				return nil, refusal
 			}
 			repeated++
 		} else if !refusal.Retryable() || refusal.Reason == outcome.Overloaded && len(tried) == 0 {
-			return nil, refusal
+			return nil, outcome.Final(refusal, unknown)
 		}
 		if ctx.Err() != nil || !p.Replayable() || move >= maxMoves || !r.options.Clock.Now().Before(patience) {
-			return nil, refusal
+			return nil, outcome.Final(refusal, unknown)
 		}
 		if err := r.pause(ctx, changed); err != nil {
-			return nil, refusal
+			return nil, outcome.Final(refusal, unknown)
 		}
 	}
 }
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -114,6 +114,19 @@
 	return &Error{Outcome: KindUnknown, Reason: r, Detail: fmt.Sprintf(format, args...)}
 }
 
+// Final returns the outcome of a request after its last sending; unknown says that an earlier one may have been run.
+//
+// What an earlier sending may have done isn't undone by a later refusal.
+func Final(e *Error, unknown bool) *Error {
+	if !unknown || e.Outcome == KindUnknown {
+		return e
+	}
+	out := *e
+	out.Outcome = KindUnknown
+	out.Detail = "an earlier sending may have been run, then: " + e.Detail
+	return &out
+}
+
 // After returns e with a time after which another try can help.
 func (e *Error) After(d time.Duration) *Error {
 	e.RetryAfter = d
