--- a/cmd/hickorybench/standins.go
+++ b/cmd/hickorybench/standins.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorylug/hickorylug/protocol/store"
 	"github.com/hickorylug/hickorylug/standin/backend"
 	"github.com/hickorylug/hickorylug/standin/platform"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -23,6 +25,19 @@
 	Reads   int           `help:"Reads per second that the store takes." default:"2000"`
 	Writes  int           `help:"Writes per second that the store takes." default:"400"`
 	Lag     time.Duration `help:"Lag of the list of VMs." default:"2s"`
+	VM      []string      `help:"Entry VM on the list, as NAME/FAILURE-DOMAIN/PEER-ADDRESS; may be repeated." name:"vm"`
+}
+
+// list puts the named entry VMs on the platform's list.
+func (c *platformCommand) list(p *platform.Platform) error {
+	for _, text := range c.VM {
+		parts := strings.Split(text, "/")
+		if len(parts) != 3 {
+			return errors.Newf("--vm: %q is not NAME/FAILURE-DOMAIN/PEER-ADDRESS", text)
+		}
+		p.AddVM(store.VM{Name: id.VM(parts[0]), FailureDomain: id.Domain(parts[1]), PeerAddress: parts[2], State: store.VMLive})
+	}
+	return nil
 }
 
 // Run serves until a signal comes.
@@ -30,6 +45,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	p := platform.NewPlatform(platform.WithRates(c.Reads, c.Writes), platform.WithListLag(c.Lag))
+	if err := c.list(p); err != nil {
+		return err
+	}
 	server := &http.Server{Addr: c.Address, Handler: p, ReadHeaderTimeout: time.Second}
 	done := make(chan error, 1)
 	go func() { done <- server.ListenAndServe() }()
--- a/cmd/hickoryctl/vm.go
+++ b/cmd/hickoryctl/vm.go
@@ -64,10 +64,20 @@
 // statusCommand shows an entry VM.
 type statusCommand struct {
 	target
+	Watch time.Duration `help:"Show it again after this time, until interrupted."`
 }
 
-// Run prints the status.
+// Run prints the status, once or again and again.
 func (c *statusCommand) Run() error {
+	for {
+		if err := c.show(); err != nil || c.Watch == 0 {
+			return err
+		}
+		time.Sleep(c.Watch)
+	}
+}
+
+func (c *statusCommand) show() error {
 	var s operator.Status
 	if err := c.ask("/status", nil, &s); err != nil {
 		return err
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -144,6 +144,16 @@
 	return out
 }
 
+// Known returns all other VMs that are listed or have been heard of lately.
+func (v *View) Known() (out []Member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, name := range v.names() {
+		out = append(out, v.entries[name].member)
+	}
+	return out
+}
+
 // Settled reports whether a VM's process has been known for a time.
 func (v *View) Settled(now clock.Instant, vm id.VM, d time.Duration) bool {
 	v.mu.Lock()
--- a/handlers.go
+++ b/handlers.go
@@ -23,14 +23,15 @@
 // handlers answer other VMs.
 func (vm *VM) handlers() peer.Handlers {
 	return peer.Handlers{
-		Relay:    vm.serveRelayed,
-		Offer:    vm.takeState,
-		Fetch:    vm.giveState,
-		Release:  vm.release,
-		Report:   vm.takeReports,
-		Handover: vm.acceptHandover,
-		Recall:   vm.answerRecall,
-		Warn:     vm.takeWarning,
+		Relay:     vm.serveRelayed,
+		Offer:     vm.takeState,
+		Fetch:     vm.giveState,
+		Release:   vm.release,
+		Report:    vm.takeReports,
+		Handover:  vm.acceptHandover,
+		Recall:    vm.answerRecall,
+		Inventory: vm.inventory,
+		Warn:      vm.takeWarning,
 	}
 }
 
--- a/handover.go
+++ b/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hickorylug/hickorylug/coordination/idempotency"
@@ -93,8 +94,8 @@
 	done := make(chan struct{}, len(held))
 	for _, g := range held {
 		vm.tasks.Go(ctx, func(ctx context.Context) {
-			if successor, ok := vm.successor(g); ok {
-				vm.handOverGroup(ctx, g, successor.VM)
+			if successor, ok := vm.successor(ctx, g); ok {
+				vm.handOverGroup(ctx, g, successor)
 			} else {
 				vm.log.Warn("no VM can take a lease over", "group", g)
 			}
@@ -176,25 +177,25 @@
 	}
 }
 
-// successor returns the VM that takes a lease over at a planned stop.
-func (vm *VM) successor(g id.Group) (m member.Member, ok bool) {
+// successor returns the VM that takes a lease over at a planned stop: the first witness, or another that answers.
+func (vm *VM) successor(ctx context.Context, g id.Group) (to id.VM, ok bool) {
 	home := vm.directory.View().Groups[g].FailureDomain
-	now := vm.options.Clock.Boot()
 	record := vm.directory.View().Leases[g]
-	for _, m := range vm.members.Live(now) {
-		if m.VM == vm.options.Settings.VM || m.Leaving || home != "" && m.FailureDomain != home {
-			continue
-		}
-		if record.IsWitness(m.VM) {
-			return m, true
+	var candidates []member.Member
+	for _, m := range vm.members.Live(vm.options.Clock.Boot()) {
+		if m.VM != vm.options.Settings.VM && !m.Leaving && (home == "" || m.FailureDomain == home) {
+			candidates = append(candidates, m)
 		}
 	}
-	for _, m := range vm.members.Live(now) {
-		if m.VM != vm.options.Settings.VM && !m.Leaving && (home == "" || m.FailureDomain == home) {
-			return m, true
+	slices.SortStableFunc(candidates, func(a, b member.Member) int {
+		return witnessRank(record, a.VM) - witnessRank(record, b.VM)
+	})
+	for _, m := range candidates {
+		if vm.answers(ctx, m.VM) {
+			return m.VM, true
 		}
 	}
-	return m, false
+	return "", false
 }
 
 // acceptHandover makes this VM the holder of a lease that its holder has resigned.
@@ -239,3 +240,11 @@
 	}
 	return true
 }
+
+// witnessRank orders VMs by their place among the witnesses of a lease; others come last.
+func witnessRank(r lease.Record, vm id.VM) int {
+	if at := slices.Index(r.Witnesses, vm); at >= 0 {
+		return at
+	}
+	return lease.MaxWitnesses
+}
--- a/hickorylug.go
+++ b/hickorylug.go
@@ -241,7 +241,7 @@
 		vm.datagrams.Drop = vm.options.Drop
 	}
 	operators := operator.NewServer(operator.Views{
-		Ready: vm.Ready, Status: vm.Status, Explain: vm.Explain, Metrics: vm.metrics,
+		Ready: vm.Ready, Status: vm.Status, Fleet: vm.Fleet, Explain: vm.Explain, Metrics: vm.metrics,
 	})
 	s.Add(part{"callers", func(context.Context) error {
 		err := callers.Serve(accepting, sockets.callers)
--- a/spread.go
+++ b/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hickorylug/hickorylug/protocol/peerpb"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
@@ -27,13 +28,28 @@
 			return nil
 		case <-vm.options.Clock.After(spreadPeriod):
 		}
-		if g, to, ok := vm.surplus(); ok {
+		if g, to, ok := vm.surplus(); ok && vm.answers(ctx, to) {
 			vm.log.Info("lease is handed over to a VM that holds fewer", "group", g, "to", to)
 			vm.handOverGroup(ctx, g, to)
 		}
 	}
 }
 
+// answersTime bounds the question whether a VM is there.
+const answersTime = 300 * time.Millisecond
+
+// answers asks a VM whether it can take a lease; membership alone learns of a loss only after seconds.
+func (vm *VM) answers(ctx context.Context, to id.VM) bool {
+	ctx, cancel := context.WithTimeout(ctx, answersTime)
+	defer cancel()
+	p, err := vm.client.Peer(to)
+	if err != nil {
+		return false
+	}
+	a, err := p.Inventory(ctx, &peerpb.InventoryRequest{})
+	return err == nil && !a.GetLeaving()
+}
+
 // surplus returns a lease that this VM should hand over, and to whom.
 func (vm *VM) surplus() (g id.Group, to id.VM, ok bool) {
 	view := vm.directory.View()
--- a/state/config/check.go
+++ b/state/config/check.go
@@ -43,7 +43,20 @@
 			problems.Add(path+".Connections", "%d connections can't carry %d slots; at least one connection a slot is wanted", service.Connections, service.Slots)
 		}
 		s.checkServers(problems, path, name, groups)
+		if len(service.Servers) > 0 && !s.inService(service) {
+			problems.Add(path+".Servers", "every backend server is taken out; leave at least one failure domain in service")
+		}
+	}
+}
+
+// inService reports whether a service has a backend server that may get work.
+func (s Site) inService(service Service) bool {
+	for _, server := range service.Servers {
+		if !server.Out && !s.FailureDomains[server.FailureDomain].Out {
+			return true
+		}
 	}
+	return false
 }
 
 func (s Site) checkServers(problems *strict.Problems, path string, name id.Service, groups map[id.Group]id.Service) {
--- a/status.go
+++ b/status.go
@@ -1,13 +1,18 @@
 package hickorylug
 
 import (
+	"cmp"
+	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/directory"
+	"github.com/hickorylug/hickorylug/coordination/member"
 	"github.com/hickorylug/hickorylug/coordination/route"
+	"github.com/hickorylug/hickorylug/protocol/peerpb"
 	"github.com/hickorylug/hickorylug/state/config"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/state/table"
@@ -56,12 +61,58 @@
 	for _, t := range view.Tables {
 		s.Tables = append(s.Tables, tableStatus(t))
 	}
-	slices.SortFunc(s.Tables, func(a, b operator.TableStatus) int {
-		if a.Service < b.Service {
-			return -1
+	slices.SortFunc(s.Tables, func(a, b operator.TableStatus) int { return cmp.Compare(a.Service, b.Service) })
+	return s
+}
+
+func (vm *VM) inventory(context.Context) *peerpb.InventoryAnswer {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return &peerpb.InventoryAnswer{
+		ConfigurationRevision: uint64(vm.directory.View().Revision),
+		Incarnation:           string(vm.incarnation),
+		Leaving:               vm.leaving,
+	}
+}
+
+// fleetTime bounds the question to each VM of the fleet.
+const fleetTime = time.Second
+
+// Fleet asks every VM that is known which configuration it runs.
+func (vm *VM) Fleet(ctx context.Context) []operator.FleetStatus {
+	known := vm.members.Known()
+	answers := make(chan operator.FleetStatus, len(known))
+	for _, m := range known {
+		vm.tasks.Go(ctx, func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, fleetTime)
+			defer cancel()
+			answers <- vm.ask(ctx, m)
+		})
+	}
+	own := vm.inventory(ctx)
+	out := []operator.FleetStatus{{
+		VM: vm.options.Settings.VM, FailureDomain: vm.options.Settings.FailureDomain,
+		Revision: id.Revision(own.GetConfigurationRevision()), Leaving: own.GetLeaving(),
+	}}
+	for range known {
+		out = append(out, <-answers)
+	}
+	slices.SortFunc(out, func(a, b operator.FleetStatus) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+func (vm *VM) ask(ctx context.Context, m member.Member) operator.FleetStatus {
+	s := operator.FleetStatus{VM: m.VM, FailureDomain: m.FailureDomain}
+	p, err := vm.client.Peer(m.VM)
+	if err == nil {
+		var a *peerpb.InventoryAnswer
+		if a, err = p.Inventory(ctx, &peerpb.InventoryRequest{}); err == nil {
+			s.Revision, s.Leaving = id.Revision(a.GetConfigurationRevision()), a.GetLeaving()
 		}
-		return 1
-	})
+	}
+	if err != nil {
+		s.Error = err.Error()
+	}
 	return s
 }
 
--- a/transport/operator/operator.go
+++ b/transport/operator/operator.go
@@ -4,6 +4,7 @@
 //	GET /readyz      200 while the VM takes requests; the platform's balancer asks here
 //	GET /metrics     the metrics, by expvar
 //	GET /status      what the VM knows and holds
+//	GET /fleet       which configuration each VM runs
 //	GET /explain     ?Method=&URL=&Host=: route, slice, group, holder and server of a request
 //
 // # Usage
@@ -77,6 +78,16 @@
 	Leaving       bool
 }
 
+// FleetStatus is what a VM says of itself.
+type FleetStatus struct {
+	VM            id.VM
+	FailureDomain id.Domain
+	// Revision is that of the configuration in force there, or 0 where the VM did not answer.
+	Revision id.Revision
+	Leaving  bool
+	Error    string `json:",omitempty"`
+}
+
 // TableStatus is a service's slice table.
 type TableStatus struct {
 	Service id.Service
@@ -109,6 +120,7 @@
 type Views struct {
 	Ready   func() error
 	Status  func() Status
+	Fleet   func(ctx context.Context) []FleetStatus
 	Explain func(r *http.Request) (Explanation, error)
 	Metrics *Metrics
 }
@@ -127,6 +139,7 @@
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /status", s.status)
+	mux.HandleFunc("GET /fleet", s.fleet)
 	mux.HandleFunc("GET /explain", s.explain)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return s
@@ -171,6 +184,10 @@
 	writeJSON(w, s.views.Status())
 }
 
+func (s *Server) fleet(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.views.Fleet(r.Context()))
+}
+
 // explain answers for the request that its query describes.
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -119,14 +119,15 @@
 
 // Handlers answer the calls of other VMs; Relay must be set, others may be nil.
 type Handlers struct {
-	Relay    exchange.Handler
-	Offer    func(ctx context.Context, s *peerpb.State)
-	Fetch    func(ctx context.Context, h *peerpb.Have) (*peerpb.State, error)
-	Release  func(ctx context.Context, r *peerpb.ReleaseRequest) (*peerpb.ReleaseAnswer, error)
-	Report   func(ctx context.Context, r *peerpb.Reports)
-	Handover func(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverAnswer, error)
-	Recall   func(ctx context.Context, r *peerpb.RecallRequest) (*peerpb.RecallAnswer, error)
-	Warn     func(ctx context.Context, w *peerpb.Warning)
+	Relay     exchange.Handler
+	Offer     func(ctx context.Context, s *peerpb.State)
+	Fetch     func(ctx context.Context, h *peerpb.Have) (*peerpb.State, error)
+	Release   func(ctx context.Context, r *peerpb.ReleaseRequest) (*peerpb.ReleaseAnswer, error)
+	Report    func(ctx context.Context, r *peerpb.Reports)
+	Handover  func(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverAnswer, error)
+	Recall    func(ctx context.Context, r *peerpb.RecallRequest) (*peerpb.RecallAnswer, error)
+	Inventory func(ctx context.Context) *peerpb.InventoryAnswer
+	Warn      func(ctx context.Context, w *peerpb.Warning)
 }
 
 // Server answers the calls of other VMs.
@@ -199,6 +200,11 @@
 	return s.handlers.Recall(ctx, r)
 }
 
+// Inventory tells which configuration this VM runs.
+func (s *Server) Inventory(ctx context.Context, _ *peerpb.InventoryRequest) (*peerpb.InventoryAnswer, error) {
+	return s.handlers.Inventory(ctx), nil
+}
+
 // Warn takes the fingerprint of a request that backend servers died of.
 func (s *Server) Warn(ctx context.Context, w *peerpb.Warning) (*peerpb.WarnAnswer, error) {
 	s.handlers.Warn(ctx, w)
