Announce requests that run once to the successor before they are sent

Change: the holder announces each such request to its first witness, who is the successor, and sends it only after the answer; the successor runs what was not announced.

--- a/cmd/hickorybench/demo.go
+++ b/cmd/hickorybench/demo.go
@@ -38,6 +38,7 @@
 	Fault []string      `help:"Faults to bring about, in order: ${faults}." default:"vm-loss,server-loss"`
 	Work  time.Duration `help:"Mean time that a backend server takes for a request." default:"5ms"`
 	JSON  bool          `help:"Print one JSON object; logs go to standard error." name:"json"`
+	Warm  time.Duration `help:"Time at the start that latency, balance and control don't count." default:"4s"`
 	Log   bool          `help:"Write the entry VMs' logs to standard error."`
 }
 
@@ -109,6 +110,9 @@
 
 // run sends the load while the faults come one after another.
 func (x *experiment) run(ctx context.Context, c *demoCommand) (r Report, err error) {
+	warming, stopWarming := context.WithTimeout(ctx, c.Warm)
+	defer stopWarming()
+	x.load.run(warming, c.Rate)
 	loading, stop := context.WithTimeout(ctx, c.For)
 	defer stop()
 	go x.sample(loading)
@@ -120,7 +124,7 @@
 	if err := <-failed; err != nil {
 		return r, err
 	}
-	r = judge(x.d, x.load.all(), x.outs)
+	r = judge(x.d, x.load.all(), x.outs, since)
 	r.Seed = c.Seed
 	after, nodeSeconds := x.controlBytes(), elapsed.Seconds()*float64(len(x.d.entries))
 	r.ControlBytesPerSecond = float64(after.Total()-before.Total()) / nodeSeconds
@@ -130,6 +134,9 @@
 		"Store":     float64(after.Store-before.Store) / nodeSeconds,
 		"Peers":     float64(after.Peers-before.Peers) / nodeSeconds,
 	}
+	for method, n := range after.ByCall {
+		r.ControlByPurpose["Peers, "+method] = float64(n-before.ByCall[method]) / nodeSeconds
+	}
 	return r, nil
 }
 
@@ -164,12 +171,16 @@
 }
 
 func (x *experiment) controlBytes() (sum hickorylug.ControlBytes) {
+	sum.ByCall = map[string]int64{}
 	for _, e := range x.d.entries {
 		c := e.vm.ControlBytes()
 		sum.Datagrams += c.Datagrams
 		sum.Grants += c.Grants
 		sum.Store += c.Store
 		sum.Peers += c.Peers
+		for method, n := range c.ByCall {
+			sum.ByCall[method] += n
+		}
 	}
 	return sum
 }
--- a/cmd/hickorybench/verdict.go
+++ b/cmd/hickorybench/verdict.go
@@ -125,7 +125,9 @@
 }
 
 // judge makes the report from the callers' records and the backend servers' journal.
-func judge(d *deployment, sendings []sending, outs map[id.Domain]time.Time) (r Report) {
+//
+// Broken promises count from the start on, figures from warm on.
+func judge(d *deployment, sendings []sending, outs map[id.Domain]time.Time, warm time.Time) (r Report) {
 	runs := d.journal.Runs()
 	r = Report{Site: d.plan.Site, Violations: map[string]int{}, Reasons: map[string]int{}}
 	note := func(promise, example string) {
@@ -137,7 +139,7 @@
 	for _, promise := range []string{"TwoOwners", "RanTwice", "FalseNotRun", "MixedAnswers", "ColdOverload", "WorkAfterLeave", "CutInFlight"} {
 		r.Violations[promise] = 0
 	}
-	tally(&r, sendings)
+	tally(&r, sendings, warm)
 	judgeRuns(runs, note)
 	judgeOwners(runs, note)
 	judgeCallers(d, sendings, runs, note)
@@ -163,7 +165,7 @@
 	r.Violations["LostAssignments"] = d.observed.lost
 	r.Violations["ConfigurationReverted"] = d.observed.reverted
 	r.Churn = float64(d.observed.churn) / float64(max(d.observed.slices, 1))
-	r.ImbalanceByService = imbalance(d, runs)
+	r.ImbalanceByService = imbalance(d, runs, warm)
 	for _, v := range r.ImbalanceByService {
 		r.Imbalance = max(r.Imbalance, v)
 	}
@@ -178,9 +180,12 @@
 	digits     = 3
 )
 
-func tally(r *Report, sendings []sending) {
+func tally(r *Report, sendings []sending, warm time.Time) {
 	h := hdrhistogram.New(minLatency, maxLatency, digits)
 	for _, s := range sendings {
+		if s.Start.Before(warm) {
+			continue
+		}
 		r.Requests++
 		switch {
 		case s.Answered:
@@ -260,14 +265,16 @@
 }
 
 // imbalance returns the peak over the mean of the work of each service's backend servers.
-func imbalance(d *deployment, runs []backend.Run) (out map[id.Service]float64) {
+func imbalance(d *deployment, runs []backend.Run, warm time.Time) (out map[id.Service]float64) {
 	out = map[id.Service]float64{}
 	work := map[id.Service]map[id.Server]float64{}
 	for _, s := range d.plan.Services {
 		work[s.Name] = map[id.Server]float64{}
 	}
 	for _, run := range runs {
-		work[run.Service][run.Server]++
+		if run.Start.After(warm) {
+			work[run.Service][run.Server]++
+		}
 	}
 	for _, s := range d.plan.Services {
 		total, peak := 0.0, 0.0
--- a/coordination/group/once.go
+++ b/coordination/group/once.go
@@ -37,6 +37,9 @@
 	// The first sending goes on when its caller leaves, so that the resend finds its answer.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
+	if err := g.options.Claim(ctx, g.name, r.Identity); err != nil {
+		return nil, g.conclude(entry, outcome.NotRun(outcome.NoOwner, "the successor of group %s did not take note of the request: %v", g.name, err))
+	}
 	answer, err = g.dispatch(ctx, r)
 	if err != nil {
 		return nil, g.conclude(entry, err)
--- a/coordination/group/options.go
+++ b/coordination/group/options.go
@@ -35,6 +35,8 @@
 	Seen func(id.Server) (boot id.Incarnation, limit int)
 	// Lost is called when a backend server is lost or leaves.
 	Lost func(id.Server)
+	// Claim announces a request that runs at most once to the successor, before it is sent.
+	Claim func(ctx context.Context, g id.Group, identity string) error
 	// Recall asks the group that had a slice before whether it has seen a request.
 	Recall func(ctx context.Context, from id.Group, i idempotency.ID, place table.Hash) (kept idempotency.Kept, found, known bool)
 	// Died is called when a request was in flight at a backend server that died.
@@ -75,6 +77,11 @@
 // WithDied sets the function that is told of suspects.
 func WithDied(f func(poison.Fingerprint, int)) Option { return func(o *Options) { o.Died = f } }
 
+// WithClaim sets the way to announce requests to the successor.
+func WithClaim(f func(context.Context, id.Group, string) error) Option {
+	return func(o *Options) { o.Claim = f }
+}
+
 // WithRecall sets the way to ask the group that had a slice before.
 func WithRecall(f func(context.Context, id.Group, idempotency.ID, table.Hash) (idempotency.Kept, bool, bool)) Option {
 	return func(o *Options) { o.Recall = f }
@@ -91,7 +98,8 @@
 			Valid: func() bool { return true },
 			Until: func() clock.Instant { return 1 << 62 },
 		},
-		Seen: func(id.Server) (id.Incarnation, int) { return "", 0 },
+		Seen:  func(id.Server) (id.Incarnation, int) { return "", 0 },
+		Claim: func(context.Context, id.Group, string) error { return nil },
 		Recall: func(context.Context, id.Group, idempotency.ID, table.Hash) (idempotency.Kept, bool, bool) {
 			return idempotency.Kept{}, false, false
 		},
--- a/coordination/idempotency/idempotency.go
+++ b/coordination/idempotency/idempotency.go
@@ -24,6 +24,7 @@
 	"github.com/hickorylug/hickorylug/protocol/exchange"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/table"
 )
 
 // ID names a request that must run at most once.
@@ -172,6 +173,9 @@
 
 // checkAge refuses an identity whose first sending could have been forgotten.
 func (m *Memory) checkAge(now time.Time, i ID, floor time.Time) error {
+	if m.options.Claimed[table.HashKey(i.Identity)] {
+		return outcome.Unknown(outcome.NotRepeated, "a first sending of this request was at a VM that was lost")
+	}
 	since := later(m.since, floor)
 	if since.IsZero() {
 		return nil
--- a/coordination/idempotency/options.go
+++ b/coordination/idempotency/options.go
@@ -1,6 +1,10 @@
 package idempotency
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorylug/hickorylug/state/table"
+)
 
 // Default settings of a memory.
 const (
@@ -19,6 +23,8 @@
 	ClockAllowance time.Duration
 	// Entries are what a former holder remembers.
 	Entries []Kept
+	// Claimed holds the identities that a lost holder may have run.
+	Claimed map[table.Hash]bool
 }
 
 // Option changes one setting.
@@ -38,6 +44,11 @@
 // WithEntries sets what a former holder remembers.
 func WithEntries(kept []Kept) Option { return func(o *Options) { o.Entries = kept } }
 
+// WithClaimed sets the identities that a lost holder may have run.
+func WithClaimed(claimed map[table.Hash]bool) Option {
+	return func(o *Options) { o.Claimed = claimed }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{Remember: defaultRemember, MaxBytes: defaultMaxBytes, ClockAllowance: defaultClockAllowance}
 	for _, opt := range opts {
--- a/coordination/keeper/keeper.go
+++ b/coordination/keeper/keeper.go
@@ -173,6 +173,15 @@
 	return 0
 }
 
+// Record returns the newest record by which this VM holds a group.
+func (k *Keeper) Record(g id.Group) (r lease.Record, ok bool) {
+	h, ok := k.held[g]
+	if !ok {
+		return r, false
+	}
+	return h.current.Record(), true
+}
+
 // Held returns the groups whose lease this VM holds or is about to begin, in order.
 func (k *Keeper) Held() []id.Group {
 	return slices.Sorted(maps.Keys(k.held))
--- a/coordination/planner/balance.go
+++ b/coordination/planner/balance.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/hickorylug/hickorylug/state/table"
@@ -32,7 +33,7 @@
 	slice := p.next.Slices[p.next.SliceOf(k.Key)]
 	from, ok := p.shares[slice.Owner]
 	to := p.coolest()
-	if !ok || from == to || from.load/from.owner.Weight < p.options.Bound*p.mean {
+	if !ok || from == to || from.load/from.owner.Weight < p.bound()*p.mean {
 		return
 	}
 	from.load -= k.Rate
@@ -61,7 +62,7 @@
 	budget := int(p.options.Churn * float64(len(p.next.Slices)))
 	for range max(budget, 1) {
 		from, to := p.hottest(), p.coolest()
-		if from == to || from.load/from.owner.Weight <= p.options.Bound*p.mean {
+		if from == to || from.load/from.owner.Weight <= p.bound()*p.mean {
 			return
 		}
 		if to.owner.Warming >= 0 && to.gained >= to.owner.Warming {
@@ -75,6 +76,18 @@
 	}
 }
 
+// bound returns the ratio to the mean load from which an owner is too hot.
+//
+// Few requests fluctuate by chance; two standard deviations of a count as
+// large as the mean are left alone, or keys would move to and fro for nothing.
+func (p *plan) bound() float64 {
+	counted := p.mean * p.options.Window.Seconds()
+	if p.mean <= p.options.Floor*float64(len(p.next.Slices)) {
+		return p.options.Bound
+	}
+	return p.options.Bound + 2/math.Sqrt(max(counted, 1))
+}
+
 // best returns the slice whose move evens out two owners most, or -1 where none helps.
 func (p *plan) best(from, to *share) int {
 	gap := from.load/from.owner.Weight - to.load/to.owner.Weight
--- a/coordination/planner/options.go
+++ b/coordination/planner/options.go
@@ -1,5 +1,7 @@
 package planner
 
+import "time"
+
 // Default settings of a plan.
 const (
 	defaultBound   = 1.15
@@ -7,6 +9,7 @@
 	defaultHotKey  = 0.2
 	defaultMaxKeys = 64
 	defaultFloor   = 0.01
+	defaultWindow  = 10 * time.Second
 )
 
 // Options are the settings of a plan.
@@ -21,6 +24,8 @@
 	MaxKeys int
 	// Floor is the load that every slice counts at least.
 	Floor float64
+	// Window is the time over which the load was counted.
+	Window time.Duration
 	// NoBalance leaves out all moves that only even out the load.
 	NoBalance bool
 }
@@ -44,6 +49,7 @@
 		HotKey:  defaultHotKey,
 		MaxKeys: defaultMaxKeys,
 		Floor:   defaultFloor,
+		Window:  defaultWindow,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/handlers.go
+++ b/handlers.go
@@ -31,6 +31,7 @@
 		Handover:  vm.acceptHandover,
 		Recall:    vm.answerRecall,
 		Inventory: vm.inventory,
+		Claim:     vm.takeClaim,
 		Warn:      vm.takeWarning,
 	}
 }
--- a/hickorylug.go
+++ b/hickorylug.go
@@ -34,6 +34,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/directory"
 	"github.com/hickorylug/hickorylug/coordination/group"
+	"github.com/hickorylug/hickorylug/coordination/idempotency"
 	"github.com/hickorylug/hickorylug/coordination/keeper"
 	"github.com/hickorylug/hickorylug/coordination/member"
 	"github.com/hickorylug/hickorylug/coordination/poison"
@@ -67,6 +68,9 @@
 	// controlBytes counts the bytes of grants, probes and calls between VMs beside callers' requests.
 	controlBytes atomic.Int64
 
+	// claimed is what this VM knows as first successor of other holders.
+	claimed *idempotency.Claims
+
 	tasks    *task.Set
 	planning *planning
 	watcher  *watcher
@@ -75,6 +79,7 @@
 	keeper   *keeper.Keeper
 	groups   map[id.Group]*running
 	legacies map[id.Group]legacy
+	claims   map[id.Group]claiming
 	seen     map[id.Server]sighting
 	leaving  bool
 	// killed ends Run without a graceful shutdown.
@@ -111,6 +116,8 @@
 		tasks:       task.NewSet(),
 		groups:      map[id.Group]*running{},
 		legacies:    map[id.Group]legacy{},
+		claims:      map[id.Group]claiming{},
+		claimed:     idempotency.NewClaims(o.Clock.Now()),
 		seen:        map[id.Server]sighting{},
 		killed:      make(chan struct{}),
 	}
@@ -120,7 +127,7 @@
 	if s.VMList != s.Store && s.VMList != "" {
 		vm.platform.VMs = platform.NewClient(s.VMList).VMs
 	}
-	vm.client = peer.NewClient(vm.members.Address, peer.WithClock(o.Clock))
+	vm.client = peer.NewClient(vm.members.Address, peer.WithClock(o.Clock), peer.WithObserve(vm.metrics.ObserveCall))
 	vm.link = backend.NewLink(backend.WithTracer(o.Tracer), backend.WithControlBytes(&vm.controlBytes))
 	vm.router = router.NewRouter(s.VM, s.FailureDomain, vm.directory, vm.local, vm.client.Relay, router.WithClock(o.Clock))
 	vm.keeper = keeper.NewKeeper(keeper.Member{VM: s.VM, Incarnation: vm.incarnation, FailureDomain: s.FailureDomain}, o.Clock.Boot())
--- a/leases.go
+++ b/leases.go
@@ -172,24 +172,18 @@
 		vm.planning.begin()
 		return
 	}
-	past, inherited := vm.takeLegacy(r.Group, r.Term)
-	since := vm.options.Clock.Now()
-	if s.First {
-		since = time.Time{}
-	}
-	if inherited {
-		since = past.since
-	}
+	since, memory := vm.pastOf(s)
 	g := group.NewGroup(r.Group, vm.directory.View().Groups[r.Group].Service, vm.directory, vm.link,
 		group.WithClock(vm.options.Clock),
 		group.WithLog(vm.log),
 		group.WithLease(vm.leaseOf(r.Group)),
 		group.WithPoison(vm.poison),
-		group.WithMemory(since, idempotency.WithEntries(past.memory)),
+		group.WithMemory(since, memory...),
 		group.WithSeen(vm.lastSeen),
 		group.WithLost(func(id.Server) { vm.reportSoon() }),
 		group.WithDied(vm.warn),
 		group.WithRecall(vm.recall),
+		group.WithClaim(vm.claim),
 	)
 	inner, cancel := context.WithCancel(ctx)
 	vm.mu.Lock()
@@ -203,6 +197,26 @@
 	vm.reportSoon()
 }
 
+// pastOf returns what this VM knows of the requests that were run under the holder before it.
+func (vm *VM) pastOf(s keeper.Start) (since time.Time, memory []idempotency.Option) {
+	r := s.Record
+	past, handed := vm.takeLegacy(r.Group, r.Term)
+	claims, claimed := vm.claimed.Inherit(r.Group, r.Term)
+	vm.mu.Lock()
+	delete(vm.claims, r.Group)
+	vm.mu.Unlock()
+	switch {
+	case handed:
+		return past.since, []idempotency.Option{idempotency.WithEntries(past.memory)}
+	case claimed:
+		return claims.Since, []idempotency.Option{idempotency.WithClaimed(claims.Claimed)}
+	case s.First:
+		return time.Time{}, nil
+	default:
+		return vm.options.Clock.Now(), nil
+	}
+}
+
 // leaseOf returns the lease of a group for those who act under it.
 func (vm *VM) leaseOf(g id.Group) group.Lease {
 	return group.Lease{
--- a/planning.go
+++ b/planning.go
@@ -317,7 +317,7 @@
 	}
 	p.vm.directory.SetTable(item.Revision, next)
 	p.vm.log.Info("slice table is written", "service", service, "version", next.Version, "moving", next.Moving())
-	p.publish(ctx, service, item.Revision, next)
+	p.publish(ctx, view.Tables[service], item.Revision, next)
 	return next, true
 }
 
@@ -329,8 +329,15 @@
 	}
 }
 
-// publish tells the lease holders of a service's groups of its new table before they learn by the watch.
-func (p *planning) publish(ctx context.Context, service id.Service, revision id.Revision, t *table.Table) {
+// publish tells the lease holders of groups that have gained something, before they learn by the watch.
+//
+// Those that lose something are told by the request to release it.
+func (p *planning) publish(ctx context.Context, before *table.Table, revision id.Revision, t *table.Table) {
+	service := t.Service
+	gained := gainers(before, t)
+	if len(gained) == 0 {
+		return
+	}
 	m, err := peer.TableMessage(revision, t)
 	if err != nil {
 		p.vm.log.Error("a slice table can't be encoded", "service", service, "error", err)
@@ -338,10 +345,32 @@
 	}
 	view := p.vm.directory.View()
 	told := map[id.VM]bool{p.vm.options.Settings.VM: true, "": true}
-	for _, g := range view.ByService[service] {
+	for owner := range gained {
+		g, ok := view.GroupOfServer(service, id.Server(owner))
+		if !ok {
+			g = id.Group(owner)
+		}
 		if holder := view.Leases[g].Holder; !told[holder] {
 			told[holder] = true
 			p.vm.offer(ctx, holder, &peerpb.State{Tables: []*peerpb.Table{m}})
 		}
 	}
 }
+
+// gainers returns the owners that serve something in a table that they didn't serve before.
+func gainers(before, after *table.Table) map[id.Owner]bool {
+	out := map[id.Owner]bool{}
+	for i, e := range after.Slices {
+		same := before != nil && i < len(before.Slices) && before.Slices[i] == e
+		if !same && !e.Moving() && e.Owner >= 0 {
+			out[after.Name(e.Owner)] = true
+		}
+	}
+	for h, e := range after.Keys {
+		if before != nil && before.Keys[h] == e || e.Moving() {
+			continue
+		}
+		out[after.Name(e.Owner)] = true
+	}
+	return out
+}
--- a/status.go
+++ b/status.go
@@ -197,6 +197,7 @@
 	vm.metrics.Set("StoreReads", func() any { return vm.calls.Reads.Load() })
 	vm.metrics.Set("StoreWrites", func() any { return vm.calls.Writes.Load() })
 	vm.metrics.Set("ControlBytes", func() any { return vm.ControlBytes() })
+	vm.metrics.Set("ClaimBytes", func() any { return vm.client.ClaimBytes() })
 	vm.metrics.Set("ConfigurationRevision", func() any { return vm.directory.View().Revision })
 	vm.metrics.Set("LeasesHeld", func() any {
 		vm.mu.Lock()
@@ -216,8 +217,10 @@
 	Grants int64
 	// Store are calls to the platform's store.
 	Store int64
-	// Peers are calls to other VMs other than relayed requests.
+	// Peers are calls to other VMs other than relayed requests and claims.
 	Peers int64
+	// ByCall divides the calls to other VMs, claims included, by method.
+	ByCall map[string]int64
 }
 
 // Total returns the sum over all purposes.
@@ -225,7 +228,7 @@
 
 // ControlBytes returns the bytes that the VM has spent on control so far.
 func (vm *VM) ControlBytes() (c ControlBytes) {
-	c = ControlBytes{Grants: vm.controlBytes.Load(), Store: vm.calls.Bytes.Load(), Peers: vm.client.ControlBytes()}
+	c = ControlBytes{Grants: vm.controlBytes.Load(), Store: vm.calls.Bytes.Load(), Peers: vm.client.ControlBytes(), ByCall: vm.metrics.CallBytes()}
 	if vm.datagrams != nil {
 		c.Datagrams = vm.datagrams.Bytes.Load()
 	}
--- a/transport/operator/metrics.go
+++ b/transport/operator/metrics.go
@@ -27,6 +27,7 @@
 	answers  *expvar.Map
 	refusals *expvar.Map
 	routes   *expvar.Map
+	calls    *expvar.Map
 	inFlight atomic.Int64
 
 	mu        sync.Mutex
@@ -40,11 +41,13 @@
 		answers:   new(expvar.Map).Init(),
 		refusals:  new(expvar.Map).Init(),
 		routes:    new(expvar.Map).Init(),
+		calls:     new(expvar.Map).Init(),
 		latencies: hdrhistogram.New(minLatency, maxLatency, digits),
 	}
 	m.root.Set("AnswersByStatus", m.answers)
 	m.root.Set("RefusalsByReason", m.refusals)
 	m.root.Set("RequestsByRoute", m.routes)
+	m.root.Set("PeerBytesByCall", m.calls)
 	m.Set("InFlight", func() any { return m.inFlight.Load() })
 	m.Set("LatencyMilliseconds", m.quantiles)
 	return m
@@ -69,6 +72,20 @@
 	_ = m.latencies.RecordValue(min(max(latency.Microseconds(), minLatency), maxLatency))
 }
 
+// ObserveCall counts the bytes of a call to another VM.
+func (m *Metrics) ObserveCall(method string, bytes int) { m.calls.Add(method, int64(bytes)) }
+
+// CallBytes returns the bytes of calls to other VMs so far, by method.
+func (m *Metrics) CallBytes() map[string]int64 {
+	out := map[string]int64{}
+	m.calls.Do(func(kv expvar.KeyValue) {
+		if v, ok := kv.Value.(*expvar.Int); ok {
+			out[kv.Key] = v.Value()
+		}
+	})
+	return out
+}
+
 // quantilesOfLatency are published, in percent.
 var quantilesOfLatency = []float64{50, 90, 99, 99.9}
 
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -7,6 +7,8 @@
 // Options are the settings of a client or server.
 type Options struct {
 	Clock clock.Clock
+	// Observe is told the method and the bytes of each call that isn't a relayed request.
+	Observe func(method string, bytes int)
 }
 
 // Option changes one setting.
@@ -15,8 +17,13 @@
 // WithClock sets the source of time.
 func WithClock(c clock.Clock) Option { return func(o *Options) { o.Clock = c } }
 
+// WithObserve sets the function that is told of each call.
+func WithObserve(f func(method string, bytes int)) Option {
+	return func(o *Options) { o.Observe = f }
+}
+
 func newOptions(opts []Option) Options {
-	o := Options{Clock: clock.System{}}
+	o := Options{Clock: clock.System{}, Observe: func(string, int) {}}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net"
+	"path"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,25 +50,36 @@
 	address func(id.VM) (string, bool)
 	mu      sync.Mutex
 	conns   map[string]*grpc.ClientConn
-	// control counts the bytes of calls other than callers' requests.
+	// control counts the bytes of calls that requests don't cause.
 	control atomic.Int64
+	// claims counts the bytes of claims, one for each request that runs at most once.
+	claims atomic.Int64
 }
 
-// ControlBytes returns the bytes of all calls other than callers' requests.
+// ControlBytes returns the bytes of all calls that requests don't cause.
 func (c *Client) ControlBytes() int64 { return c.control.Load() }
 
+// ClaimBytes returns the bytes of all claims.
+func (c *Client) ClaimBytes() int64 { return c.claims.Load() }
+
 // callOverhead is the size of the frames and header fields of a call and its answer, in bytes.
 const callOverhead = 120
 
-// count adds the size of a call to the bytes of control.
+// count adds the size of a call to the bytes of control or of claims.
 func (c *Client) count(ctx context.Context, method string, request, reply any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 	err := invoke(ctx, method, request, reply, conn, opts...)
+	size := callOverhead
 	for _, m := range []any{request, reply} {
 		if message, ok := m.(proto.Message); ok {
-			c.control.Add(int64(proto.Size(message)))
+			size += proto.Size(message)
 		}
 	}
-	c.control.Add(callOverhead)
+	c.options.Observe(path.Base(method), size)
+	if method == peerpb.Peer_Claim_FullMethodName {
+		c.claims.Add(int64(size))
+	} else {
+		c.control.Add(int64(size))
+	}
 	return err
 }
 
@@ -126,6 +138,7 @@
 	Report    func(ctx context.Context, r *peerpb.Reports)
 	Handover  func(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverAnswer, error)
 	Recall    func(ctx context.Context, r *peerpb.RecallRequest) (*peerpb.RecallAnswer, error)
+	Claim     func(ctx context.Context, r *peerpb.ClaimRequest) *peerpb.ClaimAnswer
 	Inventory func(ctx context.Context) *peerpb.InventoryAnswer
 	Warn      func(ctx context.Context, w *peerpb.Warning)
 }
@@ -200,6 +213,11 @@
 	return s.handlers.Recall(ctx, r)
 }
 
+// Claim takes note of a request that runs at most once at another VM.
+func (s *Server) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimAnswer, error) {
+	return s.handlers.Claim(ctx, r), nil
+}
+
 // Inventory tells which configuration this VM runs.
 func (s *Server) Inventory(ctx context.Context, _ *peerpb.InventoryRequest) (*peerpb.InventoryAnswer, error) {
 	return s.handlers.Inventory(ctx), nil
