--- a/coordination/keeper/keeper.go
+++ b/coordination/keeper/keeper.go
@@ -382,22 +382,41 @@
 			live[m.VM] = m
 		}
 	}
-	if len(live) == 0 {
-		if len(have) > 0 && len(missing) == 0 {
-			return have
-		}
-		return []id.VM{k.self.VM}
-	}
-	keep := len(have) > 0 && len(have) == min(lease.MaxWitnesses, len(live))
+	keep := len(have) == witnessCount(len(live))
 	for _, w := range have {
 		_, ok := live[w]
-		keep = keep && ok
+		keep = keep && (ok || w == k.self.VM)
 	}
 	if keep {
 		return have
 	}
 	// The order depends on the VM, not on the group, so that one datagram renews all its leases.
-	return pickWitnesses(rank(id.Group(k.self.VM), slices.Collect(maps.Values(live))), s.Groups[g], have)
+	picked := pickWitnesses(rank(id.Group(k.self.VM), slices.Collect(maps.Values(live))), s.Groups[g], have)
+	return WithSelf(picked, k.self.VM)
+}
+
+// witnessCount returns the number of witnesses where there are so many other VMs.
+func witnessCount(others int) int {
+	if others < 2 {
+		return 1
+	}
+	return lease.MaxWitnesses
+}
+
+// WithSelf completes witnesses that are fewer than the most.
+//
+// Of two others and the holder, any one may be lost. Beside a single other VM
+// the holder is its own only witness, so that the loss of the other one doesn't
+// end the lease.
+func WithSelf(others []id.VM, self id.VM) []id.VM {
+	switch len(others) {
+	case 0, 1:
+		return []id.VM{self}
+	case lease.MaxWitnesses - 1:
+		return append(slices.Clone(others), self)
+	default:
+		return others
+	}
 }
 
 func pickWitnesses(candidates []Member, home id.Domain, have []id.VM) (out []id.VM) {
--- a/coordination/keeper/seek.go
+++ b/coordination/keeper/seek.go
@@ -54,7 +54,9 @@
 
 // settleLate gives up on a swap whose answer never came; a later record shows what became of it.
 func (k *Keeper) settleLate(now clock.Instant, record lease.Record, p pending) []Action {
-	if now.Sub(p.sentAt) > k.options.SwapPatience || record.Term >= p.record.Term {
+	// The watch may show the own record before the swap's answer has come.
+	own := record.Term == p.record.Term && record.HeldBy(k.self.VM, k.self.Incarnation)
+	if now.Sub(p.sentAt) > k.options.SwapPatience || record.Term >= p.record.Term && !own {
 		delete(k.swaps, record.Group)
 		delete(k.takeovers, record.Group)
 		k.notBefore[record.Group] = now.Add(k.options.SwapBackoff)
--- a/leases.go
+++ b/leases.go
@@ -98,6 +98,9 @@
 func (vm *VM) swap(ctx context.Context, r lease.Record) {
 	ctx, cancel := context.WithTimeout(ctx, swapTime)
 	defer cancel()
+	if !r.Vacant() {
+		r.Witnesses = vm.presentWitnesses(ctx, r.Witnesses)
+	}
 	value, err := json.Marshal(r)
 	if err != nil {
 		vm.log.Error("a lease record can't be encoded", "group", r.Group, "error", err)
@@ -115,13 +118,37 @@
 	default:
 		r.Revision = item.Revision
 		if r.Vacant() || vm.readTable(ctx, r.Group) {
-			vm.directory.SetLease(r)
 			vm.swapped(r, true)
+			vm.directory.SetLease(r)
 			vm.announceLease(ctx, r)
 		}
 	}
 }
 
+// presentWitnesses returns the witnesses that answer now.
+//
+// A record whose witnesses are gone could never be taken over again.
+func (vm *VM) presentWitnesses(ctx context.Context, witnesses []id.VM) (out []id.VM) {
+	self := vm.options.Settings.VM
+	present := make([]bool, len(witnesses))
+	done := make(chan struct{}, len(witnesses))
+	for i, w := range witnesses {
+		vm.tasks.Go(ctx, func(ctx context.Context) {
+			present[i] = w == self || vm.answers(ctx, w)
+			done <- struct{}{}
+		})
+	}
+	for range witnesses {
+		<-done
+	}
+	for i, w := range witnesses {
+		if present[i] && w != self {
+			out = append(out, w)
+		}
+	}
+	return keeper.WithSelf(out, self)
+}
+
 func (vm *VM) swapped(r lease.Record, won bool) {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
