Take the table out of the request path and measure relays and idle fleets

Cause: every keyed request woke the group's upkeep, which built the set of all slices anew; each relayed answer took a buffer of 32 KiB and two messages.

Change: the wanted grant is worked out once for each table; upkeep is woken only when a grant waits; buffers are pooled and a short answer goes with its head.

--- a/cmd/hickorybench/demo.go
+++ b/cmd/hickorybench/demo.go
@@ -127,13 +127,8 @@
 	r = judge(x.d, x.load.all(), x.outs, since)
 	r.Seed = c.Seed
 	after, nodeSeconds := x.controlBytes(), elapsed.Seconds()*float64(len(x.d.entries))
-	r.ControlBytesPerSecond = float64(after.Total()-before.Total()) / nodeSeconds
-	r.ControlByPurpose = map[string]float64{
-		"Datagrams": float64(after.Datagrams-before.Datagrams) / nodeSeconds,
-		"Grants":    float64(after.Grants-before.Grants) / nodeSeconds,
-		"Store":     float64(after.Store-before.Store) / nodeSeconds,
-		"Peers":     float64(after.Peers-before.Peers) / nodeSeconds,
-	}
+	r.ControlByPurpose = perSecond(before, after, nodeSeconds)
+	r.ControlBytesPerSecond = r.ControlByPurpose["Total"]
 	for method, n := range after.ByCall {
 		r.ControlByPurpose["Peers, "+method] = float64(n-before.ByCall[method]) / nodeSeconds
 	}
--- a/cmd/hickorybench/main.go
+++ b/cmd/hickorybench/main.go
@@ -16,6 +16,7 @@
 
 type commands struct {
 	Demo     demoCommand     `cmd:"" help:"Run a whole site on loopback under load and faults, and judge it."`
+	Fleet    fleetCommand    `cmd:"" help:"Measure what an idle fleet spends on control."`
 	Platform platformCommand `cmd:"" help:"Run a stand-in of the platform's store and VM list."`
 	Backend  backendCommand  `cmd:"" help:"Run a stand-in of one backend server."`
 }
--- a/coordination/group/grant.go
+++ b/coordination/group/grant.go
@@ -48,6 +48,14 @@
 	return h
 }
 
+// wantedOf returns what a table gives the server; it is worked out once for each table.
+func (s *server) wantedOf(t *table.Table) holding {
+	if s.wantedFor != t {
+		s.wanted, s.wantedFor = holdingOf(t, s.name), t
+	}
+	return s.wanted
+}
+
 func (h holding) equal(other holding) bool {
 	return maps.Equal(h.slices, other.slices) && maps.Equal(h.keys, other.keys) && maps.Equal(h.except, other.except)
 }
@@ -91,7 +99,8 @@
 
 // syncGrant starts an exchange with a server whose grant isn't what the table says.
 func (g *Group) syncGrant(ctx context.Context, s *server, t *table.Table, fenced bool) {
-	wanted := holdingOf(t, s.name)
+	wanted := s.wantedOf(t)
+	s.blocked = false
 	if s.grant.busy || s.condition == lost {
 		return
 	}
@@ -100,6 +109,7 @@
 		return
 	}
 	if s.grant.acked && g.inFlight(s, wanted, t) {
+		s.blocked = true
 		return
 	}
 	fence := id.Fence{Term: g.options.Lease.Term(), Version: t.Version}
@@ -254,7 +264,7 @@
 	}
 	fenced := service.Fenced
 	for _, s := range g.servers {
-		wanted := holdingOf(t, s.name)
+		wanted := s.wantedOf(t)
 		if g.inFlight(s, wanted, t) && (!fenced || !g.expired(s)) {
 			return false
 		}
--- a/coordination/group/lane.go
+++ b/coordination/group/lane.go
@@ -194,7 +194,9 @@
 	if r.Keyed {
 		if s.keys[r.Key]--; s.keys[r.Key] <= 0 {
 			delete(s.keys, r.Key)
-			g.poke()
+			if s.blocked {
+				g.poke()
+			}
 		}
 	}
 	g.dispatchWaiting()
--- a/coordination/group/server.go
+++ b/coordination/group/server.go
@@ -43,6 +43,11 @@
 	out     bool
 	keys    map[table.Hash]int
 	grant   grant
+	// wanted is what the table wantedFor gives the server.
+	wanted    holding
+	wantedFor *table.Table
+	// blocked says that a smaller grant waits for requests in flight.
+	blocked bool
 	flights map[*flight]struct{}
 	work    time.Duration
 }
--- a/hickorylug_test.go
+++ b/hickorylug_test.go
@@ -43,7 +43,7 @@
 
 // world is a small site with real sockets.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Platform
 	url      string
 	journal  *backend.Journal
@@ -60,7 +60,7 @@
 	done     chan error
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	w := &world{t: t, platform: platform.NewPlatform(platform.WithListLag(0)), journal: backend.NewJournal(nil), servers: map[id.Server]*backend.Server{}}
 	web := httptest.NewServer(w.platform)
@@ -96,7 +96,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for range 100 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -36,7 +36,9 @@
 	Servers int
 	Keyed   bool
 	Fenced  bool
-	Routes  map[id.Route]config.Route
+	// Slices is the number of slices; 0 leaves it to the default.
+	Slices int
+	Routes map[id.Route]config.Route
 }
 
 // slots is the number of requests that a backend server runs at once at both deployments.
@@ -140,7 +142,7 @@
 	}
 	for _, s := range p.Services {
 		service := config.Service{
-			Servers: map[id.Server]config.Server{}, Keyed: s.Keyed, Fenced: s.Fenced,
+			Servers: map[id.Server]config.Server{}, Keyed: s.Keyed, Fenced: s.Fenced, Slices: s.Slices,
 			Slots: slots, Connections: p.Connections,
 		}
 		for n := range s.Servers {
--- a/transport/peer/relay.go
+++ b/transport/peer/relay.go
@@ -11,11 +11,18 @@
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/protocol/peerpb"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/pool"
 )
 
 // chunkBytes is the size of the parts in which bodies are passed on.
 const chunkBytes = 32 << 10
 
+// buffers are the buffers of parts in use.
+var buffers = pool.NewPool(func() *[]byte {
+	b := make([]byte, chunkBytes)
+	return &b
+})
+
 // Relay passes a request to the VM that holds its group's lease.
 func (c *Client) Relay(ctx context.Context, vm id.VM, r *exchange.Request) (answer *exchange.Response, err error) {
 	p, err := c.Peer(vm)
@@ -44,18 +51,21 @@
 		cancel()
 		return nil, outcome.Unknown(outcome.PeerFailed, "the request to VM %s broke: %v", vm, err)
 	}
-	answer, err = receiveHead(stream, vm)
+	first, err := receiveHead(stream, vm)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	answer.Body = &relayBody{stream: stream, cancel: cancel}
+	answer = answerOf(first.GetHead())
+	answer.Body = &relayBody{stream: stream, cancel: cancel, rest: first.GetChunk(), whole: first.GetWhole()}
 	return answer, nil
 }
 
 // sendBody passes the caller's body on; a broken body cuts the call.
 func sendBody(ctx context.Context, stream grpc.BidiStreamingClient[peerpb.RelayRequest, peerpb.RelayResponse], r *exchange.Request, cancel context.CancelFunc) error {
-	buffer := make([]byte, chunkBytes)
+	pooled := buffers.Get()
+	defer buffers.Put(pooled)
+	buffer := *pooled
 	for {
 		n, err := r.Body.Read(buffer)
 		if n > 0 {
@@ -77,8 +87,8 @@
 	}
 }
 
-func receiveHead(stream grpc.BidiStreamingClient[peerpb.RelayRequest, peerpb.RelayResponse], vm id.VM) (answer *exchange.Response, err error) {
-	m, err := stream.Recv()
+func receiveHead(stream grpc.BidiStreamingClient[peerpb.RelayRequest, peerpb.RelayResponse], vm id.VM) (m *peerpb.RelayResponse, err error) {
+	m, err = stream.Recv()
 	if err != nil {
 		if ctxErr := stream.Context().Err(); ctxErr != nil {
 			return nil, outcome.Unknown(outcome.TooLate, "VM %s did not answer in time", vm)
@@ -91,7 +101,7 @@
 	if m.GetHead() == nil {
 		return nil, outcome.Unknown(outcome.PeerFailed, "VM %s sent an answer without a head", vm)
 	}
-	return answerOf(m.GetHead()), nil
+	return m, nil
 }
 
 // relayBody is the body of a relayed answer.
@@ -152,17 +162,26 @@
 
 func sendAnswer(stream grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayResponse], answer *exchange.Response) error {
 	message := &peerpb.RelayResponse{Head: answerHeadOf(answer)}
-	if err := stream.Send(message); err != nil {
-		return err
+	pooled := buffers.Get()
+	defer buffers.Put(pooled)
+	buffer := *pooled
+	if answer.Length < 0 || answer.Length > chunkBytes {
+		if err := stream.Send(message); err != nil {
+			return err
+		}
+		message = &peerpb.RelayResponse{}
 	}
-	buffer := make([]byte, chunkBytes)
-	for {
-		n, err := answer.Body.Read(buffer)
+	// A short answer goes with its head in one message.
+	for filled := 0; ; {
+		n, err := answer.Body.Read(buffer[filled:])
+		filled += n
 		whole := errors.Is(err, io.EOF)
-		if n > 0 || whole {
-			if sendErr := stream.Send(&peerpb.RelayResponse{Chunk: buffer[:n], Whole: whole}); sendErr != nil {
+		if message.Head == nil && filled > 0 || whole || filled == len(buffer) {
+			message.Chunk, message.Whole = buffer[:filled], whole
+			if sendErr := stream.Send(message); sendErr != nil {
 				return sendErr
 			}
+			message, filled = &peerpb.RelayResponse{}, 0
 		}
 		if whole {
 			return nil
