--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -12,14 +12,13 @@
 // Pool is a set of values of one type; it is safe for concurrent use.
 type Pool[T any] struct{ pool sync.Pool }
 
-// NewPool returns a pool whose values are made by make where none is kept.
-func NewPool[T any](make func() T) *Pool[T] {
-	return &Pool[T]{pool: sync.Pool{New: func() any { return make() }}}
+// NewPool returns a pool whose values are made by create where none is kept.
+func NewPool[T any](create func() T) *Pool[T] {
+	return &Pool[T]{pool: sync.Pool{New: func() any { return create() }}}
 }
 
 // Get returns a value for the caller's use alone.
 func (p *Pool[T]) Get() T {
-	//nolint:errcheck // only Put and New fill the pool, both with a T
 	return p.pool.Get().(T)
 }
 
