--- a/cmd/hickorybench/fleet.go
+++ b/cmd/hickorybench/fleet.go
@@ -30,6 +30,7 @@
 	Scale    bool          `help:"Let services grow with the entry VMs, so that each holds as many leases."`
 	Settle   time.Duration `help:"Time before the measurement." default:"12s"`
 	For      time.Duration `help:"Time of the measurement." default:"10s"`
+	Log      bool          `help:"Write the entry VMs' logs to standard error."`
 	JSON     bool          `help:"Print a JSON object for each number." name:"json"`
 }
 
@@ -87,7 +88,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	plan := c.plan(vms)
-	d, err := newDeployment(ctx, plan, time.Millisecond, io.Discard)
+	log := io.Discard
+	if c.Log {
+		log = os.Stderr
+	}
+	d, err := newDeployment(ctx, plan, time.Millisecond, log)
 	if err != nil {
 		return r, err
 	}
--- a/coordination/group/loads.go
+++ b/coordination/group/loads.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/hickorylug/hickorylug/protocol/exchange"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -60,6 +61,8 @@
 	Limit int
 	Slots int
 	Count int
+	// Latency is the usual time to an answer, or 0 while it isn't known.
+	Latency time.Duration
 }
 
 // Report is what the planner and a successor need to know of a group.
@@ -105,12 +108,13 @@
 			continue
 		}
 		out = append(out, ServerReport{
-			Server: name,
-			Boot:   s.boot,
-			Lost:   s.condition == lost || s.condition == leaving,
-			Limit:  s.ramp.Limit(),
-			Slots:  slots,
-			Count:  g.loads.byName[name],
+			Server:  name,
+			Boot:    s.boot,
+			Lost:    s.condition == lost || s.condition == leaving,
+			Limit:   s.ramp.Limit(),
+			Slots:   slots,
+			Count:   g.loads.byName[name],
+			Latency: s.ramp.Usual(),
 		})
 	}
 	return out
--- a/coordination/keeper/keeper.go
+++ b/coordination/keeper/keeper.go
@@ -133,21 +133,24 @@
 	swaps     map[id.Group]pending
 	seen      map[id.Group]seen
 	notBefore map[id.Group]clock.Instant
+	// nextUnseen is the time of the next try to succeed a holder that only membership misses.
+	nextUnseen map[id.Group]clock.Instant
 }
 
 // NewKeeper returns the keeper of a VM that has just started.
 func NewKeeper(self Member, now clock.Instant, opts ...Option) *Keeper {
 	o := newOptions(opts)
 	return &Keeper{
-		options:   o,
-		self:      self,
-		started:   now,
-		witness:   lease.NewWitness(now, lease.WithTiming(o.Timing)),
-		held:      map[id.Group]*held{},
-		takeovers: map[id.Group]*lease.Takeover{},
-		swaps:     map[id.Group]pending{},
-		seen:      map[id.Group]seen{},
-		notBefore: map[id.Group]clock.Instant{},
+		options:    o,
+		self:       self,
+		started:    now,
+		witness:    lease.NewWitness(now, lease.WithTiming(o.Timing)),
+		held:       map[id.Group]*held{},
+		takeovers:  map[id.Group]*lease.Takeover{},
+		swaps:      map[id.Group]pending{},
+		seen:       map[id.Group]seen{},
+		notBefore:  map[id.Group]clock.Instant{},
+		nextUnseen: map[id.Group]clock.Instant{},
 	}
 }
 
@@ -382,12 +385,8 @@
 			live[m.VM] = m
 		}
 	}
-	keep := len(have) == witnessCount(len(live))
-	for _, w := range have {
-		_, ok := live[w]
-		keep = keep && (ok || w == k.self.VM)
-	}
-	if keep {
+	// A witness that answers stays, whether membership has heard of it lately or not.
+	if len(have) >= witnessCount(len(live)) && len(missing) == 0 {
 		return have
 	}
 	// The order depends on the VM, not on the group, so that one datagram renews all its leases.
--- a/coordination/keeper/options.go
+++ b/coordination/keeper/options.go
@@ -19,6 +19,8 @@
 	SwapPatience time.Duration
 	// UnseenPatience is the time for which a holder must not be seen by a VM that is no witness.
 	UnseenPatience time.Duration
+	// UnseenPeriod is the time between two tries to succeed a holder that only membership misses.
+	UnseenPeriod time.Duration
 	// SettleTime is the time after the start in which a process takes no lease, so that it gets to know the others.
 	SettleTime time.Duration
 	// ImproveAfter is the time between two changes of witnesses that all answer.
@@ -39,6 +41,7 @@
 		SwapBackoff:    250 * time.Millisecond,
 		SwapPatience:   4 * time.Second,
 		UnseenPatience: 2 * time.Second,
+		UnseenPeriod:   5 * time.Second,
 		SettleTime:     3 * time.Second,
 		ImproveAfter:   2 * time.Second,
 	}
--- a/coordination/keeper/seek.go
+++ b/coordination/keeper/seek.go
@@ -110,10 +110,23 @@
 	case !k.eligible(s, record.Group):
 		return false, 0
 	default:
-		return k.holderUnseen(s, record) && k.since(now, record.Group) >= o.UnseenPatience+k.turn(s, record.Group), o.Timing.Silence
+		return k.unseen(now, s, record), o.Timing.Silence
 	}
 }
 
+// unseen reports whether the holder has been missed for long, at most once in a while.
+//
+// Membership is only a hint: in a large fleet a VM hears of another one now
+// and then, and the witnesses know better.
+func (k *Keeper) unseen(now clock.Instant, s Scene, record lease.Record) bool {
+	g, o := record.Group, k.options
+	if now < k.nextUnseen[g] || !k.holderUnseen(s, record) || k.since(now, g) < o.UnseenPatience+k.turn(s, g) {
+		return false
+	}
+	k.nextUnseen[g] = now.Add(o.UnseenPeriod)
+	return true
+}
+
 // turn returns the delay of this VM among those that may hold the lease.
 func (k *Keeper) turn(s Scene, g id.Group) time.Duration {
 	var candidates []Member
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -27,8 +27,10 @@
 
 // Times of membership.
 const (
-	// liveFor is the time after the last sighting for which a VM counts as live.
+	// liveFor is the time after the last sighting for which a VM counts as live, in a small fleet.
 	liveFor = 6 * time.Second
+	// liveForEach is added for each VM, since heartbeats come to each one more rarely in a large fleet.
+	liveForEach = 125 * time.Millisecond
 	// forgetAfter is the time without a sighting after which an unlisted VM is forgotten.
 	forgetAfter = time.Minute
 )
@@ -74,11 +76,19 @@
 
 // Sighted notes that somebody else heard of a VM some time ago.
 func (v *View) Sighted(now clock.Instant, m Member, age time.Duration) {
-	if age >= 0 && age < liveFor {
+	v.mu.Lock()
+	bound := v.liveFor()
+	v.mu.Unlock()
+	if age >= 0 && age < bound {
 		v.sight(m, now.Add(-age))
 	}
 }
 
+// liveFor returns the time after the last sighting for which a VM counts as live.
+func (v *View) liveFor() time.Duration {
+	return liveFor + time.Duration(len(v.entries))*liveForEach
+}
+
 func (v *View) sight(m Member, at clock.Instant) {
 	if m.VM == v.self.VM || m.VM == "" {
 		return
@@ -137,7 +147,7 @@
 	out = append(out, v.self)
 	for _, name := range v.names() {
 		e := v.entries[name]
-		if e.seen && now.Sub(e.seenAt) <= liveFor {
+		if e.seen && now.Sub(e.seenAt) <= v.liveFor() {
 			out = append(out, e.member)
 		}
 	}
@@ -199,7 +209,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, name := range v.names() {
-		if e := v.entries[name]; e.seen && now.Sub(e.seenAt) < liveFor {
+		if e := v.entries[name]; e.seen && now.Sub(e.seenAt) < v.liveFor() {
 			out = append(out, Sighting{Member: e.member, Age: now.Sub(e.seenAt)})
 		}
 	}
--- a/coordination/planner/balance.go
+++ b/coordination/planner/balance.go
@@ -60,6 +60,9 @@
 // balance moves the fewest slices that bring the hottest owner under the bound.
 func (p *plan) balance() {
 	budget := int(p.options.Churn * float64(len(p.next.Slices)))
+	if hot := p.hottest(); hot.load/hot.owner.Weight > urgentRatio*p.mean {
+		budget *= urgentChurn
+	}
 	for range max(budget, 1) {
 		from, to := p.hottest(), p.coolest()
 		if from == to || from.load/from.owner.Weight <= p.bound()*p.mean {
@@ -76,6 +79,12 @@
 	}
 }
 
+const (
+	// urgentRatio is the ratio to the mean load from which more slices move at once.
+	urgentRatio = 3
+	urgentChurn = 3
+)
+
 // bound returns the ratio to the mean load from which an owner is too hot.
 //
 // Few requests fluctuate by chance; two standard deviations of a count as
--- a/coordination/ramp/ramp.go
+++ b/coordination/ramp/ramp.go
@@ -85,11 +85,10 @@
 // Answered counts an answer and its latency.
 func (r *Ramp) Answered(latency time.Duration) {
 	if r.usual > 0 && latency > slowFactor*max(r.usual, minUsual) {
-		if r.slow++; r.slow >= slowAnswers {
-			r.Overloaded()
-			r.slow = 0
+		if r.slow++; r.slow < slowAnswers {
+			return
 		}
-		return
+		r.Overloaded()
 	}
 	r.slow = 0
 	if r.usual == 0 {
--- a/coordination/router/choose.go
+++ b/coordination/router/choose.go
@@ -15,7 +15,7 @@
 	// freshFor is the time for which the load in an answer is believed.
 	freshFor = 500 * time.Millisecond
 	// distance is the load, as a share of the limit, that makes the far failure domain as good as the near one.
-	distance = 0.5
+	distance = 0.1
 	// refusedScore is added for a group that refused a request lately.
 	refusedScore = 2.0
 )
--- a/planning.go
+++ b/planning.go
@@ -57,6 +57,7 @@
 type serverState struct {
 	lost         bool
 	limit, slots int
+	latency      time.Duration
 }
 
 func newPlanning(vm *VM) *planning {
@@ -93,7 +94,7 @@
 	s.servers = map[id.Server]serverState{}
 	for _, r := range m.GetServers() {
 		name := id.Server(r.GetServer())
-		s.servers[name] = serverState{lost: r.GetLost(), limit: int(r.GetLimit()), slots: int(r.GetSlots())}
+		s.servers[name] = serverState{lost: r.GetLost(), limit: int(r.GetLimit()), slots: int(r.GetSlots()), latency: time.Duration(r.GetLatencyNanos())}
 		if before[name].lost != r.GetLost() {
 			p.wake()
 		}
@@ -243,6 +244,7 @@
 	defer p.mu.Unlock()
 	now := p.vm.options.Clock.Now()
 	load.Slices = make([]float64, len(t.Slices))
+	var latencies []time.Duration
 	for _, name := range view.ByService[service] {
 		g := view.Groups[name]
 		record, known := view.Leases[name]
@@ -254,6 +256,7 @@
 		addLoad(&load, state)
 		if !view.Site.Services[service].Keyed {
 			owners = append(owners, planner.Owner{Name: id.Owner(name), Eligible: held && g.Open(), Warming: -1})
+			latencies = append(latencies, 0)
 			continue
 		}
 		for server, c := range g.Servers {
@@ -261,6 +264,7 @@
 			if state != nil {
 				s = state.servers[server]
 			}
+			latencies = append(latencies, s.latency)
 			owners = append(owners, planner.Owner{
 				Name:     id.Owner(server),
 				Eligible: held && !g.Out && !c.Out && !s.lost,
@@ -268,6 +272,7 @@
 			})
 		}
 	}
+	planner.Weigh(owners, latencies)
 	return owners, load
 }
 
--- a/reports.go
+++ b/reports.go
@@ -102,7 +102,7 @@
 	condition = &peerpb.GroupReport{Group: string(g.Name()), Term: uint64(g.Term())}
 	for _, s := range r.Servers {
 		condition.Servers = append(condition.Servers, &peerpb.ServerReport{
-			Server: string(s.Server), Lost: s.Lost, Limit: int32(s.Limit), Slots: int32(s.Slots), Boot: string(s.Boot),
+			Server: string(s.Server), Lost: s.Lost, Limit: int32(s.Limit), Slots: int32(s.Slots), Boot: string(s.Boot), LatencyNanos: int64(s.Latency),
 		})
 	}
 	load = &peerpb.GroupReport{Group: condition.Group, Term: condition.Term, Servers: condition.Servers}
--- a/spread.go
+++ b/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hickorylug/hickorylug/protocol/peerpb"
@@ -70,6 +71,10 @@
 		held[r.Holder]++
 	}
 	least := held[set.VM] - spreadGap
+	if rand.IntN(givers(held, least)) > 0 {
+		// Others have as many to give; if all did at once, the same VM would get too many.
+		return "", "", false
+	}
 	for _, m := range vm.members.Live(now) {
 		if m.VM == set.VM || m.Leaving || m.FailureDomain != set.FailureDomain || !vm.members.Settled(now, m.VM, spreadSettled) {
 			continue
@@ -81,6 +86,16 @@
 	return highest(mine), to, ok
 }
 
+// givers returns the number of VMs that hold so many more leases than others that they might hand one over.
+func givers(held map[id.VM]int, least int) (n int) {
+	for _, count := range held {
+		if count >= least+spreadGap {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 // highest returns the last name in order, so that the choice doesn't depend on the order of a map.
 func highest(groups []id.Group) (out id.Group) {
 	for _, g := range groups {
