--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -135,7 +135,7 @@
 
 // Serve answers a request or says what became of it.
 func (g *Group) Serve(ctx context.Context, r *exchange.Request) (answer *exchange.Response, err error) {
-	if err := g.enter(); err != nil {
+	if err := g.enter(r); err != nil {
 		return nil, err
 	}
 	defer g.leave()
@@ -155,11 +155,19 @@
 	return answer, nil
 }
 
+// mayServe reports whether a request may be sent now.
+//
+// A holder that is cut off goes on with requests that need no exclusive
+// sender: those without a key that may be repeated.
+func (g *Group) mayServe(r *exchange.Request) bool {
+	return g.options.Lease.Valid() || r.Idempotent && !r.Keyed && g.options.Detached()
+}
+
 // enter counts a request in, unless the group is being handed over.
-func (g *Group) enter() error {
+func (g *Group) enter(r *exchange.Request) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.stopping || !g.options.Lease.Valid() {
+	if g.stopping || !g.mayServe(r) {
 		return outcome.NotRun(outcome.Moved, "this VM does not hold the lease of group %s", g.name)
 	}
 	g.active++
--- a/coordination/group/group_test.go
+++ b/coordination/group/group_test.go
@@ -369,6 +369,23 @@
 	})
 }
 
+func TestHolderThatIsCutOffServesOnlyWhatMayBeRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		h := newHarness(t, config.Service{Servers: servers(1)}, group.WithDetached(func() bool { return true }))
+		defer h.run(t)()
+		h.invalid.Store(true)
+		_, err := h.do(t, request("/read"))
+		i.NoErr(err)
+		_, err = h.do(t, once("/renew", "key"))
+		i.Equal(outcome.Of(err).Outcome, outcome.KindNotRun)
+		r := keyed("/read", 3)
+		_, err = h.do(t, r)
+		i.Equal(outcome.Of(err).Outcome, outcome.KindNotRun)
+		i.Equal(h.fleet.servers[address(0)].count(), 1)
+	})
+}
+
 func TestAnswerIsStreamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		i := is.New(t)
--- a/coordination/group/options.go
+++ b/coordination/group/options.go
@@ -35,6 +35,8 @@
 	Seen func(id.Server) (boot id.Incarnation, limit int)
 	// Lost is called when a backend server is lost or leaves.
 	Lost func(id.Server)
+	// Detached reports whether the holder is cut off, with no other holder known.
+	Detached func() bool
 	// Claim announces a request that runs at most once to the successor, before it is sent.
 	Claim func(ctx context.Context, g id.Group, identity string) error
 	// Recall asks the group that had a slice before whether it has seen a request.
@@ -77,6 +79,9 @@
 // WithDied sets the function that is told of suspects.
 func WithDied(f func(poison.Fingerprint, int)) Option { return func(o *Options) { o.Died = f } }
 
+// WithDetached sets the function that tells whether the holder is cut off.
+func WithDetached(f func() bool) Option { return func(o *Options) { o.Detached = f } }
+
 // WithClaim sets the way to announce requests to the successor.
 func WithClaim(f func(context.Context, id.Group, string) error) Option {
 	return func(o *Options) { o.Claim = f }
@@ -98,8 +103,9 @@
 			Valid: func() bool { return true },
 			Until: func() clock.Instant { return 1 << 62 },
 		},
-		Seen:  func(id.Server) (id.Incarnation, int) { return "", 0 },
-		Claim: func(context.Context, id.Group, string) error { return nil },
+		Seen:     func(id.Server) (id.Incarnation, int) { return "", 0 },
+		Detached: func() bool { return false },
+		Claim:    func(context.Context, id.Group, string) error { return nil },
 		Recall: func(context.Context, id.Group, idempotency.ID, table.Hash) (idempotency.Kept, bool, bool) {
 			return idempotency.Kept{}, false, false
 		},
--- a/coordination/group/send.go
+++ b/coordination/group/send.go
@@ -178,7 +178,7 @@
 
 // fence checks the lease and, for a keyed request, states the grant that it is sent under.
 func (g *Group) fence(req *http.Request, r *exchange.Request, s *server) error {
-	if !g.options.Lease.Valid() {
+	if !g.mayServe(r) {
 		return outcome.NotRun(outcome.Moved, "the lease of group %s lapsed before the request was sent", g.name)
 	}
 	if !r.Keyed {
--- a/leases.go
+++ b/leases.go
@@ -51,6 +51,7 @@
 	for _, a := range actions {
 		vm.perform(ctx, a)
 	}
+	vm.stopSucceeded()
 }
 
 // scene returns what the keeper needs to know of the site.
@@ -89,7 +90,7 @@
 		vm.tasks.Go(ctx, func(ctx context.Context) { vm.swap(ctx, record) })
 	case a.Start != nil:
 		vm.start(ctx, *a.Start)
-	case a.Stop != "":
+	case a.Stop != "" && !vm.detached(a.Stop):
 		vm.stop(a.Stop)
 	}
 }
@@ -199,6 +200,7 @@
 		vm.planning.begin()
 		return
 	}
+	vm.stop(r.Group)
 	since, memory := vm.pastOf(s)
 	g := group.NewGroup(r.Group, vm.directory.View().Groups[r.Group].Service, vm.directory, vm.link,
 		group.WithClock(vm.options.Clock),
@@ -211,6 +213,7 @@
 		group.WithDied(vm.warn),
 		group.WithRecall(vm.recall),
 		group.WithClaim(vm.claim),
+		group.WithDetached(func() bool { return vm.detached(r.Group) }),
 	)
 	inner, cancel := context.WithCancel(ctx)
 	vm.mu.Lock()
@@ -268,6 +271,32 @@
 	return vm.keeper.Valid(vm.options.Clock.Boot(), g)
 }
 
+// detached reports whether this VM has lost the lease of a group without keys to nobody that it knows of.
+func (vm *VM) detached(g id.Group) bool {
+	view := vm.directory.View()
+	record := view.Leases[g]
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return !vm.leaving && !view.Site.Services[view.Groups[g].Service].Keyed && record.HeldBy(vm.options.Settings.VM, vm.incarnation)
+}
+
+// stopSucceeded ends the groups that went on without a lease, once they have another holder.
+func (vm *VM) stopSucceeded() {
+	vm.mu.Lock()
+	var lapsed []id.Group
+	for g := range vm.groups {
+		if _, held := vm.keeper.Record(g); !held {
+			lapsed = append(lapsed, g)
+		}
+	}
+	vm.mu.Unlock()
+	for _, g := range lapsed {
+		if !vm.detached(g) {
+			vm.stop(g)
+		}
+	}
+}
+
 // stop ends the work for a group whose lease is over.
 func (vm *VM) stop(g id.Group) {
 	vm.mu.Lock()
--- a/watch.go
+++ b/watch.go
@@ -20,6 +20,8 @@
 	verifyPeriod = 5 * time.Second
 	// listPeriod is the time between two reads of the platform's list of VMs.
 	listPeriod = 10 * time.Second
+	// listPeriodEach is the part of that time for each VM on the list.
+	listPeriodEach = time.Second
 	// listFirst is that time while no other VM is known.
 	listFirst = 500 * time.Millisecond
 )
@@ -114,7 +116,8 @@
 			w.vm.members.Listed(w.vm.options.Clock.Boot(), list)
 			w.vm.platform.Share(len(list))
 		}
-		period := listPeriod
+		// The list grows with the fleet, so a large one is read more rarely; heartbeats tell what is new.
+		period := max(listPeriod, time.Duration(len(list))*listPeriodEach)
 		if len(w.vm.members.Live(w.vm.options.Clock.Boot())) < 2 {
 			period = listFirst
 		}
