--- a/cmd/hickorybench/fleet.go
+++ b/cmd/hickorybench/fleet.go
@@ -16,6 +16,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug"
+	"github.com/hickorylug/hickorylug/coordination/directory"
+	"github.com/hickorylug/hickorylug/standin/platform"
 	"github.com/hickorylug/hickorylug/standin/site"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -48,8 +50,55 @@
 	// StoreReadsPerSecond and StoreWritesPerSecond are the whole fleet's.
 	StoreReadsPerSecond  float64
 	StoreWritesPerSecond float64
+	// InForce are the median and the worst time until an accepted change is in force at all entry VMs, in milliseconds.
+	InForceMedian float64
+	InForceWorst  float64
+	// InForceStuck is the worst such time while no watch of the store returns, in milliseconds.
+	InForceStuck float64
 }
 
+// changes is the number of configuration changes that are timed.
+const changes = 5
+
+// inForce returns the times until accepted changes are in force at all entry VMs, in order.
+func (d *deployment) inForce(ctx context.Context) (times []time.Duration, err error) {
+	for n := range changes {
+		if err := d.accept(ctx, fmt.Sprintf("timed-%d", n)); err != nil {
+			return nil, err
+		}
+		acceptedAt, wanted := time.Now(), d.platform.Item(directory.KeyConfiguration).Revision
+		for _, e := range d.entries {
+			for e.vm.Revision() < wanted {
+				if time.Since(acceptedAt) > readyTime {
+					return nil, errors.Newf("VM %s did not take revision %d", e.name, wanted)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		times = append(times, time.Since(acceptedAt))
+	}
+	slices.Sort(times)
+	return times, nil
+}
+
+// timeChanges adds the times of configuration changes to a report.
+func (r *FleetReport) timeChanges(ctx context.Context, d *deployment) error {
+	times, err := d.inForce(ctx)
+	if err != nil {
+		return err
+	}
+	r.InForceMedian, r.InForceWorst = milliseconds(times[changes/2]), milliseconds(times[changes-1])
+	d.platform.SetFaults(platform.Faults{StuckWatches: true})
+	defer d.platform.SetFaults(platform.Faults{})
+	if times, err = d.inForce(ctx); err != nil {
+		return err
+	}
+	r.InForceStuck = milliseconds(times[changes-1])
+	return nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // Run measures one number of entry VMs after another.
 func (c *fleetCommand) Run() error {
 	for _, n := range c.VMs {
@@ -121,7 +170,7 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	r.HeapBytes = float64(memory.HeapAlloc+memory.StackInuse) / float64(vms)
-	return r, nil
+	return r, r.timeChanges(ctx, d)
 }
 
 // perSecond returns the bytes by purpose, for each second and entry VM.
@@ -155,5 +204,6 @@
 	for _, purpose := range slices.Sorted(maps.Keys(r.BytesPerSecond)) {
 		fmt.Fprintf(t, "\t%s\t%.0f B/s\n", purpose, r.BytesPerSecond[purpose])
 	}
+	fmt.Fprintf(t, "\tChange in force\tmedian %.0f ms\tworst %.0f ms\twith stuck watches %.0f ms\n", r.InForceMedian, r.InForceWorst, r.InForceStuck)
 	return t.Flush()
 }
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -25,6 +25,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/directory"
 	"github.com/hickorylug/hickorylug/coordination/group"
+	"github.com/hickorylug/hickorylug/coordination/idempotency"
 	"github.com/hickorylug/hickorylug/coordination/lease"
 	"github.com/hickorylug/hickorylug/coordination/pick"
 	"github.com/hickorylug/hickorylug/coordination/planner"
@@ -158,7 +159,10 @@
 			one := group.NewGroup(name, g.Service, w.directory, w.link(),
 				group.WithClock(w.clock), group.WithPoison(w.poison), group.WithPick(w.policy(uint64(n))),
 				group.WithLog(slog.New(slog.DiscardHandler)),
-				group.WithLost(func(id.Server) { w.wake() }))
+				group.WithLost(func(id.Server) { w.wake() }),
+				group.WithRecall(func(_ context.Context, from id.Group, i idempotency.ID, place table.Hash) (idempotency.Kept, bool, bool) {
+					return groups[from].Recall(i.Identity, place)
+				}))
 			groups[name] = one
 			wg.Go(func() { _ = one.Run(ctx) })
 		}
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -127,7 +127,7 @@
 	DefaultConnections = 55
 	DefaultColdSlots   = 1
 	DefaultQueue       = 16
-	DefaultProbePeriod = 2 * time.Second
+	DefaultProbePeriod = 5 * time.Second
 	DefaultTimeout     = 5 * time.Second
 	DefaultWait        = 500 * time.Millisecond
 	DefaultMaxBody     = 8 << 20
--- a/status.go
+++ b/status.go
@@ -65,6 +65,9 @@
 	return s
 }
 
+// Revision returns the revision of the configuration in force at this VM.
+func (vm *VM) Revision() id.Revision { return vm.directory.View().Revision }
+
 func (vm *VM) inventory(context.Context) *peerpb.InventoryAnswer {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
