Give on what has been let go without waiting for slow releases

Cause: the planner waited up to 2 s for every old owner before it completed any move, so that a backend server lost while a failure domain was being emptied kept its keys without service.

Change: what is released within 300 ms is completed; the rest is asked again 50 ms later.

--- a/measure/measure.go
+++ b/measure/measure.go
@@ -242,30 +242,49 @@
 			return
 		case <-changed:
 		case <-w.lost:
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(100 * time.Millisecond):
 		}
 	}
 }
 
+// releaseTime is the time after which what has been let go is given on, without those that are slow.
+const releaseTime = 300 * time.Millisecond
+
+// release asks all old owners at once to let go, and returns which have.
+func (w *world) release(ctx context.Context, service id.Service, next *table.Table) map[id.Owner]bool {
+	ctx, cancel := context.WithTimeout(ctx, releaseTime)
+	defer cancel()
+	sources := planner.Sources(next)
+	results := make([]bool, len(sources))
+	var wg sync.WaitGroup
+	for i, owner := range sources {
+		g, ok := w.directory.View().GroupOfServer(service, id.Server(owner))
+		if !ok {
+			g = id.Group(owner)
+		}
+		wg.Go(func() {
+			results[i] = true
+			for _, groups := range w.groups {
+				results[i] = groups[g].Release(ctx, next.Version) && results[i]
+			}
+		})
+	}
+	wg.Wait()
+	released := map[id.Owner]bool{}
+	for i, owner := range sources {
+		released[owner] = results[i]
+	}
+	return released
+}
+
 func (w *world) planService(ctx context.Context, service id.Service) {
 	current := w.directory.View().Tables[service]
 	next := w.plan(current, w.groups[0])
-	if next == current {
+	if next == current && next.Moving() == 0 {
 		return
 	}
 	w.directory.SetTable(id.Revision(next.Version), next)
-	released := map[id.Owner]bool{}
-	for _, owner := range planner.Sources(next) {
-		g, ok := w.directory.View().GroupOfServer(service, id.Server(owner))
-		if !ok {
-			g = id.Group(owner)
-		}
-		all := true
-		for _, groups := range w.groups {
-			all = groups[g].Release(ctx, next.Version) && all
-		}
-		released[owner] = all
-	}
+	released := w.release(ctx, service, next)
 	if done, changed := planner.Complete(next, func(o id.Owner) bool { return released[o] }); changed {
 		w.directory.SetTable(id.Revision(done.Version), done)
 	}
--- a/planning.go
+++ b/planning.go
@@ -25,8 +25,11 @@
 	balanceAfter = 2 * loadEvery * reportPeriod
 	// reportFresh is the time for which a report is believed.
 	reportFresh = 5 * time.Second
-	releaseTime = 2 * time.Second
-	writeTime   = 2 * time.Second
+	// releaseTime is the time after which what has been let go is given on, without those that are slow.
+	releaseTime = 300 * time.Millisecond
+	// releaseAgain is the time after which the slow ones are asked again.
+	releaseAgain = 50 * time.Millisecond
+	writeTime    = 2 * time.Second
 	// removedWait is the time after which nobody uses a backend server that was taken out of the configuration.
 	removedWait = 15 * time.Second
 	// loadSmoothing is the weight of a new measurement of a slice's load.
@@ -175,7 +178,10 @@
 		return
 	}
 	if next, changed := planner.Complete(t, p.released(ctx, service, t)); changed {
-		p.write(ctx, service, next)
+		t, _ = p.write(ctx, service, next)
+	}
+	if t != nil && t.Moving() > 0 {
+		p.vm.options.Clock.AfterFunc(releaseAgain, p.wake)
 	}
 }
 
