Move requests that run once away from groups without backend servers

Cause: after a poisonous request had crashed both backend servers of a group, the group kept the places of requests that run at most once and refused them.

Change: a group whose backend servers are all reported lost owns nothing.

--- a/measure/measure.go
+++ b/measure/measure.go
@@ -126,7 +126,7 @@
 	for _, name := range view.ByService[t.Service] {
 		g := view.Groups[name]
 		if !view.Site.Services[t.Service].Keyed {
-			owners = append(owners, planner.Owner{Name: id.Owner(name), Eligible: g.Open(), Warming: -1})
+			owners = append(owners, planner.Owner{Name: id.Owner(name), Eligible: g.Open() && serves(groups[name]), Warming: -1})
 			latencies = append(latencies, 0)
 			continue
 		}
@@ -230,6 +230,19 @@
 	return oneWay
 }
 
+// serves reports whether a group has a server that isn't lost.
+func serves(g *group.Group) bool {
+	if g == nil {
+		return true
+	}
+	for _, r := range g.Condition() {
+		if !r.Lost {
+			return true
+		}
+	}
+	return false
+}
+
 // planAll moves slices when servers are lost or taken out, as the planner's lease holder does.
 func (w *world) planAll(ctx context.Context) {
 	for {
--- a/planning.go
+++ b/planning.go
@@ -261,7 +261,7 @@
 		}
 		addLoad(&load, state)
 		if !view.Site.Services[service].Keyed {
-			owners = append(owners, planner.Owner{Name: id.Owner(name), Eligible: held && g.Open(), Warming: -1})
+			owners = append(owners, planner.Owner{Name: id.Owner(name), Eligible: held && g.Open() && state.serves(), Warming: -1})
 			latencies = append(latencies, 0)
 			continue
 		}
@@ -282,6 +282,19 @@
 	return owners, load
 }
 
+// serves reports whether a group has a backend server that isn't lost, or has not reported.
+func (s *groupState) serves() bool {
+	if s == nil || len(s.servers) == 0 {
+		return true
+	}
+	for _, server := range s.servers {
+		if !server.lost {
+			return true
+		}
+	}
+	return false
+}
+
 func addLoad(load *planner.Load, s *groupState) {
 	if s == nil {
 		return
