--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -1,9 +1,11 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -143,13 +145,36 @@
 	}
 }
 
-func TestMalformedRequestIsRefused(t *testing.T) {
-	i := is.New(t)
-	server := httptest.NewServer(newHandler(t, answer(strings.NewReader(""), 0)))
-	defer server.Close()
-	resp, err := http.Get(server.URL + "/plans%zz") //nolint:noctx // the client refuses it before it is sent
-	if err == nil {
-		resp.Body.Close()
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	tests := map[string]struct{ request, wanted string }{
+		"no HTTP":           {"hello\r\n\r\n", "400 Bad Request"},
+		"bad escape":        {"GET /plans%zz HTTP/1.1\r\nHost: a\r\n\r\n", "400 Bad Request"},
+		"no host":           {"GET /plans HTTP/1.1\r\n\r\n", "400 Bad Request"},
+		"over-long header":  {"GET /plans HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", "431 Request Header Fields Too Large"},
+		"two lengths":       {"PUT /plans HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", "400 Bad Request"},
+		"body over a limit": {"PUT /plans HTTP/1.1\r\nHost: a\r\nWho: 7\r\nContent-Length: 11\r\n\r\n01234567890", "413 Request Entity Too Large"},
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := caller.NewServer(newHandler(t, answer(strings.NewReader(""), 0)), caller.WithMaxHeader(4<<10))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, l) }()
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			c, err := net.Dial("tcp", l.Addr().String())
+			i.NoErr(err)
+			defer c.Close()
+			_, err = io.WriteString(c, test.request)
+			i.NoErr(err)
+			line, err := bufio.NewReader(c).ReadString('\n')
+			i.NoErr(err)
+			i.True(strings.Contains(line, test.wanted))
+		})
 	}
-	i.True(err != nil)
+	cancel()
+	is.New(t).NoErr(<-done)
 }
