Say where operators see it that the store does not answer

Cause: a VM that started without the store said so only for debugging.

Change: the first failure in a row is a warning with the store's address.

--- a/watch.go
+++ b/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -59,7 +60,7 @@
 		w.mu.Unlock()
 		changes, err := w.vm.platform.Watch(ctx, directory.Prefix, after, wait)
 		if err != nil {
-			w.vm.log.Debug("the store's watch failed", "error", err)
+			w.complain(ctx, backoff, err)
 			w.vm.fetchFromAny(ctx)
 			w.pause(ctx, backoff)
 			backoff = min(2*backoff, backoffLast)
@@ -76,6 +77,15 @@
 	return nil
 }
 
+// complain logs the first failure in a row where operators see it, later ones for debugging only.
+func (w *watcher) complain(ctx context.Context, backoff time.Duration, err error) {
+	level := slog.LevelDebug
+	if backoff == backoffFirst && ctx.Err() == nil {
+		level = slog.LevelWarn
+	}
+	w.vm.log.Log(ctx, level, "the store does not answer; asking other VMs", "store", w.vm.options.Settings.Store, "error", err)
+}
+
 func (w *watcher) advance(r id.Revision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
