Complete moves by one piece of code and always ask slow owners again

Change: planning.complete serves both places; the question is asked wherever something still moves.

No check or bound is changed.

--- a/planning.go
+++ b/planning.go
@@ -164,27 +164,33 @@
 			return
 		}
 	}
-	if next, changed := planner.Complete(t, p.released(ctx, service, t)); changed {
-		if t, ok = p.write(ctx, service, next); !ok {
-			return
-		}
+	if t, ok = p.complete(ctx, service, t); !ok {
+		return
 	}
 	owners, load := p.owners(view, service, t)
 	next, changed := planner.Plan(t, owners, load, p.planOptions(service)...)
-	if !changed {
-		return
-	}
-	if t, ok = p.write(ctx, service, next); !ok {
-		return
-	}
-	if next, changed := planner.Complete(t, p.released(ctx, service, t)); changed {
-		t, _ = p.write(ctx, service, next)
+	if changed {
+		if t, ok = p.write(ctx, service, next); !ok {
+			return
+		}
+		if t, ok = p.complete(ctx, service, t); !ok {
+			return
+		}
 	}
-	if t != nil && t.Moving() > 0 {
+	if t.Moving() > 0 {
 		p.vm.options.Clock.AfterFunc(releaseAgain, p.wake)
 	}
 }
 
+// complete gives on what its old owners have let go; ok is false where the table could not be written.
+func (p *planning) complete(ctx context.Context, service id.Service, t *table.Table) (next *table.Table, ok bool) {
+	next, changed := planner.Complete(t, p.released(ctx, service, t))
+	if !changed {
+		return t, true
+	}
+	return p.write(ctx, service, next)
+}
+
 // first reads a service's table from the store, or makes one where there is none.
 func (p *planning) first(ctx context.Context, service id.Service) *table.Table {
 	if !p.groupsHeld(service) && p.age() < firstPatience {
