Work out the groups' failure domains once for each configuration

Cause: on reading the change once more: every tick of the lease loop, 20 a second, built the map of all groups to their failure domains anew.

Change: the directory makes the map when it takes a configuration; the keeper only reads it. Behaviour and checks are as they were.

Figures: not measured on its own; at 1100 groups it saves 22000 map writes a second a node by count.

Conclusion: work that depends on the configuration alone is done with it.

--- a/coordination/directory/group.go
+++ b/coordination/directory/group.go
@@ -56,6 +56,14 @@
 	return groups, byService
 }
 
+func homesOf(groups map[id.Group]Group) map[id.Group]id.Domain {
+	homes := map[id.Group]id.Domain{id.Planner: ""}
+	for name, g := range groups {
+		homes[name] = g.FailureDomain
+	}
+	return homes
+}
+
 // SortedGroups returns the names of all groups in order.
 func (v *View) SortedGroups() []id.Group {
 	return slices.SortedFunc(maps.Keys(v.Groups), cmp.Compare)
--- a/leases.go
+++ b/leases.go
@@ -57,15 +57,12 @@
 // scene returns what the keeper needs to know of the site.
 func (vm *VM) scene() keeper.Scene {
 	view := vm.directory.View()
-	s := keeper.Scene{Groups: map[id.Group]id.Domain{}, Records: view.Leases, Gone: view.Retired}
+	s := keeper.Scene{Records: view.Leases, Gone: view.Retired}
 	if view.Revision == 0 || !vm.watcher.synced() {
 		// Without the records of the store, every lease would look vacant.
 		return s
 	}
-	s.Groups[id.Planner] = ""
-	for name, g := range view.Groups {
-		s.Groups[name] = g.FailureDomain
-	}
+	s.Groups = view.Homes
 	now := vm.options.Clock.Boot()
 	for _, m := range vm.members.Live(now) {
 		if !m.Leaving {
