Wait for former holders whatever the fence of their grants

Cause: a range gets a new fence without a new owner when ranges are joined or a grant was refused. The time of the last grant was remembered by fence, so a suspended owner, which gets no grant with the new fence, was not waited for when its range was moved. Change: the last grant is remembered by backend server. The model suspends servers at random.

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -79,11 +79,13 @@
 	handover string
 }
 
-// holder is a backend server with a fence under which it holds keys.
+// holder is a backend server that may hold keys of a service.
+//
+// It has no fence: a range gets a new one when it is joined with its
+// neighbour or refused, while its owner still holds the keys under the old one.
 type holder struct {
 	service id.Service
 	life    fleet.Life
-	fence   fleet.Fence
 }
 
 // Granter carries tables out; it is not safe for concurrent use.
@@ -91,7 +93,8 @@
 	// began is when this VM became the leader; grants of leaders before it were sent until shortly after.
 	began  clock.Instant
 	ranges map[run]*state
-	sent   map[holder]clock.Instant
+	// sent is when a backend server was last sent a grant.
+	sent map[holder]clock.Instant
 }
 
 // NewGranter returns the granter of a leader that begins now.
@@ -142,7 +145,7 @@
 	}
 	s := &state{due: now, granted: !r.Moving()}
 	if r.Moving() {
-		last := max(g.began.Add(successionSlack), g.sent[holder{key.service, *r.Before, r.BeforeFence}])
+		last := max(g.began.Add(successionSlack), g.sent[holder{key.service, *r.Before}])
 		s.exposed = last.Add(exposure)
 	}
 	g.ranges[key] = s
@@ -166,7 +169,7 @@
 		o.Life, o.Release, o.Handover = *r.Before, true, ""
 		return o, true
 	}
-	h := holder{service, r.Owner, r.Fence}
+	h := holder{service, r.Owner}
 	g.sent[h] = max(g.sent[h], now)
 	return o, true
 }
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -41,3 +41,29 @@
 		})
 	}
 }
+
+// A range gets a new fence when it is joined with its neighbour; its owner still holds the keys under the old one.
+func TestNewFenceDoesNotShortenTheWait(t *testing.T) {
+	const began = clock.Instant(time.Hour)
+	a, b := life("a"), life("b")
+	suspendsA := ownership.Lives{Dead: func(fleet.Life) bool { return false }, Suspended: func(l fleet.Life) bool { return l == a }}
+	serves := ownership.Lives{Dead: suspendsA.Dead, Suspended: func(fleet.Life) bool { return false }}
+	is := is.New(t)
+	g := ownership.NewGranter(began)
+
+	granted := began.Add(time.Minute)
+	for _, o := range g.Due(granted, &fleet.Table{Service: service, Fence: 1, Ranges: []fleet.Range{{From: 0, To: 9, Owner: a, Fence: 1}}}, serves) {
+		g.Report(granted, o, ownership.Done, "")
+	}
+	joined := granted.Add(100 * time.Millisecond)
+	orders := g.Due(joined, &fleet.Table{Service: service, Fence: 2, Ranges: []fleet.Range{{From: 0, To: 9, Owner: a, Fence: 2}}}, suspendsA)
+	is.Equal(len(orders), 0) // a backend server that refuses connections gets no grants
+
+	moved := &fleet.Table{Service: service, Fence: 3, Ranges: []fleet.Range{{From: 0, To: 9, Owner: b, Fence: 3, Before: &a, BeforeFence: 2}}}
+	for at := joined; at < granted.Add(ownership.HoldTime); at = at.Add(200 * time.Millisecond) {
+		for _, o := range g.Due(at, moved, suspendsA) {
+			is.Equal(o.Life, a) // the first owner's hold lasts
+			g.Report(at, o, ownership.Unanswered, "")
+		}
+	}
+}
--- a/coordination/ownership/model_test.go
+++ b/coordination/ownership/model_test.go
@@ -81,6 +81,8 @@
 	late     []late
 	dead     map[fleet.Life]bool
 	eligible map[id.Server]bool
+	// suspended holds the backend servers that refused a connection lately.
+	suspended map[id.Server]bool
 	// trusting skips the wait for former holders, to show that the check finds it.
 	trusting bool
 }
@@ -88,7 +90,7 @@
 func newSite(t *rapid.T, trusting bool) *site {
 	s := &site{
 		t: t, now: clock.Instant(time.Hour), backends: map[id.Server]*backend{}, dead: map[fleet.Life]bool{},
-		eligible: map[id.Server]bool{}, trusting: trusting,
+		eligible: map[id.Server]bool{}, suspended: map[id.Server]bool{}, trusting: trusting,
 	}
 	for _, n := range []id.Server{"a", "b", "c"} {
 		s.backends[n] = &backend{life: fleet.Life{Server: n, Born: 1}, up: true, reach: true}
@@ -140,7 +142,7 @@
 	if s.trusting {
 		isDead = func(l fleet.Life) bool { return !s.eligible[l.Server] || s.dead[l] }
 	}
-	for _, o := range s.granter.Due(s.now, s.table, ownership.Lives{Dead: isDead, Suspended: func(fleet.Life) bool { return false }}) {
+	for _, o := range s.granter.Due(s.now, s.table, ownership.Lives{Dead: isDead, Suspended: func(l fleet.Life) bool { return s.suspended[l.Server] }}) {
 		b := s.backends[o.Life.Server]
 		if !b.up || !b.reach || b.life != o.Life {
 			s.granter.Report(s.now, o, ownership.Unanswered, "")
@@ -223,7 +225,7 @@
 
 // step does one thing that may happen.
 func (s *site) step() {
-	switch rapid.IntRange(0, 7).Draw(s.t, "event") {
+	switch rapid.IntRange(0, 8).Draw(s.t, "event") {
 	case 0:
 		n := s.name()
 		s.eligible[n] = !s.eligible[n]
@@ -235,6 +237,9 @@
 	case 3:
 		// Another VM takes the leadership over; it knows the table and nothing else.
 		s.granter = ownership.NewGranter(s.now)
+	case 4:
+		n := s.name()
+		s.suspended[n] = !s.suspended[n]
 	default:
 		s.pass(time.Duration(rapid.IntRange(50, 1500).Draw(s.t, "ms")) * time.Millisecond)
 	}
