Give moves up whose new owner is lost

Change: such moves are abandoned, and ended moves are settled before the plan is made (Granter.Revise).

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -67,6 +67,8 @@
 // state is what the granter knows of a range.
 type state struct {
 	granted bool
+	// abandoned says that the keys are free but their new owner doesn't take them, so that the plan may give them to another one.
+	abandoned bool
 	// grantedAt is when the owner took the keys first.
 	grantedAt clock.Instant
 	refused   bool
@@ -108,6 +110,8 @@
 	Dead func(l fleet.Life) bool
 	// Suspended reports whether a life must not be granted keys at the moment.
 	Suspended func(l fleet.Life) bool
+	// Lost reports whether a life has left so many orders unanswered that it is to lose its keys.
+	Lost func(l fleet.Life) bool
 	// Isolated says that this VM hears too few others to know that no former leader still renews grants.
 	Isolated bool
 }
@@ -160,9 +164,9 @@
 			return o, false
 		}
 	case s.released || now > s.exposed && !lives.Isolated || lives.Dead(*r.Before):
-		if lives.Dead(r.Owner) || lives.Suspended(r.Owner) {
-			// Nobody has the keys, so the plan may give them to another owner.
-			s.granted = true
+		unable := lives.Dead(r.Owner) || lives.Suspended(r.Owner)
+		s.abandoned = unable || lives.Lost(r.Owner)
+		if unable {
 			return o, false
 		}
 	default:
@@ -203,14 +207,20 @@
 	return ok && s.granted
 }
 
+// Settled reports whether a moving range needs no orders any more: its owner has taken it, or is given up.
+func (g *Granter) Settled(service id.Service, r fleet.Range) bool {
+	s, ok := g.ranges[run{service, r.From, r.To, r.Fence}]
+	return ok && (s.granted || s.abandoned)
+}
+
 // GrantedSince reports whether the owner of a moving range has taken it at or after a time.
 func (g *Granter) GrantedSince(service id.Service, r fleet.Range, since clock.Instant) bool {
 	s, ok := g.ranges[run{service, r.From, r.To, r.Fence}]
 	return ok && s.granted && s.grantedAt >= since
 }
 
-// RefusedRanges returns the fences of ranges whose owner has seen a higher one.
-func (g *Granter) RefusedRanges(service id.Service) (out []fleet.Fence) {
+// refused returns the fences of ranges whose owner has seen a higher one.
+func (g *Granter) refused(service id.Service) (out []fleet.Fence) {
 	for key, s := range g.ranges {
 		if key.service == service && s.refused {
 			out = append(out, key.fence)
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -21,17 +21,17 @@
 		lives ownership.Lives
 		want  fleet.Life
 	}{
-		"the former owner is asked first":           {lives: ownership.Lives{Dead: none, Suspended: none}, want: a},
-		"its hold may last":                         {after: ownership.HoldTime, lives: ownership.Lives{Dead: none, Suspended: none}, want: a},
-		"its hold is over":                          {after: 2 * ownership.HoldTime, lives: ownership.Lives{Dead: none, Suspended: none}, want: b},
-		"a leader that is alone doesn't go by time": {after: 2 * ownership.HoldTime, lives: ownership.Lives{Dead: none, Suspended: none, Isolated: true}, want: a},
-		"its life is over":                          {lives: ownership.Lives{Dead: func(l fleet.Life) bool { return l == a }, Suspended: none}, want: b},
+		"the former owner is asked first":           {lives: ownership.Lives{Dead: none, Suspended: none, Lost: none}, want: a},
+		"its hold may last":                         {after: ownership.HoldTime, lives: ownership.Lives{Dead: none, Suspended: none, Lost: none}, want: a},
+		"its hold is over":                          {after: 2 * ownership.HoldTime, lives: ownership.Lives{Dead: none, Suspended: none, Lost: none}, want: b},
+		"a leader that is alone doesn't go by time": {after: 2 * ownership.HoldTime, lives: ownership.Lives{Dead: none, Suspended: none, Lost: none, Isolated: true}, want: a},
+		"its life is over":                          {lives: ownership.Lives{Dead: func(l fleet.Life) bool { return l == a }, Suspended: none, Lost: none}, want: b},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			g := ownership.NewGranter(began)
-			first := g.Due(began, table, ownership.Lives{Dead: none, Suspended: none})
+			first := g.Due(began, table, ownership.Lives{Dead: none, Suspended: none, Lost: none})
 			is.Equal(len(first), 1)
 			g.Report(began, first[0], ownership.Unanswered, "")
 			orders := g.Due(began.Add(max(test.after, time.Second)), table, test.lives)
@@ -46,8 +46,9 @@
 func TestNewFenceDoesNotShortenTheWait(t *testing.T) {
 	const began = clock.Instant(time.Hour)
 	a, b := life("a"), life("b")
-	suspendsA := ownership.Lives{Dead: func(fleet.Life) bool { return false }, Suspended: func(l fleet.Life) bool { return l == a }}
-	serves := ownership.Lives{Dead: suspendsA.Dead, Suspended: func(fleet.Life) bool { return false }}
+	none := func(fleet.Life) bool { return false }
+	suspendsA := ownership.Lives{Dead: none, Suspended: func(l fleet.Life) bool { return l == a }, Lost: none}
+	serves := ownership.Lives{Dead: none, Suspended: none, Lost: none}
 	is := is.New(t)
 	g := ownership.NewGranter(began)
 
@@ -67,3 +68,38 @@
 		}
 	}
 }
+
+// Keys that were released must not wait for a new owner that never answers.
+func TestLostNewOwnerIsReplaced(t *testing.T) {
+	const began = clock.Instant(time.Hour)
+	a, b, c := life("a"), life("b"), life("c")
+	none := func(fleet.Life) bool { return false }
+	lives := ownership.Lives{Dead: none, Suspended: none, Lost: func(l fleet.Life) bool { return l == b }}
+	candidates := []ownership.Candidate{{Life: b, Warm: true, Capacity: 40}, {Life: c, Eligible: true, Warm: true, Capacity: 40}}
+	table := &fleet.Table{Service: service, Fence: 2, Ranges: []fleet.Range{{From: 0, To: fleet.KeyCount - 1, Owner: b, Fence: 2, Before: &a, BeforeFence: 1}}}
+	is := is.New(t)
+	g := ownership.NewGranter(began)
+	var lastToB, firstToC clock.Instant
+	for now := began; now < began.Add(10*time.Second) && firstToC == 0; now = now.Add(50 * time.Millisecond) {
+		if next, moved, settled := g.Revise(table, candidates, nil); moved || settled {
+			table = next
+		}
+		for _, o := range g.Due(now, table, lives) {
+			switch {
+			case o.Life == c:
+				firstToC = now
+				g.Report(now, o, ownership.Done, "")
+			case o.Release && o.Life == a:
+				g.Report(now, o, ownership.Done, "handover")
+			default:
+				if !o.Release {
+					lastToB = now
+				}
+				g.Report(now, o, ownership.Unanswered, "")
+			}
+		}
+	}
+	is.True(firstToC > 0)                                 // the keys are served again
+	is.True(firstToC.Sub(lastToB) > ownership.HoldTime)   // the lost owner may have taken them
+	is.True(firstToC.Sub(lastToB) < 2*ownership.HoldTime) // but not for longer than a hold
+}
--- a/coordination/ownership/model_test.go
+++ b/coordination/ownership/model_test.go
@@ -110,25 +110,11 @@
 	for n, b := range s.backends {
 		candidates = append(candidates, ownership.Candidate{Life: b.life, Eligible: s.eligible[n], Warm: true, Capacity: 40})
 	}
-	next, changed := ownership.Plan(service, s.table, candidates, ownership.Load{})
-	for _, f := range s.granter.RefusedRanges(service) {
-		next, _ = ownership.Refence(next, f)
-		changed = true
-	}
-	if s.table != nil {
-		before := s.table
-		var settled bool
-		next, settled = ownership.Settle(next, func(f fleet.Fence) bool {
-			for _, r := range before.Ranges {
-				if r.Fence == f {
-					return s.granter.Granted(service, r)
-				}
-			}
-			return false
-		})
-		changed = changed || settled
+	if s.table == nil {
+		s.table, _ = ownership.Plan(service, nil, candidates, ownership.Load{})
+		return
 	}
-	if changed {
+	if next, moved, settled := s.granter.Revise(s.table, candidates, ownership.Load{}); moved || settled {
 		s.table = next
 	}
 }
@@ -142,7 +128,7 @@
 	if s.trusting {
 		isDead = func(l fleet.Life) bool { return !s.eligible[l.Server] || s.dead[l] }
 	}
-	for _, o := range s.granter.Due(s.now, s.table, ownership.Lives{Dead: isDead, Suspended: func(l fleet.Life) bool { return s.suspended[l.Server] }}) {
+	for _, o := range s.granter.Due(s.now, s.table, ownership.Lives{Dead: isDead, Suspended: func(l fleet.Life) bool { return s.suspended[l.Server] }, Lost: func(l fleet.Life) bool { return !s.eligible[l.Server] }}) {
 		b := s.backends[o.Life.Server]
 		if !b.up || !b.reach || b.life != o.Life {
 			s.granter.Report(s.now, o, ownership.Unanswered, "")
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -316,11 +316,27 @@
 	p.table.Ranges = out
 }
 
-// Settle returns the table with the moves that were carried out, which the next write can keep.
-func Settle(t *fleet.Table, granted func(fleet.Fence) bool) (next *fleet.Table, changed bool) {
+// Revise returns the next table of a service: moves that have ended are dropped, refused grants get new fences, and keys move.
+//
+// A move ends before the plan is made, so that keys whose new owner is given
+// up move on. Moved is false where the table differs only by ended moves,
+// which may wait for the next write.
+func (g *Granter) Revise(t *fleet.Table, candidates []Candidate, load Load) (next *fleet.Table, moved, settled bool) {
+	next, settled = Settle(t, func(r fleet.Range) bool { return g.Settled(t.Service, r) })
+	next, moved = Plan(t.Service, next, candidates, load)
+	for _, fence := range g.refused(t.Service) {
+		var again bool
+		next, again = refence(next, fence)
+		moved = moved || again
+	}
+	return next, moved, settled
+}
+
+// Settle returns the table without the former owners of moves that have ended.
+func Settle(t *fleet.Table, ended func(fleet.Range) bool) (next *fleet.Table, changed bool) {
 	next = t.Clone()
 	for i, r := range next.Ranges {
-		if r.Moving() && granted(r.Fence) {
+		if r.Moving() && ended(r) {
 			next.Ranges[i].Before, next.Ranges[i].BeforeFence = nil, 0
 			changed = true
 		}
@@ -328,8 +344,8 @@
 	return next, changed
 }
 
-// Refence gives a range a new fence, after its owner has seen a higher one.
-func Refence(t *fleet.Table, fence fleet.Fence) (next *fleet.Table, changed bool) {
+// refence gives a range a new fence, after its owner has seen a higher one.
+func refence(t *fleet.Table, fence fleet.Fence) (next *fleet.Table, changed bool) {
 	next = t.Clone()
 	for i, r := range next.Ranges {
 		if r.Fence == fence {
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -111,7 +111,7 @@
 			for range test.rounds {
 				next, _ := ownership.Plan(service, table, test.candidates, test.load)
 				is.True(next.Check())
-				table, _ = ownership.Settle(next, func(fleet.Fence) bool { return test.rounds > 1 })
+				table, _ = ownership.Settle(next, func(fleet.Range) bool { return test.rounds > 1 })
 			}
 			total := 0
 			for _, r := range table.Ranges {
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -190,6 +190,7 @@
 			return k.dead[l] || ok && server.Born > l.Born
 		},
 		Suspended: func(l fleet.Life) bool { return k.suspended(now, l) },
+		Lost:      func(l fleet.Life) bool { return k.lost(now, l) },
 		Isolated:  isolated,
 	})
 	k.mu.Unlock()
@@ -204,6 +205,12 @@
 	return ok && t.refused > 0 && now.Sub(t.refused) < settledFor
 }
 
+// lost reports whether a backend server has left so many orders unanswered that it loses its keys.
+func (k *keys) lost(now clock.Instant, l fleet.Life) bool {
+	t, ok := k.troubles[l]
+	return ok && (t.failures >= troubledAfter || t.refused > 0) && now.Sub(t.since) > evictAfter
+}
+
 // carryOut makes the call of an order.
 func (k *keys) carryOut(ctx context.Context, o ownership.Order) {
 	e := k.edge
@@ -349,10 +356,7 @@
 	if t == nil && now.Sub(k.appeared) < gatherTime {
 		return
 	}
-	next, changed := ownership.Plan(name, t, k.candidates(now, s, name), k.loadOf(now, name))
-	if t != nil {
-		next, changed = k.revise(now, t, next, changed)
-	}
+	next, changed := k.next(now, t, name, k.candidates(now, s, name))
 	if !changed {
 		return
 	}
@@ -373,27 +377,14 @@
 	return ownership.Load{}
 }
 
-// revise adds new fences for refused grants to a plan, and drops the moves that were carried out.
-func (k *keys) revise(now clock.Instant, t, next *fleet.Table, changed bool) (out *fleet.Table, also bool) {
-	for _, fence := range k.granter.RefusedRanges(t.Service) {
-		var again bool
-		next, again = ownership.Refence(next, fence)
-		changed = changed || again
-	}
-	settled, some := ownership.Settle(next, func(f fleet.Fence) bool { return k.isGranted(t.Service, t, f) })
-	if some && (changed || now.Sub(k.settled[t.Service]) > settleAfter) {
-		return settled, true
-	}
-	return next, changed
-}
-
-func (k *keys) isGranted(name id.Service, t *fleet.Table, f fleet.Fence) bool {
-	for _, r := range t.Ranges {
-		if r.Fence == f {
-			return k.granter.Granted(name, r)
-		}
+// next returns the next table of a service; changed is false where there is no need to write it now.
+func (k *keys) next(now clock.Instant, t *fleet.Table, name id.Service, candidates []ownership.Candidate) (next *fleet.Table, changed bool) {
+	load := k.loadOf(now, name)
+	if t == nil {
+		return ownership.Plan(name, nil, candidates, load)
 	}
-	return false
+	next, moved, settled := k.granter.Revise(t, candidates, load)
+	return next, moved || settled && now.Sub(k.settled[name]) > settleAfter
 }
 
 const (
@@ -425,10 +416,8 @@
 	for _, n := range s.ByService[name] {
 		server := s.Servers[n]
 		work := min(max(works[n], median/fastest), slowest*median)
-		t, troubled := k.troubles[server.Life]
-		lost := troubled && (t.failures >= troubledAfter || t.refused > 0) && now.Sub(t.since) > evictAfter
 		out = append(out, ownership.Candidate{
-			Life: server.Life, Eligible: s.Usable(server) && !lost, Warm: !cold[n],
+			Life: server.Life, Eligible: s.Usable(server) && !k.lost(now, server.Life), Warm: !cold[n],
 			Capacity: float64(server.Slots) / work.Seconds(),
 		})
 	}
