Lead to the end of the grace time while the store is away

Cause: a leader that got its stop signal gave the leadership up at once. Change: where the store doesn't take the lease back, the VM leads on as long as most VMs don't reach the store, and stays to the end of its grace time. TestStoppedLeaderKeepsKeysWhileTheStoreIsAway fails without it.

--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -37,8 +37,10 @@
 	maxRank = 30
 	// reachableFor is how long an answer of the store shows that it is reachable.
 	reachableFor = time.Second
-	// peerFresh is how long what another VM says of the store counts.
+	// peerFresh is how long after its last heartbeat a VM counts as heard: three periods of a follower.
 	peerFresh = 1200 * time.Millisecond
+	// awayFresh is how long it counts that another VM doesn't reach the store: a period of a follower and some delay.
+	awayFresh = 700 * time.Millisecond
 )
 
 // heard is what another VM has last said.
@@ -54,6 +56,8 @@
 	term      id.Revision
 	confirmed clock.Instant
 	leading   bool
+	// doubted says that the lease may end unseen.
+	doubted bool
 
 	known     id.Revision
 	knownFrom id.VM
@@ -113,7 +117,7 @@
 
 // Won notes that the record of a term was written, under a lease that began at the given time.
 func (e *Elector) Won(begun clock.Instant, term id.Revision) {
-	e.leading, e.term, e.confirmed = true, term, begun
+	e.leading, e.doubted, e.term, e.confirmed = true, false, term, begun
 }
 
 // Kept notes that the store has renewed the lease, by a call sent at the given time.
@@ -126,6 +130,11 @@
 	}
 }
 
+// Doubt notes that the lease may end unseen: a call to end it was not answered and may be carried out later.
+//
+// The VM leads on only while the store is away; a renewal proves nothing any more.
+func (e *Elector) Doubt() { e.doubted = true }
+
 // Term returns the term of this VM's leadership.
 func (e *Elector) Term() id.Revision { return e.term }
 
@@ -136,7 +145,7 @@
 	if !e.leading {
 		return false
 	}
-	return now.Sub(e.confirmed) < LeaseTime || e.storeIsAway(now, members)
+	return !e.doubted && now.Sub(e.confirmed) < LeaseTime || e.storeIsAway(now, members)
 }
 
 // storeIsAway reports whether most VMs have said lately that they don't reach the store.
@@ -144,7 +153,7 @@
 	away := 0
 	for _, m := range members {
 		p, ok := e.peers[m]
-		if m == e.self || ok && now.Sub(p.at) < peerFresh && p.storeAge > reachableFor {
+		if m == e.self || ok && now.Sub(p.at) < awayFresh && p.storeAge > reachableFor {
 			away++
 		}
 	}
--- a/coordination/leader/leader_test.go
+++ b/coordination/leader/leader_test.go
@@ -54,6 +54,21 @@
 				}
 			}, after: 4 * time.Second,
 		},
+		"the lease may have ended unseen": {
+			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Doubt() }, after: time.Millisecond,
+		},
+		"a renewal doesn't show that the lease goes on": {
+			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Doubt(); e.Kept(start.Add(time.Second)) }, after: 1100 * time.Millisecond,
+		},
+		"the lease may have ended unseen, but nobody reaches the store": {
+			prepare: func(e *leader.Elector) {
+				e.Won(start, 7)
+				e.Doubt()
+				for _, m := range members[1:3] {
+					e.Heard(start.Add(4*time.Second), m, false, 0, 3*time.Second)
+				}
+			}, after: 4500 * time.Millisecond, want: true,
+		},
 		"another VM leads a later term": {
 			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Heard(start, "b", true, 8, 0) }, after: time.Millisecond,
 		},
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -102,7 +102,7 @@
 	defer e.mu.Unlock()
 	now := e.clock.Boot()
 	beat := &gossip.Heartbeat{
-		Position: position, StoreAge: now.Sub(e.storeAt), Leading: e.elector.Leads(now, members), Leaving: e.leaving.Load(),
+		Position: position, StoreAge: now.Sub(e.storeAt), Leading: e.elector.Leads(now, members), Leaving: e.resigned.Load(),
 		Unsettled: max(0, e.settledAt.Sub(now)),
 	}
 	if beat.Leading {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -80,7 +80,9 @@
 	limbo map[id.Server]fleet.Server
 
 	snapshot atomic.Pointer[fleet.Snapshot]
+	// leaving says that this VM takes no more connections, and resigned that it doesn't lead any more either.
 	leaving  atomic.Bool
+	resigned atomic.Bool
 	// resync asks the synchronization to look at once.
 	resync chan struct{}
 	replan chan struct{}
@@ -226,6 +228,8 @@
 	// graceMargin is kept at the end of the grace time.
 	graceMargin = 400 * time.Millisecond
 	idlePoll    = 20 * time.Millisecond
+	// resignRetry is the time between two tries to hand the leadership over at a store that is away; each call is priced.
+	resignRetry = 400 * time.Millisecond
 )
 
 // leave finishes what is in flight within the grace time.
@@ -234,7 +238,7 @@
 	e.leaving.Store(true)
 	e.handler.Close()
 	e.log.Info("graceful shutdown began", "inFlight", e.handler.Active())
-	e.resign(ctx)
+	resigned := e.resign(ctx)
 	grace := e.settings.GraceTime.Std() - graceMargin
 	<-e.clock.After(min(unlistedAfter, grace/2))
 	closing, cancel := context.WithTimeout(ctx, max(0, grace-e.clock.Boot().Sub(began)))
@@ -245,6 +249,11 @@
 	for e.handler.Active() > 0 && closing.Err() == nil {
 		<-e.clock.After(idlePoll)
 	}
+	// Keys lapse without a leader, so one that nobody can replace stays to the end of the grace time.
+	for !resigned && closing.Err() == nil {
+		<-e.clock.After(resignRetry)
+		resigned = e.resign(ctx)
+	}
 }
 
 // Limits of callers' connections; the configuration's own limits are checked for each request.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -33,14 +33,22 @@
 	journal *worker.Journal
 	fronts  []string
 	readies []string
+	metrics []string
 	stops   []context.CancelFunc
 	ended   []chan error
 	version int
+	grace   time.Duration
 }
 
-func newSite(t *testing.T, vms int) *site {
+// withGrace sets the time that a VM has for its shutdown.
+func withGrace(d time.Duration) func(*site) { return func(s *site) { s.grace = d } }
+
+func newSite(t *testing.T, vms int, opts ...func(*site)) *site {
 	t.Helper()
-	s := &site{t: t, store: kv.NewStore(func() float64 { return 0.5 }), journal: worker.NewJournal()}
+	s := &site{t: t, grace: 2 * time.Second, store: kv.NewStore(func() float64 { return 0.5 }), journal: worker.NewJournal()}
+	for _, opt := range opts {
+		opt(s)
+	}
 	stop := make(chan struct{})
 	done := s.store.Run(stop)
 	server := httptest.NewServer(s.store)
@@ -109,7 +117,7 @@
 func (s *site) start(i int) {
 	set := settings.Edge{
 		VM: id.VM(fmt.Sprint("vm", i)), FailureDomain: "east", CallerAddress: s.free(), ReadyAddress: s.free(), PeerAddress: s.free(),
-		MetricsAddress: s.free(), Store: s.address, LogLevel: "info", GraceTime: unit.Duration(2 * time.Second), ServerHeartbeat: unit.Duration(time.Second),
+		MetricsAddress: s.free(), Store: s.address, LogLevel: "info", GraceTime: unit.Duration(s.grace), ServerHeartbeat: unit.Duration(time.Second),
 		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
 		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
 	}
@@ -120,7 +128,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
-	s.fronts, s.readies = append(s.fronts, set.CallerAddress), append(s.readies, set.ReadyAddress)
+	s.fronts, s.readies, s.metrics = append(s.fronts, set.CallerAddress), append(s.readies, set.ReadyAddress), append(s.metrics, set.MetricsAddress)
 	s.stops, s.ended = append(s.stops, cancel), append(s.ended, ended)
 }
 
@@ -235,6 +243,42 @@
 	}
 }
 
+// leader returns the VM that leads.
+func (s *site) leader() int {
+	for {
+		for vm, address := range s.metrics {
+			var got struct{ Leading bool }
+			if r, err := http.Get("http://" + address + "/debug/vars"); err == nil {
+				err = json.NewDecoder(r.Body).Decode(&got)
+				_ = r.Body.Close()
+				if err == nil && got.Leading {
+					return vm
+				}
+			}
+		}
+		time.Sleep(poll)
+	}
+}
+
+// Holds last 2.5 s, so keys would lapse if the leader stopped to renew them when it begins to shut down.
+func TestStoppedLeaderKeepsKeysWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, withGrace(4*time.Second))
+	for vm := range s.fronts {
+		s.await(vm, "/view/x", http.StatusOK)
+	}
+	stopped := s.leader()
+	s.store.SetFault(kv.Fault{Down: true})
+	defer s.store.SetFault(kv.Fault{})
+	s.stops[stopped]()
+	const longerThanHolds = 5 * time.Second
+	for n, began := 0, time.Now(); time.Since(began) < longerThanHolds; n++ {
+		status, _ := s.ask(1-stopped, http.MethodGet, "/view/y", fmt.Sprint("held", n), map[string]string{"Shard-Key": fmt.Sprint(n * 9973 % 65536)}, "")
+		is.Equal(status, http.StatusOK)
+		time.Sleep(poll)
+	}
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	is := is.New(t)
 	_, err := edge.New(settings.Edge{VM: "vm1"})
--- a/edge/store.go
+++ b/edge/store.go
@@ -380,7 +380,9 @@
 		u, err = e.store.ReadAll(ctx)
 	}
 	if err != nil {
-		e.endLease(lease)
+		if endErr := e.endLease(lease); endErr != nil {
+			e.log.Debug("a lease could not be ended; it runs out by itself", "error", endErr)
+		}
 		return false, begun, 0, 0
 	}
 	e.storeAnswered()
@@ -390,12 +392,10 @@
 }
 
 // endLease ends a lease, so that a write that was not answered can't take effect under it later.
-func (e *Edge) endLease(lease platform.Lease) {
+func (e *Edge) endLease(lease platform.Lease) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := e.store.EndLease(ctx, lease); err != nil {
-		e.log.Debug("a lease could not be ended", "error", err)
-	}
+	return e.store.EndLease(ctx, lease)
 }
 
 // keepLease renews the leader's lease.
@@ -426,16 +426,29 @@
 	}
 }
 
-// resign gives the leadership up.
-func (e *Edge) resign(ctx context.Context) {
+// resign gives the leadership up and says that this VM leaves.
+//
+// Where the store doesn't take the lease back, no other VM can lead yet. This
+// one then goes on as long as most VMs don't reach the store either, and done
+// is false.
+func (e *Edge) resign(ctx context.Context) (done bool) {
 	e.mu.Lock()
-	now := e.clock.Boot()
-	vm, _, _ := e.elector.Leader(now)
+	vm, _, _ := e.elector.Leader(e.clock.Boot())
 	leading, lease := vm == e.settings.VM, e.lease
-	e.elector.Lost(now)
 	e.mu.Unlock()
 	if leading {
-		e.endLease(lease)
+		if err := e.endLease(lease); err != nil && !errors.Is(err, platform.ErrNoLease) {
+			e.log.Warn("the leadership could not be handed over: the store does not answer", "error", err)
+			e.mu.Lock()
+			e.elector.Doubt()
+			e.mu.Unlock()
+			return false
+		}
 	}
+	e.mu.Lock()
+	e.elector.Lost(e.clock.Boot())
+	e.mu.Unlock()
+	e.resigned.Store(true)
 	e.broadcast(ctx)
+	return true
 }
