Relieve busy servers of keys although one key is too hot for any owner

Cause: the plan stopped at the busiest backend server where none of its runs of keys had the load to be moved, and its load raised the mean beside which the others counted as busy. Change: servers that can't be relieved are left out, the mean included; a move is chosen by what it takes off the higher level, less a cost by keys moved.

--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -58,11 +58,13 @@
 type planner struct {
 	table *fleet.Table
 	// weight is the running sum of the keys' weights: weight[k] covers all keys below k.
-	weight  []float64
-	used    map[fleet.Life]float64
-	able    []Candidate
-	byLife  map[fleet.Life]Candidate
-	total   float64
+	weight []float64
+	used   map[fleet.Life]float64
+	able   []Candidate
+	byLife map[fleet.Life]Candidate
+	total  float64
+	// stuck are the candidates whose load can't be moved, such as the owner of a single hot key.
+	stuck   map[fleet.Life]bool
 	changed bool
 }
 
@@ -84,7 +86,7 @@
 }
 
 func newPlanner(service id.Service, t *fleet.Table, candidates []Candidate, load Load) *planner {
-	p := &planner{table: &fleet.Table{Service: service}, used: map[fleet.Life]float64{}, byLife: map[fleet.Life]Candidate{}}
+	p := &planner{table: &fleet.Table{Service: service}, used: map[fleet.Life]float64{}, byLife: map[fleet.Life]Candidate{}, stuck: map[fleet.Life]bool{}}
 	if t != nil {
 		p.table = t.Clone()
 	}
@@ -124,13 +126,17 @@
 // level returns the load of a candidate for its capacity.
 func (p *planner) level(c Candidate) float64 { return p.used[c.Life] / c.Capacity }
 
-// mean returns the load for the capacity over all candidates that may own keys.
+// mean returns the load for the capacity over all candidates that may own keys and aren't stuck.
 func (p *planner) mean() float64 {
-	capacity := 0.0
+	load, capacity := p.total, 0.0
 	for _, c := range p.able {
-		capacity += c.Capacity
+		if p.stuck[c.Life] {
+			load -= p.used[c.Life]
+		} else {
+			capacity += c.Capacity
+		}
 	}
-	return p.total / capacity
+	return load / capacity
 }
 
 func (p *planner) lowest() Candidate {
@@ -212,7 +218,9 @@
 	return piece
 }
 
-// balance moves runs of busy keys from the busiest candidate to the one with most room.
+// balance moves runs of busy keys from the busiest candidates to the one with most room.
+//
+// A candidate that nothing can relieve doesn't keep the others from being relieved.
 func (p *planner) balance() {
 	if len(p.able) < 2 {
 		return
@@ -222,44 +230,70 @@
 	if p.total >= minRate {
 		moves, threshold = max(minMoves, len(p.able)/serversPerMove), busyFrom
 	}
-	for range moves {
-		mean := p.mean()
-		busy := slices.MaxFunc(p.able, func(a, b Candidate) int { return cmp.Compare(p.level(a), p.level(b)) })
-		room := p.lowest()
-		if p.level(busy) < threshold || p.level(busy) < imbalance*mean {
+	for moves > 0 {
+		busy, found := p.busiest()
+		if !found || p.level(busy) < threshold || p.level(busy) < imbalance*p.mean() {
 			return
 		}
-		amount := min(p.used[busy.Life]-mean*busy.Capacity, mean*room.Capacity-p.used[room.Life])
-		if !p.shift(busy.Life, room.Life, amount) {
-			return
+		if p.relieve(busy, p.lowest()) {
+			moves--
+		} else {
+			p.stuck[busy.Life] = true
+		}
+	}
+}
+
+// busiest returns the candidate with the highest level that isn't stuck.
+func (p *planner) busiest() (busy Candidate, found bool) {
+	for _, c := range p.able {
+		if !p.stuck[c.Life] && (!found || p.level(c) > p.level(busy)) {
+			busy, found = c, true
 		}
 	}
+	return busy, found
 }
 
-// nearEnough is how far the load of moved keys may be from what is wanted, as a share of it.
-const nearEnough = 0.4
+const (
+	// churnWeight is the level that a move must gain for each share of the key space, since each moved key has its cost.
+	churnWeight = 0.5
+	// minGain is the level that the busier of two candidates must lose by a move.
+	minGain = 0.03
+)
 
-// shift moves the shortest run of keys that carries about an amount of load, since each moved key has its cost.
-func (p *planner) shift(from, to fleet.Life, amount float64) bool {
-	best, at, found := fleet.Range{}, 0, false
+// relieve moves the run of keys from one candidate to another one that gains most for the keys moved.
+func (p *planner) relieve(busy, room Candidate) bool {
+	mean := p.mean()
+	amount := min(p.used[busy.Life]-mean*busy.Capacity, mean*room.Capacity-p.used[room.Life])
+	best, at, most := fleet.Range{}, 0, 0.0
 	for i, r := range p.table.Ranges {
-		if r.Owner != from || r.Moving() {
+		if r.Owner != busy.Life || r.Moving() {
 			continue
 		}
 		for _, piece := range p.ends(r, amount) {
-			gap := amount - p.cost(piece.From, piece.To)
-			if max(gap, -2*gap) < nearEnough*amount && (!found || piece.Size() < best.Size()) {
-				best, at, found = piece, i, true
+			if gain := p.gain(piece, busy, room); gain > most {
+				best, at, most = piece, i, gain
 			}
 		}
 	}
-	if !found {
+	if most == 0 {
 		return false
 	}
-	p.cut(at, best, to)
+	p.cut(at, best, room.Life)
 	return true
 }
 
+// gain returns what moving a run of keys takes off the higher of two levels, less the cost of the move.
+func (p *planner) gain(piece fleet.Range, busy, room Candidate) float64 {
+	cost := p.cost(piece.From, piece.To)
+	after := max((p.used[busy.Life]-cost)/busy.Capacity, (p.used[room.Life]+cost)/room.Capacity)
+	gain := p.level(busy) - after
+	if p.total < minRate {
+		// All levels are small before there is load, and nobody waits for keys that move.
+		return gain - minGain*p.level(busy)
+	}
+	return gain - minGain - churnWeight*float64(piece.Size())/fleet.KeyCount
+}
+
 // ends returns the runs at both ends of a range that weigh about amount.
 func (p *planner) ends(r fleet.Range, amount float64) (out []fleet.Range) {
 	first := min(p.reach(int(r.From), amount), int(r.To))
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -41,6 +41,16 @@
 	for k := 0; k < fleet.KeyCount; k += 256 {
 		hot[fleet.Key(k)] += 0.2
 	}
+	// single has one key that no owner can bear, and a busy run of another owner.
+	single := ownership.Load{1000: 200}
+	for k := range 36 {
+		single[fleet.Key(20000+k*100)] = 1
+	}
+	// beside has a key that takes most of what its owner bears, with other keys around it.
+	beside := ownership.Load{8000: 30}
+	for k := range 16 {
+		beside[fleet.Key(k*1000)] += 1
+	}
 	tests := map[string]struct {
 		before     []ownership.Candidate
 		candidates []ownership.Candidate
@@ -91,6 +101,26 @@
 				is.Equal(keys["a"], fleet.KeyCount)
 			},
 		},
+		"a key that no owner can bear doesn't keep others from being relieved": {
+			before: warm("a", "b", "c", "d"), candidates: warm("a", "b", "c", "d"), load: single, rounds: 3,
+			check: func(is *is.I, t *fleet.Table) {
+				_, rates := shares(t, single)
+				r, found := t.Find(1000)
+				is.True(found)
+				for owner, rate := range rates {
+					is.True(owner == r.Owner.Server || rate < 0.6*40)
+				}
+			},
+		},
+		"other keys leave the owner of a hot key": {
+			before: warm("a", "b", "c", "d"), candidates: warm("a", "b", "c", "d"), load: beside, rounds: 4,
+			check: func(is *is.I, t *fleet.Table) {
+				_, rates := shares(t, beside)
+				r, found := t.Find(8000)
+				is.True(found)
+				is.True(rates[r.Owner.Server] < 30+8)
+			},
+		},
 		"a run of hot keys is split": {
 			before: warm("a", "b", "c", "d"), candidates: warm("a", "b", "c", "d"), load: hot, rounds: 4,
 			check: func(is *is.I, t *fleet.Table) {
