Move keys for balance only where much is gained

Cause: sampled loads vary, so that keys moved in calm times too; each move makes requests wait. Change: least gain of a move 0.08 of a server's capacity instead of 0.03, its cost doubled, balance from 0.6 of the capacity instead of 0.5.

--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -38,7 +38,7 @@
 // Limits of one plan.
 const (
 	// busyFrom is the utilization from which keys move for the sake of balance.
-	busyFrom = 0.5
+	busyFrom = 0.6
 	// imbalance is the ratio of the busiest backend server to the mean from which keys move.
 	imbalance = 1.2
 	// minMoves and serversPerMove bound the ranges that one plan moves for balance, so that few keys wait at once.
@@ -255,9 +255,9 @@
 
 const (
 	// churnWeight is the level that a move must gain for each share of the key space, since each moved key has its cost.
-	churnWeight = 0.5
+	churnWeight = 1.0
 	// minGain is the level that the busier of two candidates must lose by a move.
-	minGain = 0.03
+	minGain = 0.08
 )
 
 // relieve moves the run of keys from one candidate to another one that gains most for the keys moved.
