Believe that a backend server has ended whose address denies to be it

Change: a life is over where its address is registered by a later one and orders to it are turned down.

--- a/edge/keys.go
+++ b/edge/keys.go
@@ -51,6 +51,8 @@
 	failures int
 	since    clock.Instant
 	refused  clock.Instant
+	// denied says that a process at its address has turned an order down, as one that doesn't know keys does.
+	denied bool
 }
 
 // keys plans key ownership and carries it out while this VM leads.
@@ -69,6 +71,8 @@
 	addresses map[id.Server]fleet.Server
 	lives     map[id.Server]fleet.Life
 	dead      map[fleet.Life]bool
+	// listeners holds the latest life that registered an address.
+	listeners map[string]fleet.Life
 	writing   bool
 	beats     int
 	// appeared is when a backend server was last seen for the first time.
@@ -91,7 +95,7 @@
 		k.load = map[id.Service]map[fleet.Key]float64{}
 	}
 	k.troubles = map[fleet.Life]*trouble{}
-	k.lives, k.dead = map[id.Server]fleet.Life{}, map[fleet.Life]bool{}
+	k.lives, k.dead, k.listeners = map[id.Server]fleet.Life{}, map[fleet.Life]bool{}, map[string]fleet.Life{}
 }
 
 // count adds requests for a key to the load.
@@ -176,7 +180,24 @@
 			k.dead[was] = true
 		}
 		k.lives[name] = server.Life
+		if server.Born >= k.listeners[server.Address].Born {
+			k.listeners[server.Address] = server.Life
+		}
+	}
+}
+
+// over reports whether a life has ended: its id shows a later start, or its address does and denies to be it.
+func (k *keys) over(s *fleet.Snapshot, l fleet.Life) bool {
+	if server, ok := s.Servers[l.Server]; k.dead[l] || ok && server.Born > l.Born {
+		return true
+	}
+	t, troubled := k.troubles[l]
+	last, known := k.addresses[l.Server]
+	if !troubled || !t.denied || !known || last.Life != l {
+		return false
 	}
+	next := k.listeners[last.Address]
+	return next.Server != l.Server && next.Born > l.Born
 }
 
 // order sends the orders that are due for a table.
@@ -185,10 +206,7 @@
 	isolated := k.edge.isolated(now)
 	k.mu.Lock()
 	orders := k.granter.Due(now, t, ownership.Lives{
-		Dead: func(l fleet.Life) bool {
-			server, ok := s.Servers[l.Server]
-			return k.dead[l] || ok && server.Born > l.Born
-		},
+		Dead:      func(l fleet.Life) bool { return k.over(s, l) },
 		Suspended: func(l fleet.Life) bool { return k.suspended(now, l) },
 		Lost:      func(l fleet.Life) bool { return k.lost(now, l) },
 		Isolated:  isolated,
@@ -252,6 +270,7 @@
 	default:
 		e.log.Warn("an order was turned down", "server", string(o.Life.Server), "release", o.Release, "status", got.Status)
 		k.report(o, ownership.Unanswered, "", false)
+		k.deny(o.Life)
 	}
 }
 
@@ -298,6 +317,15 @@
 	}
 }
 
+// deny notes that a process at the address of a backend server has turned an order down.
+func (k *keys) deny(l fleet.Life) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t, ok := k.troubles[l]; ok {
+		t.denied = true
+	}
+}
+
 func (k *keys) noteTrouble(now clock.Instant, l fleet.Life, outcome ownership.Outcome, refused bool) {
 	if outcome != ownership.Unanswered {
 		delete(k.troubles, l)
