Leave backend servers alone whose answers are failures

Change: from three failures in a row on, such a server is left alone by all VMs for 1 to 5 s; VMs tell each other. Where most servers of a service fail, none is.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -41,9 +41,10 @@
 	}
 	var best, near *server
 	var lowest, lowestNear time.Duration
+	shunning := d.shunsFew(now, s.name)
 	for _, name := range d.snapshot.ByService[s.name] {
 		c := d.servers[name]
-		if c == nil || slices.Contains(demand.Avoid, name) || !d.hasRoom(now, c, ahead) {
+		if c == nil || slices.Contains(demand.Avoid, name) || shunning && c.isShunned(now) || !d.hasRoom(now, c, ahead) {
 			continue
 		}
 		score := c.expected(now, s.work) + time.Duration(d.options.Random()*tieShare*float64(s.work))
@@ -64,6 +65,17 @@
 	return d.occupy(now, best, s), nil
 }
 
+// shunsFew reports whether at most half of a service's backend servers are shunned; where most fail, each is as good as another.
+func (d *Dispatcher) shunsFew(now clock.Instant, name id.Service) bool {
+	shunned, all := 0, d.snapshot.ByService[name]
+	for _, n := range all {
+		if c := d.servers[n]; c != nil && c.isShunned(now) {
+			shunned++
+		}
+	}
+	return 2*shunned <= len(all)
+}
+
 // chooseOwner takes room at the owner of a key.
 func (d *Dispatcher) chooseOwner(now clock.Instant, s *service, demand Demand) (slot *Slot, refusal *Refusal) {
 	owner := d.owner(s.name, demand.Key)
--- a/coordination/dispatch/load_test.go
+++ b/coordination/dispatch/load_test.go
@@ -33,6 +33,8 @@
 	slowness float64
 	// shed is the share of requests that it turns away although it has room.
 	shed float64
+	// broken says that it fails each request at once, while it reports itself as well.
+	broken bool
 	// starts are the times of the requests that reached it.
 	starts []time.Time
 }
@@ -66,6 +68,11 @@
 	b.mu.Lock()
 	b.waiting--
 	b.mu.Unlock()
+	if b.broken {
+		time.Sleep(work / 20)
+		<-b.slots
+		return dispatch.Erred, b.report()
+	}
 	time.Sleep(time.Duration(float64(work) * b.slowness * (0.5 + random)))
 	<-b.slots
 	return dispatch.Answered, b.report()
@@ -182,7 +189,7 @@
 		var report dispatch.Report
 		result, report = backends[slot.Server.Server].run(chance)
 		slot.Done(result, report)
-		if result == dispatch.Answered {
+		if result == dispatch.Answered || result == dispatch.Erred {
 			break
 		}
 		demand.Avoid, demand.Again, chance = append(demand.Avoid, slot.Server.Server), true, min(1, chance*1.7)
@@ -218,6 +225,8 @@
 func TestLoads(t *testing.T) {
 	grey := four(1, 1, 1, 1)
 	grey["s0"].shed = 0.5
+	lying := four(1, 1, 1, 1)
+	lying["s0"].broken = true
 	tests := map[string]struct {
 		load load
 		// inTime is the least share of what could be served that is answered within the objective.
@@ -230,6 +239,7 @@
 		"six tenths of the capacity":                              {load: load{vms: 3, backends: four(1, 1, 1, 1), rate: 0.6 * capacity, telling: 40 * time.Millisecond}, inTime: 0.99},
 		"nine tenths of the capacity":                             {load: load{vms: 3, backends: four(1, 1, 1, 1), rate: 0.9 * capacity, telling: 40 * time.Millisecond}, inTime: 0.97},
 		"1.7 times the capacity":                                  {load: load{vms: 3, backends: four(1, 1, 1, 1), rate: 1.7 * capacity, telling: 40 * time.Millisecond}, possible: capacity, inTime: 0.9, held: 0.2},
+		"one in four fails what it gets":                          {load: load{vms: 6, backends: lying, rate: 0.6 * capacity, telling: 40 * time.Millisecond}, inTime: 0.93},
 		"1.5 times the capacity, and the callers come back":       {load: load{vms: 3, backends: four(1, 1, 1, 1), rate: 1.5 * capacity, telling: 40 * time.Millisecond, returning: 1}, possible: capacity, inTime: 0.9, held: 1},
 		"one in four is ten times slower":                         {load: load{vms: 3, backends: four(1, 1, 1, 10), rate: 0.5 * capacity, telling: 40 * time.Millisecond}, inTime: 0.95},
 		"one in four turns half away":                             {load: load{vms: 3, backends: grey, rate: 0.5 * capacity, telling: 40 * time.Millisecond}, inTime: 0.97},
--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -8,8 +8,12 @@
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// loadFresh is how long what another VM has in flight counts.
-const loadFresh = 400 * time.Millisecond
+const (
+	// loadFresh is how long what another VM has in flight counts.
+	loadFresh = 400 * time.Millisecond
+	// ownAnswer is how long an answer of a backend server to this VM counts more than the failures that others got.
+	ownAnswer = time.Second
+)
 
 // peer is what another VM has said.
 type peer struct {
@@ -28,6 +32,8 @@
 	HasReport bool
 	// Pace is how long work takes on the backend server's machine, in percent of the usual; 0 means unknown.
 	Pace float64
+	// Shunned is how much longer the backend server is left alone, since most of its answers are failures.
+	Shunned time.Duration
 }
 
 // Heard takes over what another VM has in flight.
@@ -49,6 +55,9 @@
 			if l.Work > 0 {
 				c.peerWork = l.Work
 			}
+			if l.Shunned > 0 {
+				c.peersShunUntil = max(c.peersShunUntil, now.Add(min(l.Shunned, maxShun)))
+			}
 			if at := now.Add(-l.ReportAge); l.HasReport && at > c.reportedAt {
 				c.reported, c.reportedAt, c.sinceReport = l.Reported, at, 0
 				c.notePace(l.Pace)
@@ -89,9 +98,9 @@
 	now := d.options.Clock.Boot()
 	for name, c := range d.servers {
 		age := now.Sub(c.heardAt)
-		if c.inFlight > 0 || age < reportFresh {
+		if shunned := max(0, c.shunnedUntil.Sub(now)); c.inFlight > 0 || age < reportFresh || shunned > 0 {
 			out = append(out, Load{
-				Server: name, InFlight: c.inFlight, Work: c.work, Reported: c.heard, ReportAge: age, HasReport: age < reportFresh, Pace: c.pace,
+				Shunned: shunned, Server: name, InFlight: c.inFlight, Work: c.work, Reported: c.heard, ReportAge: age, HasReport: age < reportFresh, Pace: c.pace,
 			})
 		}
 	}
--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -24,6 +24,13 @@
 	maxPause   = 2 * time.Second
 	// failuresToPause is the number of failures in a row after which a backend server is left alone.
 	failuresToPause = 3
+	// errorSmoothing is the weight of an answer in the share of failures; three failures in a row pass errorShare.
+	errorSmoothing = 0.3
+	// errorShare is the share of failures among a backend server's answers from which it is left alone.
+	errorShare = 0.6
+	// firstShun and maxShun bound the time for which it is left alone by all VMs.
+	firstShun = time.Second
+	maxShun   = 5 * time.Second
 	// shedPause is how long a backend server that turned a request away gets nothing from this VM.
 	shedPause = 60 * time.Millisecond
 	// normalPace is the pace of a machine without disturbing neighbours, in percent.
@@ -64,6 +71,13 @@
 	failures    int
 	failing     float64
 	pausedUntil clock.Instant
+	// erring is the share of failures among its answers, and shuns the number of times that it was too high.
+	erring float64
+	shuns  int
+	// shunnedUntil is when it may be tried again after such answers to this VM, and peersShunUntil after those to others.
+	shunnedUntil, peersShunUntil clock.Instant
+	// answeredAt is when it last answered this VM without a failure.
+	answeredAt clock.Instant
 	// refusedAt is when a connection was last refused, or 0.
 	refusedAt clock.Instant
 }
@@ -118,9 +132,14 @@
 }
 
 // answered takes the time of a request's work over.
-func (s *server) answered(latency time.Duration) {
+func (s *server) answered(now clock.Instant, latency time.Duration) {
 	s.failures, s.pausedUntil, s.refusedAt = 0, 0, 0
 	s.failing *= 1 - smoothing
+	s.erring *= 1 - errorSmoothing
+	s.shunnedUntil, s.answeredAt = 0, now
+	if s.erring < errorShare/2 {
+		s.shuns = 0
+	}
 	if s.work == 0 {
 		s.work = latency
 	}
@@ -135,6 +154,24 @@
 	}
 }
 
+// erred notes an answer by which the backend server says that it has failed.
+//
+// Such answers are quick, so that a backend server that gives no others would
+// draw most requests: it always has free slots.
+func (s *server) erred(now clock.Instant) {
+	s.erring += errorSmoothing * (1 - s.erring)
+	if s.erring < errorShare {
+		return
+	}
+	s.shuns++
+	s.shunnedUntil = now.Add(min(firstShun<<min(s.shuns-1, 4), maxShun))
+}
+
+// isShunned reports whether the backend server is left alone since most of its answers are failures.
+func (s *server) isShunned(now clock.Instant) bool {
+	return now < s.shunnedUntil || now < s.peersShunUntil && now.Sub(s.answeredAt) > ownAnswer
+}
+
 // pause leaves the backend server alone, longer with each failure.
 func (s *server) pause(now clock.Instant) {
 	pause := firstPause << min(s.failures, 4)
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -24,6 +24,8 @@
 	Cancelled
 	// Misplaced means that the backend server does not hold the key.
 	Misplaced
+	// Erred means that the backend server has run the request and answered with a failure of its own.
+	Erred
 )
 
 // Report is what a backend server has said of its own load.
@@ -94,7 +96,7 @@
 func (s *server) learn(now clock.Instant, result Result, report Report, latency time.Duration) {
 	switch result {
 	case Answered:
-		s.answered(latency)
+		s.answered(now, latency)
 	case Shed:
 		s.failing += smoothing * (1 - s.failing)
 		if !report.Known || report.Running+report.Waiting >= s.Slots {
@@ -106,6 +108,8 @@
 		s.failures++
 		s.refusedAt = now
 		s.pause(now)
+	case Erred:
+		s.erred(now)
 	case Cancelled, Misplaced:
 	}
 }
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -186,7 +186,7 @@
 	}
 	c.runs++
 	f.acquit(slot.Server.Server)
-	slot.Done(dispatch.Answered, reply.Report)
+	slot.Done(resultOf(reply.Answer.Status), reply.Report)
 	reply.Answer.Attempts = c.sendings
 	if reply.Answer.Status >= http.StatusInternalServerError && f.mayRepeat(ctx, c) {
 		c.tried = append(c.tried, slot.Server.Server)
@@ -195,6 +195,14 @@
 	return &reply.Answer, false, nil
 }
 
+// resultOf tells a failure of the backend server from an answer; one that ran out of time is slow, not broken.
+func resultOf(status int) dispatch.Result {
+	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
+		return dispatch.Erred
+	}
+	return dispatch.Answered
+}
+
 // rejected decides about a request that the backend server has not run.
 func (f *Forwarder) rejected(ctx context.Context, c *course, slot *dispatch.Slot, reply *Reply) (answer *Answer, again bool, err error) {
 	if reply.Misplaced {
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -189,7 +189,7 @@
 			loads[i] = dispatch.Load{
 				Server: l.Server, InFlight: l.InFlight, Work: time.Duration(l.Work) * time.Millisecond,
 				Reported: l.Reported, ReportAge: time.Duration(l.ReportAge) * time.Millisecond, HasReport: l.HasReport,
-				Pace: float64(l.Pace),
+				Pace: float64(l.Pace), Shunned: time.Duration(l.Shunned) * time.Millisecond,
 			}
 		}
 		e.dispatcher.Heard(m.From, loads)
@@ -308,7 +308,7 @@
 	s := e.snapshot.Load()
 	for _, l := range loads {
 		server := s.Servers[l.Server]
-		if server.Domain != e.settings.FailureDomain || s.Tables[server.Service] != nil {
+		if server.Domain != e.settings.FailureDomain || s.Tables[server.Service] != nil || l.Shunned > 0 {
 			out = append(out, l)
 		}
 	}
@@ -325,7 +325,7 @@
 func loadMessage(loads []dispatch.Load) *gossip.Load {
 	m := &gossip.Load{Servers: make([]gossip.ServerLoad, len(loads))}
 	for i, l := range loads {
-		m.Servers[i] = gossip.ServerLoad{Server: l.Server, InFlight: l.InFlight, Work: int(l.Work.Milliseconds()), Pace: int(l.Pace), HasReport: l.HasReport}
+		m.Servers[i] = gossip.ServerLoad{Server: l.Server, InFlight: l.InFlight, Work: int(l.Work.Milliseconds()), Pace: int(l.Pace), HasReport: l.HasReport, Shunned: int(l.Shunned.Milliseconds())}
 		if l.HasReport {
 			m.Servers[i].Reported, m.Servers[i].ReportAge = l.Reported, int(l.ReportAge.Milliseconds())
 		}
