--- a/edge/store.go
+++ b/edge/store.go
@@ -32,6 +32,10 @@
 	// retryPerPeer is the time for each VM between two looks of one VM while a leader goes on without the store.
 	retryPerPeer = 40 * time.Millisecond
 	idleLook     = 50 * time.Millisecond
+	// leaderLook is the least time between two looks of the leader; changes have to be in force within about 2 s.
+	leaderLook = 150 * time.Millisecond
+	// lookAlone is the same for a VM that hears no leader; many may be cut off from the others at the same time.
+	lookAlone = 700 * time.Millisecond
 	// registrationTime is the lease of a VM's registration; it tells addresses, not who is up.
 	registrationTime = 2 * time.Minute
 	// registrationKeep is the time between two renewals of it.
@@ -58,6 +62,7 @@
 func (e *Edge) synchronize(ctx context.Context) error {
 	whole, failures := true, 0
 	for ctx.Err() == nil {
+		began := e.clock.Boot()
 		if !e.watches() && e.mirror.Position() > 0 {
 			e.pause(ctx, idleLook)
 			continue
@@ -75,7 +80,9 @@
 			if first {
 				// A leader tells a VM that has just been registered what it needs.
 				e.pause(ctx, leader.FreshFor/2)
+				continue
 			}
+			e.pause(ctx, began.Add(e.lookPeriod()).Sub(e.clock.Boot()))
 		case errors.Is(err, platform.ErrCompacted):
 			whole = true
 		default:
@@ -86,6 +93,16 @@
 	return nil
 }
 
+// lookPeriod returns the least time between two looks at the store, so that changes that come together cost one call.
+func (e *Edge) lookPeriod() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if vm, _, _ := e.elector.Leader(e.clock.Boot()); vm == e.settings.VM {
+		return leaderLook
+	}
+	return lookAlone
+}
+
 // retryPause returns the time until the next try after calls that failed in a row.
 //
 // Each call is priced, also at a store that is away. While a leader goes on
@@ -113,6 +130,9 @@
 
 // pause waits, or until a change of the leadership asks for a look at the store.
 func (e *Edge) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-e.clock.After(d):
 	case <-e.resync:
