Announce through one VM of each failure domain

Change: announcements go to one strong VM of each other failure domain, another one each time, which passes them on. Test: TestRoutes.

--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -160,11 +160,17 @@
 	return 2*away > len(members)
 }
 
+// Hears reports whether a VM has been heard of lately.
+func (e *Elector) Hears(now clock.Instant, vm id.VM) bool {
+	p, ok := e.peers[vm]
+	return ok && now.Sub(p.at) < peerFresh
+}
+
 // HearsMost reports whether most VMs have been heard of lately.
 func (e *Elector) HearsMost(now clock.Instant, members []id.VM) bool {
 	near := 0
 	for _, m := range members {
-		if p, ok := e.peers[m]; m == e.self || ok && now.Sub(p.at) < peerFresh {
+		if m == e.self || e.Hears(now, m) {
 			near++
 		}
 	}
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -118,7 +118,7 @@
 }
 
 // broadcast tells all registered VMs what this VM knows.
-func (e *Edge) broadcast(context.Context) { e.sendTo(e.message(), e.addresses(nil)...) }
+func (e *Edge) broadcast(context.Context) { e.announce(e.message()) }
 
 // tell sends a message to one VM.
 func (e *Edge) tell(vm id.VM, m gossip.Message) {
@@ -168,7 +168,7 @@
 		if len(u.Items) > 0 {
 			m := e.message()
 			m.Update = &u
-			e.sendTo(m, e.addresses(nil)...)
+			e.announce(m)
 		}
 		select {
 		case <-e.clock.After(passPeriod):
@@ -183,6 +183,9 @@
 	if m.From == e.settings.VM {
 		return
 	}
+	if m.Relay {
+		e.passAlong(m)
+	}
 	if m.Load != nil {
 		loads := make([]dispatch.Load, len(m.Load.Servers))
 		for i, l := range m.Load.Servers {
@@ -361,5 +364,5 @@
 // died warns the other VMs of a request that crashes backend servers.
 func (e *Edge) died(f poison.Fingerprint, deaths int) {
 	e.log.Warn("a backend server crashed while it had this request", "fingerprint", uint64(f), "deaths", deaths)
-	e.sendTo(e.sign(gossip.Message{Deaths: []gossip.Death{{Fingerprint: uint64(f), Deaths: deaths}}}), e.addresses(nil)...)
+	e.announce(e.sign(gossip.Message{Deaths: []gossip.Death{{Fingerprint: uint64(f), Deaths: deaths}}}))
 }
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -305,7 +305,7 @@
 		e.dispatcher.Moved(o.Service, o.Fence)
 		m := e.message()
 		m.Heartbeat.Granted = append(m.Heartbeat.Granted, gossip.Grant{Service: o.Service, Fence: o.Fence})
-		e.sendTo(m, e.addresses(nil)...)
+		e.announce(m)
 		e.log.Info("keys have a new owner", "service", string(o.Service), "from", int(o.From), "to", int(o.To), "server", string(o.Life.Server), "fence", int64(o.Fence), "warm", o.Handover != "")
 	case outcome == ownership.Done && o.Release:
 		e.log.Info("keys were released", "service", string(o.Service), "from", int(o.From), "to", int(o.To), "server", string(o.Life.Server), "fence", int64(o.Fence), "handover", handover != "")
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -38,6 +38,8 @@
 	Keys        []KeyCount     `cbor:"7,keyasint,omitempty"`
 	// Deaths are requests during which backend servers died.
 	Deaths []Death `cbor:"8,keyasint,omitempty"`
+	// Relay asks the receiver to pass the message on within its failure domain.
+	Relay bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat says what a VM knows of the store and of the leadership.
