--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -132,6 +132,8 @@
 	arrivals   int
 	sendings   int
 	misplaced  int
+	// failure is the last answer by which a backend server said that it has failed.
+	failure *Answer
 }
 
 // Forward returns the answer of a backend server or says what became of the request.
@@ -141,6 +143,18 @@
 		return nil, refusal
 	}
 	c := &course{request: r}
+	answer, err = f.follow(ctx, c)
+	if err != nil && c.failure != nil {
+		// The answer of a backend server says more than that no other one gave a better one.
+		c.failure.Attempts = c.sendings
+		return c.failure, nil
+	}
+	return answer, err
+}
+
+// follow makes sendings until one brings an answer or none may follow.
+func (f *Forwarder) follow(ctx context.Context, c *course) (answer *Answer, err error) {
+	r := c.request
 	for {
 		slot, err := f.dispatcher.Acquire(ctx, f.demand(c))
 		if err != nil {
@@ -189,6 +203,7 @@
 	slot.Done(resultOf(reply.Answer.Status), reply.Report)
 	reply.Answer.Attempts = c.sendings
 	if reply.Answer.Status >= http.StatusInternalServerError && f.mayRepeat(ctx, c) {
+		c.failure = &reply.Answer
 		c.tried = append(c.tried, slot.Server.Server)
 		return nil, true, nil
 	}
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -88,20 +88,22 @@
 		kind       outcome.Kind
 		sendings   int
 	}{
-		"an answer":                                         {steps: []step{answers(200)}, status: 200, sendings: 1},
-		"turned away, then answered":                        {steps: []step{rejects, answers(200)}, saved: 5, status: 200, sendings: 2},
-		"turned away with the budget used up":               {steps: []step{rejects, rejects, answers(200)}, saved: 1, kind: outcome.KindNotRun, sendings: 2},
-		"turned away by all":                                {steps: []step{rejects}, saved: 9, kind: outcome.KindNotRun, sendings: 4},
-		"out of reach, then answered":                       {steps: []step{unreachable, answers(200)}, status: 200, sendings: 2},
-		"not at the expected server":                        {steps: []step{misplaced, answers(200)}, saved: 5, status: 200, sendings: 2},
-		"broken off: idempotent work is repeated":           {idempotent: true, steps: []step{breaks, answers(200)}, saved: 5, status: 200, sendings: 2},
-		"broken off: other work is never repeated":          {steps: []step{breaks, answers(200)}, saved: 5, kind: outcome.KindUnknown, sendings: 1},
-		"turned away, then broken off":                      {steps: []step{rejects, breaks, answers(200)}, saved: 5, kind: outcome.KindUnknown, sendings: 2},
-		"broken off, then turned away: it may have run":     {idempotent: true, steps: []step{breaks, rejects}, saved: 9, kind: outcome.KindUnknown, sendings: 5},
-		"no more runs than attempts":                        {idempotent: true, steps: []step{breaks, breaks, answers(200)}, saved: 9, kind: outcome.KindUnknown, sendings: 2},
-		"a failure of the server is passed on":              {steps: []step{answers(500), answers(200)}, saved: 5, status: 500, sendings: 1},
-		"a failure of the server is repeated where it may":  {idempotent: true, steps: []step{answers(500), answers(200)}, saved: 5, status: 200, sendings: 2},
-		"no answer in time: the outcome of work is unknown": {steps: []step{hangs}, saved: 5, kind: outcome.KindUnknown, sendings: 1},
+		"an answer":                                        {steps: []step{answers(200)}, status: 200, sendings: 1},
+		"turned away, then answered":                       {steps: []step{rejects, answers(200)}, saved: 5, status: 200, sendings: 2},
+		"turned away with the budget used up":              {steps: []step{rejects, rejects, answers(200)}, saved: 1, kind: outcome.KindNotRun, sendings: 2},
+		"turned away by all":                               {steps: []step{rejects}, saved: 9, kind: outcome.KindNotRun, sendings: 4},
+		"out of reach, then answered":                      {steps: []step{unreachable, answers(200)}, status: 200, sendings: 2},
+		"not at the expected server":                       {steps: []step{misplaced, answers(200)}, saved: 5, status: 200, sendings: 2},
+		"broken off: idempotent work is repeated":          {idempotent: true, steps: []step{breaks, answers(200)}, saved: 5, status: 200, sendings: 2},
+		"broken off: other work is never repeated":         {steps: []step{breaks, answers(200)}, saved: 5, kind: outcome.KindUnknown, sendings: 1},
+		"turned away, then broken off":                     {steps: []step{rejects, breaks, answers(200)}, saved: 5, kind: outcome.KindUnknown, sendings: 2},
+		"broken off, then turned away: it may have run":    {idempotent: true, steps: []step{breaks, rejects}, saved: 9, kind: outcome.KindUnknown, sendings: 5},
+		"no more runs than attempts":                       {idempotent: true, steps: []step{breaks, breaks, answers(200)}, saved: 9, kind: outcome.KindUnknown, sendings: 2},
+		"a failure of the server is passed on":             {steps: []step{answers(500), answers(200)}, saved: 5, status: 500, sendings: 1},
+		"a failure of the server is repeated where it may": {idempotent: true, steps: []step{answers(500), answers(200)}, saved: 5, status: 200, sendings: 2},
+		"a failure of the server is passed on where no other server takes the request": {idempotent: true, steps: []step{answers(500), rejects}, saved: 9, status: 500, sendings: 5},
+		"a failure of the server is passed on where the second sending breaks off":     {idempotent: true, steps: []step{answers(500), breaks}, saved: 9, status: 500, sendings: 2},
+		"no answer in time: the outcome of work is unknown":                            {steps: []step{hangs}, saved: 5, kind: outcome.KindUnknown, sendings: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
