Send no grant long after it was decided; read changed settings without a signal

Cause: a grant counts from its decision for the wait for a lost holder, but a process that stands still in between sent it later (by reading; not seen). A reload only logged the settings, and a file that changed without a signal was not read. Change: grants older than a call's timeout are not sent; the level of the log follows the settings, at SIGHUP and within 5 s.

--- a/cmd/hickorylug/edge.go
+++ b/cmd/hickorylug/edge.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -35,9 +36,9 @@
 	}
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryPortion * float64(s.Memory.Int64())))
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
-		return errors.Wrap(err, "LogLevel")
+	var level slog.LevelVar
+	if err := setLevel(&level, s); err != nil {
+		return err
 	}
 	writing, stopWriting := context.WithCancel(context.Background())
 	lines := console.NewWriter(os.Stdout)
@@ -46,7 +47,7 @@
 		stopWriting()
 		err = errors.CombineErrors(err, <-written)
 	}()
-	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
+	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: &level}))
 	e, err := edge.New(s, edge.WithLog(log))
 	if err != nil {
 		return err
@@ -55,12 +56,47 @@
 	defer cancel()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	go func() {
-		for range reloads {
-			c.reload(log, &level)
+	defer signal.Stop(reloads)
+	watched := make(chan error, 1)
+	watching, stopWatching := context.WithCancel(context.Background())
+	go func() { watched <- c.watch(watching, reloads, log, &level) }()
+	err = e.Run(ctx)
+	stopWatching()
+	return errors.CombineErrors(err, <-watched)
+}
+
+// lookPeriod is the time between two looks at the settings file, which may also change without a signal.
+const lookPeriod = 5 * time.Second
+
+// watch reads the settings again at each signal and whenever the file has changed, until the context ends.
+func (c *edgeCommand) watch(ctx context.Context, reloads <-chan os.Signal, log *slog.Logger, level *slog.LevelVar) error {
+	ticker := time.NewTicker(lookPeriod)
+	defer ticker.Stop()
+	seen := c.changedAt(log)
+	for {
+		select {
+		case <-reloads:
+			seen = c.changedAt(log)
+			c.reload(log, level)
+		case <-ticker.C:
+			if at := c.changedAt(log); !at.Equal(seen) {
+				seen = at
+				c.reload(log, level)
+			}
+		case <-ctx.Done():
+			return nil
 		}
-	}()
-	return e.Run(ctx)
+	}
+}
+
+// changedAt returns when the settings file was last changed.
+func (c *edgeCommand) changedAt(log *slog.Logger) time.Time {
+	info, err := os.Stat(c.Settings)
+	if err != nil {
+		log.Warn("the settings file can't be looked at; the settings stay", "error", err)
+		return time.Time{}
+	}
+	return info.ModTime()
 }
 
 // read returns the checked settings of the file.
@@ -74,12 +110,20 @@
 	return s, problems.Err()
 }
 
-// reload reads the settings again; what may change while the process runs is the level of the log.
-func (c *edgeCommand) reload(log *slog.Logger, level *slog.Level) {
+// reload reads the settings again; what changes while the process runs is the level of the log.
+func (c *edgeCommand) reload(log *slog.Logger, level *slog.LevelVar) {
+	before := level.Level()
 	s, err := c.read()
+	if err == nil {
+		err = setLevel(level, s)
+	}
 	if err != nil {
 		log.Error("the changed settings were not taken", "error", err)
 		return
 	}
-	log.Info("settings were read again", "level", s.LogLevel, "before", level.String())
+	log.Info("settings were read again", "level", level.Level().String(), "before", before.String())
+}
+
+func setLevel(level *slog.LevelVar, s settings.Edge) error {
+	return errors.Wrap(level.UnmarshalText([]byte(s.LogLevel)), "LogLevel")
 }
--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -42,8 +42,16 @@
 	// Release says that the keys are taken back rather than given.
 	Release  bool
 	Handover string
+	// Issued is when the order was decided; the wait for a lost holder counts from here.
+	Issued clock.Instant
 }
 
+// Expired reports whether an order was decided so long ago that it must not be sent any more.
+//
+// A process that stands still between decision and sending would otherwise
+// grant keys for which another one no longer waits.
+func (o Order) Expired(now clock.Instant) bool { return !o.Release && now.Sub(o.Issued) > CallTimeout }
+
 // Outcome is what became of an order.
 type Outcome int
 
@@ -158,7 +166,7 @@
 }
 
 func (g *Granter) next(now clock.Instant, service id.Service, r fleet.Range, s *state, lives Lives) (o Order, ok bool) {
-	o = Order{Service: service, Life: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: s.handover}
+	o = Order{Service: service, Life: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: s.handover, Issued: now}
 	switch {
 	case s.granted:
 		if lives.Suspended(r.Owner) || lives.Dead(r.Owner) {
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -103,3 +103,22 @@
 	is.True(firstToC.Sub(lastToB) > ownership.HoldTime)   // the lost owner may have taken them
 	is.True(firstToC.Sub(lastToB) < 2*ownership.HoldTime) // but not for longer than a hold
 }
+
+func TestExpired(t *testing.T) {
+	const issued = clock.Instant(time.Hour)
+	tests := map[string]struct {
+		release bool
+		after   time.Duration
+		want    bool
+	}{
+		"a grant within its time":                   {after: ownership.CallTimeout},
+		"a grant after its time":                    {after: ownership.CallTimeout + 1, want: true},
+		"a release does no harm however late it is": {release: true, after: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ownership.Order{Release: test.release, Issued: issued}.Expired(issued.Add(test.after)), test.want)
+		})
+	}
+}
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -239,7 +239,7 @@
 		call = platform.ReleaseCall(o.From, o.To, o.Fence)
 	}
 	server, known := k.address(o.Life)
-	if !known {
+	if !known || o.Expired(e.clock.Boot()) {
 		k.report(o, ownership.Unanswered, "", false)
 		return
 	}
