Count broken connections as failures of a backend server

Change: a connection that breaks off counts like a failed answer when a backend server is left alone; a VM that sees more than a fifth of a service's servers fail tells no others.

--- a/coordination/dispatch/load_test.go
+++ b/coordination/dispatch/load_test.go
@@ -33,8 +33,8 @@
 	slowness float64
 	// shed is the share of requests that it turns away although it has room.
 	shed float64
-	// broken says that it fails each request at once, while it reports itself as well.
-	broken bool
+	// broken is the share of requests that it fails at once, while it reports itself as well.
+	broken float64
 	// starts are the times of the requests that reached it.
 	starts []time.Time
 }
@@ -68,7 +68,7 @@
 	b.mu.Lock()
 	b.waiting--
 	b.mu.Unlock()
-	if b.broken {
+	if random < b.broken {
 		time.Sleep(work / 20)
 		<-b.slots
 		return dispatch.Erred, b.report()
@@ -226,7 +226,9 @@
 	grey := four(1, 1, 1, 1)
 	grey["s0"].shed = 0.5
 	lying := four(1, 1, 1, 1)
-	lying["s0"].broken = true
+	lying["s0"].broken = 1
+	resetting := four(1, 1, 1, 1)
+	resetting["s0"].broken = 0.5
 	tests := map[string]struct {
 		load load
 		// inTime is the least share of what could be served that is answered within the objective.
@@ -242,6 +244,7 @@
 		"nine tenths of the capacity":                             {load: load{vms: 3, backends: four(1, 1, 1, 1), rate: 0.9 * capacity, telling: 40 * time.Millisecond}, inTime: 0.97},
 		"1.7 times the capacity":                                  {load: load{vms: 3, backends: four(1, 1, 1, 1), rate: 1.7 * capacity, telling: 40 * time.Millisecond}, possible: capacity, inTime: 0.9, held: 0.2},
 		"one in four fails what it gets":                          {load: load{vms: 6, backends: lying, rate: 0.6 * capacity, telling: 40 * time.Millisecond}, inTime: 0.93},
+		"one in four breaks half of its requests off":             {load: load{vms: 6, backends: resetting, rate: 0.6 * capacity, telling: 40 * time.Millisecond}, inTime: 0.93},
 		"1.5 times the capacity, and the callers come back":       {load: load{vms: 3, backends: four(1, 1, 1, 1), rate: 1.5 * capacity, telling: 40 * time.Millisecond, returning: 1}, possible: capacity, inTime: 0.9, held: 1, late: 0.01},
 		"one in four is ten times slower":                         {load: load{vms: 3, backends: four(1, 1, 1, 10), rate: 0.5 * capacity, telling: 40 * time.Millisecond}, inTime: 0.95},
 		"one in four turns half away":                             {load: load{vms: 3, backends: grey, rate: 0.5 * capacity, telling: 40 * time.Millisecond}, inTime: 0.97},
--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -96,9 +96,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.options.Clock.Boot()
+	mayShare := map[id.Service]bool{}
+	for name := range d.services {
+		mayShare[name] = d.sharesShuns(now, name)
+	}
 	for name, c := range d.servers {
 		age := now.Sub(c.heardAt)
-		if shunned := max(0, c.shunnedUntil.Sub(now)); c.inFlight > 0 || age < reportFresh || shunned > 0 {
+		shunned := max(0, c.shunnedUntil.Sub(now))
+		if !mayShare[c.Service] {
+			shunned = 0
+		}
+		if c.inFlight > 0 || age < reportFresh || shunned > 0 {
 			out = append(out, Load{
 				Shunned: shunned, Server: name, InFlight: c.inFlight, Work: c.work, Reported: c.heard, ReportAge: age, HasReport: age < reportFresh, Pace: c.pace,
 			})
@@ -107,6 +115,17 @@
 	return out
 }
 
+// sharesShuns reports whether this VM shuns few enough backend servers of a service to tell others.
+func (d *Dispatcher) sharesShuns(now clock.Instant, name id.Service) bool {
+	shunned, all := 0, d.snapshot.ByService[name]
+	for _, n := range all {
+		if c := d.servers[n]; c != nil && now < c.shunnedUntil {
+			shunned++
+		}
+	}
+	return shunned <= max(1, len(all)/sharedShuns)
+}
+
 // KeyLoad is the number of requests for a key.
 type KeyLoad struct {
 	Service id.Service
--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -26,6 +26,9 @@
 	failuresToPause = 3
 	// errorSmoothing is the weight of an answer in the share of failures; three failures in a row pass errorShare.
 	errorSmoothing = 0.3
+	// sharedShuns bounds the backend servers of a service that one VM makes others leave alone, as a part of them: where
+	// it sees more failing, the fault may be its own.
+	sharedShuns = 5
 	// errorShare is the share of failures among a backend server's answers from which it is left alone.
 	errorShare = 0.6
 	// firstShun and maxShun bound the time for which it is left alone by all VMs.
@@ -154,10 +157,10 @@
 	}
 }
 
-// erred notes an answer by which the backend server says that it has failed.
+// erred notes an answer by which the backend server says that it has failed, or a connection that it broke off.
 //
-// Such answers are quick, so that a backend server that gives no others would
-// draw most requests: it always has free slots.
+// Both are quick, so that a backend server that does little else would draw
+// most requests: it always has free slots.
 func (s *server) erred(now clock.Instant) {
 	s.erring += errorSmoothing * (1 - s.erring)
 	if s.erring < errorShare {
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -26,6 +26,8 @@
 	Misplaced
 	// Erred means that the backend server has run the request and answered with a failure of its own.
 	Erred
+	// Broken means that the connection ended before a whole answer came.
+	Broken
 )
 
 // Report is what a backend server has said of its own load.
@@ -104,6 +106,9 @@
 		}
 	case Failed:
 		s.failed(now)
+	case Broken:
+		s.failed(now)
+		s.erred(now)
 	case Unreachable:
 		s.failures++
 		s.refusedAt = now
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -267,8 +267,12 @@
 		slot.Done(dispatch.Cancelled, dispatch.Report{})
 		return nil, false, outcome.Unknown(outcome.CallerGone, "the caller left while backend server %s had the request", server)
 	}
-	slot.Done(dispatch.Failed, dispatch.Report{})
+	result := dispatch.Failed
 	if ctx.Err() == nil {
+		result = dispatch.Broken
+	}
+	slot.Done(result, dispatch.Report{})
+	if result == dispatch.Broken {
 		f.suspect(server, f.fingerprint(c.request))
 	}
 	if f.mayRepeat(ctx, c) {
