--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -35,34 +36,55 @@
 	if demand.Keyed {
 		return d.chooseOwner(now, s, demand)
 	}
-	ahead := queueAhead
-	if demand.late(now) {
-		ahead = -lateReserve
-	}
-	var best, near *server
-	var lowest, lowestNear time.Duration
-	shunning := d.shunsFew(now, s.name)
-	for _, name := range d.snapshot.ByService[s.name] {
-		c := d.servers[name]
-		if c == nil || slices.Contains(demand.Avoid, name) || shunning && c.isShunned(now) || !d.hasRoom(now, c, ahead) {
-			continue
-		}
+	var best, near scored
+	for c := range d.able(now, s, demand) {
 		score := c.expected(now, s.work) + time.Duration(d.options.Random()*tieShare*float64(s.work))
-		if c.Domain == d.domain && (near == nil || score < lowestNear) {
-			near, lowestNear = c, score
-		}
-		if best == nil || score < lowest {
-			best, lowest = c, score
+		if c.Domain == d.domain {
+			near.improve(c, score)
 		}
+		best.improve(c, score)
 	}
-	if best == nil {
+	if best.server == nil {
 		return nil, nil
 	}
 	// Traffic between failure domains is dear and slower, so the near server is taken where it is fast enough.
-	if near != nil && (lowestNear < time.Duration(nearShare*float64(demand.Objective.Sub(now))) || lowestNear < lowest+s.work) {
+	if near.server != nil && (near.score < time.Duration(nearShare*float64(demand.Objective.Sub(now))) || near.score < best.score+s.work) {
 		best = near
 	}
-	return d.occupy(now, best, s), nil
+	return d.occupy(now, best.server, s), nil
+}
+
+// scored is a backend server with the time that a request would take there.
+type scored struct {
+	server *server
+	score  time.Duration
+}
+
+// improve takes a backend server over that has a lower score.
+func (b *scored) improve(c *server, score time.Duration) {
+	if b.server == nil || score < b.score {
+		b.server, b.score = c, score
+	}
+}
+
+// able yields the backend servers that may get a request now.
+func (d *Dispatcher) able(now clock.Instant, s *service, demand Demand) iter.Seq[*server] {
+	ahead := queueAhead
+	if demand.late(now) {
+		ahead = -lateReserve
+	}
+	shunning := d.shunsFew(now, s.name)
+	return func(yield func(*server) bool) {
+		for _, name := range d.snapshot.ByService[s.name] {
+			c := d.servers[name]
+			if c == nil || slices.Contains(demand.Avoid, name) || shunning && c.isShunned(now) || !d.hasRoom(now, c, ahead) {
+				continue
+			}
+			if !yield(c) {
+				return
+			}
+		}
+	}
 }
 
 // shunsFew reports whether at most half of a service's backend servers are shunned; where most fail, each is as good as another.
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -53,7 +53,11 @@
 	if ok && c.Life == s.Server.Life {
 		c.inFlight--
 		c.note(now, report)
+		before := c.shuns
 		c.learn(now, result, report, time.Duration(float64(now.Sub(s.taken))/s.turns))
+		if c.shuns > before {
+			d.options.Shunned(s.Server.Server, c.erring, c.shunnedUntil.Sub(now))
+		}
 	}
 	if result == Answered {
 		service.served++
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -33,24 +33,38 @@
 	return keys, rates
 }
 
-func TestPlan(t *testing.T) {
-	hot := ownership.Load{}
+// hotRun has sixty busy keys beside each other.
+func hotRun() ownership.Load {
+	load := ownership.Load{}
 	for k := range 60 {
-		hot[fleet.Key(30000+k)] = 1
+		load[fleet.Key(30000+k)] = 1
 	}
 	for k := 0; k < fleet.KeyCount; k += 256 {
-		hot[fleet.Key(k)] += 0.2
+		load[fleet.Key(k)] += 0.2
 	}
-	// single has one key that no owner can bear, and a busy run of another owner.
-	single := ownership.Load{1000: 200}
+	return load
+}
+
+// hotKey has one key that no owner can bear, and a busy run of another owner.
+func hotKey() ownership.Load {
+	load := ownership.Load{1000: 200}
 	for k := range 36 {
-		single[fleet.Key(20000+k*100)] = 1
+		load[fleet.Key(20000+k*100)] = 1
 	}
-	// beside has a key that takes most of what its owner bears, with other keys around it.
-	beside := ownership.Load{8000: 30}
+	return load
+}
+
+// hotNeighbours has a key that takes most of what its owner bears, with other keys around it.
+func hotNeighbours() ownership.Load {
+	load := ownership.Load{8000: 30}
 	for k := range 16 {
-		beside[fleet.Key(k*1000)] += 1
+		load[fleet.Key(k*1000)]++
 	}
+	return load
+}
+
+func TestPlan(t *testing.T) {
+	hot, single, beside := hotRun(), hotKey(), hotNeighbours()
 	tests := map[string]struct {
 		before     []ownership.Candidate
 		candidates []ownership.Candidate
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -298,8 +298,13 @@
 	moved := !o.Release && !k.granter.Granted(o.Service, fleet.Range{From: o.From, To: o.To, Fence: o.Fence})
 	k.granter.Report(now, o, outcome, handover)
 	moved = moved && outcome == ownership.Done
+	was := k.lost(now, o.Life)
 	k.noteTrouble(now, o.Life, outcome, refused)
+	loses := !was && k.lost(now, o.Life)
 	k.mu.Unlock()
+	if loses {
+		e.log.Warn("backend server loses its keys: it leaves orders unanswered", "service", string(o.Service), "server", string(o.Life.Server), "refused", refused)
+	}
 	switch {
 	case moved:
 		e.dispatcher.Moved(o.Service, o.Fence)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
+	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
 )
 
@@ -95,6 +96,12 @@
 	}
 }
 
+// observeShun writes a line for a backend server that is left alone.
+func (e *Edge) observeShun(server id.Server, share float64, duration time.Duration) {
+	e.metrics.sendings.Add("shunned", 1)
+	e.log.Warn("backend server is left alone: most of its answers are failures", "server", string(server), "share", share, "forMs", duration.Milliseconds())
+}
+
 // server serves the metrics as JSON.
 func (m *metrics) server() *http.Server {
 	mux := http.NewServeMux()
