--- a/edge/store.go
+++ b/edge/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -10,9 +9,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/platform"
-	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
-	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // Times of the store's calls.
@@ -267,208 +264,9 @@
 	}
 }
 
-func (e *Edge) isRegistered() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.registered
-}
-
-// register tells the store this VM's address, so that other VMs find it.
-func (e *Edge) register(ctx context.Context) {
-	if e.leaving.Load() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	lease, err := e.store.OpenLease(ctx, registrationTime)
-	if err != nil {
-		e.log.Warn("this VM could not be registered", "error", err)
-		return
-	}
-	value, err := json.Marshal(fleet.Peer{VM: e.settings.VM, Domain: e.settings.FailureDomain, Address: e.settings.PeerAddress, Incarnation: e.incarnation, Strength: e.strength()})
-	if err != nil {
-		e.log.Error("the registration can't be encoded", "error", err)
-		return
-	}
-	if _, err := e.store.Write(ctx, nil, platform.Put{Key: platform.KeyPeer(e.settings.VM), Value: value, Lease: lease}); err != nil {
-		e.log.Warn("this VM could not be registered", "error", err)
-		return
-	}
-	e.mu.Lock()
-	e.registered = true
-	e.mu.Unlock()
-	e.log.Info("this VM is registered", "address", e.settings.PeerAddress)
-	e.tasks.Go(context.WithoutCancel(ctx), func(ctx context.Context) { e.keepRegistration(ctx, lease) })
-}
-
-// linkPerProcessor is the rate of a link, in Mbit/s, that counts as much as a whole core when a leader is chosen.
-const linkPerProcessor = 200.0
-
-// strength returns how well this VM can lead, by what it has least of: processor or link.
-func (e *Edge) strength() float64 {
-	return min(e.settings.Processor, e.settings.Link/linkPerProcessor)
-}
-
-// keepRegistration renews the registration until the VM leaves or the lease is lost.
-func (e *Edge) keepRegistration(ctx context.Context, lease platform.Lease) {
-	for !e.leaving.Load() {
-		<-e.clock.After(registrationKeep)
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := e.store.KeepLease(call, lease)
-		cancel()
-		if errors.Is(err, platform.ErrNoLease) {
-			e.mu.Lock()
-			e.registered = false
-			e.mu.Unlock()
-			return
-		}
-	}
-}
-
-// members returns the registered VMs with this one.
-func (e *Edge) members() (out []id.VM) {
-	s := e.snapshot.Load()
-	self := false
-	for vm := range s.Peers {
-		out = append(out, vm)
-		self = self || vm == e.settings.VM
-	}
-	if !self {
-		out = append(out, e.settings.VM)
-	}
-	return out
-}
-
-// leads reports whether this VM may act as the leader now.
-func (e *Edge) leads() bool {
-	members := e.members()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.elector.Leads(e.clock.Boot(), members)
-}
-
-// isolated reports whether this VM hears less than half of the others.
-func (e *Edge) isolated(now clock.Instant) bool {
-	members := e.members()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.elector.HearsMost(now, members)
-}
-
-// campaign tries to become the leader.
-func (e *Edge) campaign(ctx context.Context) {
-	won, begun, term, lease := e.writeLeader(ctx)
-	if won {
-		e.keys.begin(e.clock.Boot())
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.campaigning = false
-	now := e.clock.Boot()
-	if !won {
-		e.elector.Failed(now)
-		return
-	}
-	e.lease = lease
-	e.elector.Won(begun, term)
-	e.log.Info("this VM leads", "term", uint64(term))
-	e.poke(e.resync)
-}
-
 func (e *Edge) poke(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
 	}
 }
-
-// writeLeader writes the leader's record where there is none, and reads the store once more under it.
-func (e *Edge) writeLeader(ctx context.Context) (won bool, begun clock.Instant, term id.Revision, lease platform.Lease) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	begun = e.clock.Boot()
-	lease, err := e.store.OpenLease(ctx, leader.LeaseTime)
-	if err != nil {
-		return false, begun, 0, 0
-	}
-	value, err := json.Marshal(fleet.Leader{VM: e.settings.VM, Incarnation: e.incarnation})
-	if err == nil {
-		term, err = e.store.Write(ctx, []platform.Condition{{Key: platform.KeyLeader()}}, platform.Put{Key: platform.KeyLeader(), Value: value, Lease: lease})
-	}
-	var u fleet.Update
-	if err == nil {
-		u, err = e.store.ReadAll(ctx)
-	}
-	if err != nil {
-		if endErr := e.endLease(lease); endErr != nil {
-			e.log.Debug("a lease could not be ended; it runs out by itself", "error", endErr)
-		}
-		return false, begun, 0, 0
-	}
-	e.storeAnswered()
-	e.mirror.Apply(u)
-	e.publish()
-	return true, begun, term, lease
-}
-
-// endLease ends a lease, so that a write that was not answered can't take effect under it later.
-func (e *Edge) endLease(lease platform.Lease) error {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	return e.store.EndLease(ctx, lease)
-}
-
-// keepLease renews the leader's lease.
-func (e *Edge) keepLease(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	e.mu.Lock()
-	lease, term := e.lease, e.elector.Term()
-	e.mu.Unlock()
-	sent := e.clock.Boot()
-	err := e.store.KeepLease(ctx, lease)
-	if err == nil {
-		e.storeAnswered()
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.elector.Term() != term {
-		return
-	}
-	switch {
-	case err == nil:
-		e.elector.Kept(sent)
-	case errors.Is(err, platform.ErrNoLease):
-		e.log.Warn("this VM no longer leads: its lease has ended", "term", uint64(term))
-		e.elector.Lost(e.clock.Boot())
-	default:
-		e.log.Warn("the leader's lease could not be renewed", "error", err)
-	}
-}
-
-// resign gives the leadership up and says that this VM leaves.
-//
-// Where the store doesn't take the lease back, no other VM can lead yet. This
-// one then goes on as long as most VMs don't reach the store either, and done
-// is false.
-func (e *Edge) resign(ctx context.Context) (done bool) {
-	e.mu.Lock()
-	vm, _, _ := e.elector.Leader(e.clock.Boot())
-	leading, lease := vm == e.settings.VM, e.lease
-	e.mu.Unlock()
-	if leading {
-		if err := e.endLease(lease); err != nil && !errors.Is(err, platform.ErrNoLease) {
-			e.log.Warn("the leadership could not be handed over: the store does not answer", "error", err)
-			e.mu.Lock()
-			e.elector.Doubt()
-			e.mu.Unlock()
-			return false
-		}
-	}
-	e.mu.Lock()
-	e.elector.Lost(e.clock.Boot())
-	e.mu.Unlock()
-	e.resigned.Store(true)
-	e.broadcast(ctx)
-	return true
-}
