--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -38,6 +38,8 @@
 	ended   []chan error
 	version int
 	grace   time.Duration
+	log     slog.Handler
+	billing []worker.Option
 }
 
 // withGrace sets the time that a VM has for its shutdown.
@@ -45,7 +47,7 @@
 
 func newSite(t *testing.T, vms int, opts ...func(*site)) *site {
 	t.Helper()
-	s := &site{t: t, grace: 2 * time.Second, store: kv.NewStore(func() float64 { return 0.5 }), journal: worker.NewJournal()}
+	s := &site{t: t, grace: 2 * time.Second, log: slog.DiscardHandler, store: kv.NewStore(func() float64 { return 0.5 }), journal: worker.NewJournal()}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -56,7 +58,7 @@
 	s.configure("/view/")
 	for i := range 3 {
 		s.serve(fmt.Sprintf("k-%d", i), "plans", worker.WithKeys())
-		s.serve(fmt.Sprintf("p-%d", i), "billing")
+		s.serve(fmt.Sprintf("p-%d", i), "billing", s.billing...)
 	}
 	for i := range vms {
 		s.start(i)
@@ -121,7 +123,7 @@
 		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
 		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
 	}
-	e, err := edge.New(set, edge.WithLog(slog.New(slog.DiscardHandler)))
+	e, err := edge.New(set, edge.WithLog(slog.New(s.log)))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -121,6 +121,7 @@
 	Service string
 
 	keyed   bool
+	breaks  bool
 	work    time.Duration
 	slots   chan struct{}
 	journal *Journal
@@ -146,6 +147,9 @@
 // WithWork sets the time of one request.
 func WithWork(d time.Duration) Option { return func(w *Worker) { w.work = d } }
 
+// WithBreaks makes a worker break the connection off after it has run a request.
+func WithBreaks() Option { return func(w *Worker) { w.breaks = true } }
+
 // New returns a worker.
 func New(id, service string, j *Journal, opts ...Option) *Worker {
 	w := &Worker{ID: id, Service: service, journal: j, work: 20 * time.Millisecond, slots: make(chan struct{}, Slots)}
@@ -233,6 +237,9 @@
 	defer func() { <-w.slots }()
 	w.journal.began(w, id, r.Method == http.MethodPost)
 	time.Sleep(w.work)
+	if w.breaks {
+		panic(http.ErrAbortHandler)
+	}
 	out.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d,100", len(w.slots), w.waiting.Load(), Slots))
 	out.Header().Set("Response-Signature", "signed."+id)
 	_, _ = io.WriteString(out, Answer(id, r.URL.Path, body))
