Follow the store where the leader is cut off from it

Change: a VM looks at the store itself once the leader's own news are 0.9 s old (before: once its own were 1.5 s old), and says that the store is away only after a call of its own has failed (before: once its news were 1 s old).

--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -35,8 +35,6 @@
 	rankDelay = 120 * time.Millisecond
 	// maxRank bounds the delay of the last candidate.
 	maxRank = 30
-	// reachableFor is how long an answer of the store shows that it is reachable.
-	reachableFor = time.Second
 	// peerFresh is how long after its last heartbeat a VM counts as heard: three periods of a follower.
 	peerFresh = 1200 * time.Millisecond
 	// awayFresh is how long it counts that another VM doesn't reach the store: a period of a follower and some delay.
@@ -45,8 +43,9 @@
 
 // heard is what another VM has last said.
 type heard struct {
-	at       clock.Instant
-	storeAge time.Duration
+	at clock.Instant
+	// away says that the VM tried to reach the store and got no answer.
+	away bool
 }
 
 // Elector is the leadership as one VM knows it; it is not safe for concurrent use.
@@ -71,9 +70,12 @@
 	return &Elector{self: self, peers: map[id.VM]heard{}, silent: now}
 }
 
-// Heard notes a heartbeat of another VM.
-func (e *Elector) Heard(now clock.Instant, from id.VM, leading bool, term id.Revision, storeAge time.Duration) {
-	e.peers[from] = heard{at: now, storeAge: storeAge}
+// Heard notes a heartbeat of another VM; away says that it tried to reach the store in vain.
+//
+// News of the store that only grow old don't count as away: a leader that is cut
+// off from the store would go on, since all others wait for its news.
+func (e *Elector) Heard(now clock.Instant, from id.VM, leading bool, term id.Revision, away bool) {
+	e.peers[from] = heard{at: now, away: away}
 	if !leading || term < e.known || term < e.term {
 		return
 	}
@@ -148,12 +150,12 @@
 	return !e.doubted && now.Sub(e.confirmed) < LeaseTime || e.storeIsAway(now, members)
 }
 
-// storeIsAway reports whether most VMs have said lately that they don't reach the store.
+// storeIsAway reports whether most VMs have said lately that they tried to reach the store in vain.
 func (e *Elector) storeIsAway(now clock.Instant, members []id.VM) bool {
 	away := 0
 	for _, m := range members {
 		p, ok := e.peers[m]
-		if m == e.self || ok && now.Sub(p.at) < awayFresh && p.storeAge > reachableFor {
+		if m == e.self || ok && now.Sub(p.at) < awayFresh && p.away {
 			away++
 		}
 	}
--- a/coordination/leader/leader_test.go
+++ b/coordination/leader/leader_test.go
@@ -35,22 +35,22 @@
 			prepare: func(e *leader.Elector) {
 				e.Won(start, 7)
 				for _, m := range members[1:3] {
-					e.Heard(start.Add(4*time.Second), m, false, 0, 3*time.Second)
+					e.Heard(start.Add(4*time.Second), m, false, 0, true)
 				}
 			}, after: 4500 * time.Millisecond, want: true,
 		},
 		"too few VMs say that the store is away": {
 			prepare: func(e *leader.Elector) {
 				e.Won(start, 7)
-				e.Heard(start.Add(4*time.Second), "b", false, 0, 3*time.Second)
-				e.Heard(start.Add(4*time.Second), "c", false, 0, 100*time.Millisecond)
+				e.Heard(start.Add(4*time.Second), "b", false, 0, true)
+				e.Heard(start.Add(4*time.Second), "c", false, 0, false)
 			}, after: 4500 * time.Millisecond,
 		},
 		"what was said of the store is old": {
 			prepare: func(e *leader.Elector) {
 				e.Won(start, 7)
 				for _, m := range members[1:] {
-					e.Heard(start.Add(2*time.Second), m, false, 0, 3*time.Second)
+					e.Heard(start.Add(2*time.Second), m, false, 0, true)
 				}
 			}, after: 4 * time.Second,
 		},
@@ -65,15 +65,15 @@
 				e.Won(start, 7)
 				e.Doubt()
 				for _, m := range members[1:3] {
-					e.Heard(start.Add(4*time.Second), m, false, 0, 3*time.Second)
+					e.Heard(start.Add(4*time.Second), m, false, 0, true)
 				}
 			}, after: 4500 * time.Millisecond, want: true,
 		},
 		"another VM leads a later term": {
-			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Heard(start, "b", true, 8, 0) }, after: time.Millisecond,
+			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Heard(start, "b", true, 8, false) }, after: time.Millisecond,
 		},
 		"another VM leads an older term": {
-			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Heard(start, "b", true, 6, 0) }, after: time.Millisecond, want: true,
+			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Heard(start, "b", true, 6, false) }, after: time.Millisecond, want: true,
 		},
 		"the lease has ended": {
 			prepare: func(e *leader.Elector) { e.Won(start, 7); e.Lost(start) }, after: time.Millisecond,
@@ -99,10 +99,10 @@
 		"a leader may still be heard":       {prepare: func(*leader.Elector) {}, after: leader.FreshFor - 1},
 		"nobody is heard":                   {prepare: func(*leader.Elector) {}, after: leader.FreshFor, want: true},
 		"others come first":                 {prepare: func(*leader.Elector) {}, after: leader.FreshFor, rank: 2},
-		"a leader is heard":                 {prepare: func(e *leader.Elector) { e.Heard(start.Add(time.Second), "b", true, 3, 0) }, after: 1500 * time.Millisecond},
-		"the leader has fallen silent":      {prepare: func(e *leader.Elector) { e.Heard(start.Add(time.Second), "b", true, 3, 0) }, after: 1600 * time.Millisecond, want: true},
-		"the leader has resigned":           {prepare: func(e *leader.Elector) { e.Heard(start, "b", true, 3, 0); e.Left(start, "b") }, after: time.Millisecond, want: true},
-		"a VM that doesn't lead is leaving": {prepare: func(e *leader.Elector) { e.Heard(start, "b", true, 3, 0); e.Left(start, "c") }, after: time.Millisecond},
+		"a leader is heard":                 {prepare: func(e *leader.Elector) { e.Heard(start.Add(time.Second), "b", true, 3, false) }, after: 1500 * time.Millisecond},
+		"the leader has fallen silent":      {prepare: func(e *leader.Elector) { e.Heard(start.Add(time.Second), "b", true, 3, false) }, after: 1600 * time.Millisecond, want: true},
+		"the leader has resigned":           {prepare: func(e *leader.Elector) { e.Heard(start, "b", true, 3, false); e.Left(start, "b") }, after: time.Millisecond, want: true},
+		"a VM that doesn't lead is leaving": {prepare: func(e *leader.Elector) { e.Heard(start, "b", true, 3, false); e.Left(start, "c") }, after: time.Millisecond},
 		"the record could not be written":   {prepare: func(e *leader.Elector) { e.Failed(start.Add(time.Second)) }, after: time.Second + time.Millisecond},
 		"a VM that leads does not campaign": {prepare: func(e *leader.Elector) { e.Won(start, 4) }, after: time.Minute},
 	}
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -103,7 +103,7 @@
 	now := e.clock.Boot()
 	beat := &gossip.Heartbeat{
 		Position: position, StoreAge: now.Sub(e.storeAt), Leading: e.elector.Leads(now, members), Leaving: e.resigned.Load(),
-		Unsettled: max(0, e.settledAt.Sub(now)),
+		Unsettled: max(0, e.settledAt.Sub(now)), Away: e.failedAt > e.answeredAt && now.Sub(e.failedAt) < e.awayMemory(),
 	}
 	if beat.Leading {
 		beat.Term, beat.Granted = e.elector.Term(), granted
@@ -214,12 +214,13 @@
 	e.mu.Lock()
 	now := e.clock.Boot()
 	led, before, wasFresh := e.elector.Leader(now)
-	e.elector.Heard(now, m.From, beat.Leading, beat.Term, beat.StoreAge)
+	e.elector.Heard(now, m.From, beat.Leading, beat.Term, beat.Away)
 	if beat.Leaving {
 		e.elector.Left(now, m.From)
 	}
 	if beat.Leading {
-		e.storeAt = max(e.storeAt, now.Add(-beat.StoreAge))
+		e.leaderNews = now.Add(-beat.StoreAge)
+		e.storeAt = max(e.storeAt, e.leaderNews)
 		if beat.Unsettled > 0 {
 			e.settledAt = max(e.settledAt, now.Add(beat.Unsettled))
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -73,9 +73,13 @@
 	registered bool
 	// fetching says that a copy of the items is being read from another VM.
 	fetching bool
-	// storeAt is when the store last answered, and settledAt when removed entries count again after an outage.
+	// storeAt is the time of the newest news of the store, also by the leader, and settledAt when removed entries count again after an outage.
 	storeAt   clock.Instant
 	settledAt clock.Instant
+	// leaderNews is the time of the newest news of the store that the leader has.
+	leaderNews clock.Instant
+	// answeredAt and failedAt are when a call of this VM to the store was last answered and last failed.
+	answeredAt, failedAt clock.Instant
 	// limbo holds the backend servers whose entries were removed during an outage of the store.
 	limbo map[id.Server]fleet.Server
 
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/hickorylug/hickorylug/edge"
 	"github.com/hickorylug/hickorylug/standin/kv"
+	"github.com/hickorylug/hickorylug/standin/link"
 	"github.com/hickorylug/hickorylug/standin/worker"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/state/settings"
@@ -40,6 +41,8 @@
 	grace   time.Duration
 	log     slog.Handler
 	billing []worker.Option
+	// links are the ways of the VMs to the store.
+	links []*link.Link
 }
 
 // withGrace sets the time that a VM has for its shutdown.
@@ -117,9 +120,15 @@
 }
 
 func (s *site) start(i int) {
+	way, err := link.Listen(s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(way.Close)
+	s.links = append(s.links, way)
 	set := settings.Edge{
 		VM: id.VM(fmt.Sprint("vm", i)), FailureDomain: "east", CallerAddress: s.free(), ReadyAddress: s.free(), PeerAddress: s.free(),
-		MetricsAddress: s.free(), Store: s.address, LogLevel: "info", GraceTime: unit.Duration(s.grace), ServerHeartbeat: unit.Duration(time.Second),
+		MetricsAddress: s.free(), Store: way.Address(), LogLevel: "info", GraceTime: unit.Duration(s.grace), ServerHeartbeat: unit.Duration(time.Second),
 		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
 		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
 	}
@@ -281,6 +290,24 @@
 	}
 }
 
+// A leader without the store has no news for the others, so one that reaches it must take over.
+func TestLeaderCutOffFromTheStoreIsReplaced(t *testing.T) {
+	s := newSite(t, 3)
+	for vm := range s.fronts {
+		s.await(vm, "/view/x", http.StatusOK)
+	}
+	cut := s.leader()
+	s.links[cut].Set(link.Silent)
+	defer s.links[cut].Set(link.Pass)
+	// The lease ends after 1.2 s, and the silence is noticed after 0.6 s; the rest is room for a slow machine.
+	const longEnough = 20 * time.Second
+	for began := time.Now(); s.leader() == cut; time.Sleep(poll) {
+		if time.Since(began) > longEnough {
+			t.Fatal("the leader that is cut off from the store is not replaced")
+		}
+	}
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	is := is.New(t)
 	_, err := edge.New(settings.Edge{VM: "vm1"})
--- a/edge/store.go
+++ b/edge/store.go
@@ -19,6 +19,10 @@
 	// callTimeout bounds a call; a store that is slow answers within it.
 	callTimeout = 800 * time.Millisecond
 	readTimeout = 1500 * time.Millisecond
+	// doubtAfter is the age of the leader's news from which a VM looks itself; the leader renews its lease each 0.3 s.
+	doubtAfter = 900 * time.Millisecond
+	// awayTime is how long a call that failed shows that the store is away: the longest call, the pause after it and some delay.
+	awayTime = 2500 * time.Millisecond
 	// outageAfter is the time without an answer of the store that counts as an outage.
 	outageAfter = 1500 * time.Millisecond
 	// returnTime is how long removed entries may come back after an outage; living backend servers are back within about two seconds.
@@ -46,13 +50,13 @@
 	return e.clock.Boot().Sub(e.storeAt)
 }
 
-// watches reports whether this VM has to watch the store itself.
+// watches reports whether this VM has to watch the store itself: it leads, hears no leader, or one that is cut off from the store.
 func (e *Edge) watches() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Boot()
 	vm, _, fresh := e.elector.Leader(now)
-	return vm == e.settings.VM || !fresh || now.Sub(e.storeAt) > outageAfter
+	return vm == e.settings.VM || !fresh || now.Sub(e.leaderNews) > doubtAfter
 }
 
 // synchronize keeps the mirror up to date until the context ends.
@@ -84,6 +88,7 @@
 			whole = true
 		default:
 			failures++
+			e.storeFailed()
 			e.pause(ctx, e.retryPause(failures))
 		}
 	}
@@ -117,12 +122,25 @@
 }
 
 func (e *Edge) readStore(ctx context.Context, whole bool) (u fleet.Update, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	wait, timeout := watchWait, readTimeout
+	if e.followsLeader() {
+		// The look is to tell whether the store is away or only the leader is cut off from it.
+		wait, timeout = 0, callTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if whole {
 		return e.store.ReadAll(ctx)
 	}
-	return e.store.Watch(ctx, e.mirror.Position(), watchWait)
+	return e.store.Watch(ctx, e.mirror.Position(), wait)
+}
+
+// followsLeader reports whether another VM leads and is heard.
+func (e *Edge) followsLeader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	vm, _, fresh := e.elector.Leader(e.clock.Boot())
+	return fresh && vm != e.settings.VM
 }
 
 // pause waits, or until a change of the leadership asks for a look at the store.
@@ -148,7 +166,19 @@
 		}
 		e.log.Info("the store answers", "awayFor", away.String(), "position", uint64(e.mirror.Position()))
 	}
-	e.storeAt = now
+	e.storeAt, e.answeredAt = now, now
+}
+
+// storeFailed notes that a call to the store was not answered.
+func (e *Edge) storeFailed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failedAt = e.clock.Boot()
+}
+
+// awayMemory returns how long a failed call counts; the time between two tries grows with the number of VMs.
+func (e *Edge) awayMemory() time.Duration {
+	return awayTime + retryPerPeer*time.Duration(e.peerCount())
 }
 
 // take applies an update and, as the leader, passes it on.
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -56,6 +56,8 @@
 	Granted []Grant `cbor:"6,keyasint,omitempty"`
 	// Unsettled is how much longer removed entries of backend servers may come back after an outage of the store.
 	Unsettled time.Duration `cbor:"7,keyasint,omitempty"`
+	// Away says that the VM has tried to reach the store in vain.
+	Away bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant names a range that its new owner has taken, by service and fence.
