--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -73,11 +73,11 @@
 	if demand.late(now) {
 		ahead = -lateReserve
 	}
-	shunning := d.shunsFew(now, s.name)
+	ejecting := d.ejectsFew(now, s.name)
 	return func(yield func(*server) bool) {
 		for _, name := range d.snapshot.ByService[s.name] {
 			c := d.servers[name]
-			if c == nil || slices.Contains(demand.Avoid, name) || shunning && c.isShunned(now) || !d.hasRoom(now, c, ahead) {
+			if c == nil || slices.Contains(demand.Avoid, name) || ejecting && c.isEjected(now) || !d.hasRoom(now, c, ahead) {
 				continue
 			}
 			if !yield(c) {
@@ -87,15 +87,15 @@
 	}
 }
 
-// shunsFew reports whether at most half of a service's backend servers are shunned; where most fail, each is as good as another.
-func (d *Dispatcher) shunsFew(now clock.Instant, name id.Service) bool {
-	shunned, all := 0, d.snapshot.ByService[name]
+// ejectsFew reports whether at most half of a service's backend servers are ejected; where most fail, each is as good as another.
+func (d *Dispatcher) ejectsFew(now clock.Instant, name id.Service) bool {
+	ejected, all := 0, d.snapshot.ByService[name]
 	for _, n := range all {
-		if c := d.servers[n]; c != nil && c.isShunned(now) {
-			shunned++
+		if c := d.servers[n]; c != nil && c.isEjected(now) {
+			ejected++
 		}
 	}
-	return 2*shunned <= len(all)
+	return 2*ejected <= len(all)
 }
 
 // chooseOwner takes room at the owner of a key.
--- a/coordination/dispatch/options.go
+++ b/coordination/dispatch/options.go
@@ -18,9 +18,9 @@
 	// WarmOverage and WarmSlack are what a cold backend server bears beyond its rate, as a factor and in requests.
 	WarmOverage float64
 	WarmSlack   float64
-	// Shunned is told of each backend server that this VM begins to leave alone, with the share of failures among its
+	// Ejected is told of each backend server that this VM begins to leave alone, with the share of failures among its
 	// answers; it must not call the dispatcher.
-	Shunned func(server id.Server, share float64, duration time.Duration)
+	Ejected func(server id.Server, share float64, duration time.Duration)
 }
 
 // Option changes one setting.
@@ -40,15 +40,15 @@
 	return func(o *Options) { o.WarmOverage, o.WarmSlack = overage, slack }
 }
 
-// WithShunned sets the function that is told of backend servers that are left alone.
-func WithShunned(f func(server id.Server, share float64, duration time.Duration)) Option {
-	return func(o *Options) { o.Shunned = f }
+// WithEjected sets the function that is told of backend servers that are ejected.
+func WithEjected(f func(server id.Server, share float64, duration time.Duration)) Option {
+	return func(o *Options) { o.Ejected = f }
 }
 
 func newOptions(opts []Option) Options {
 	o := Options{
 		Clock: clock.System{}, Random: rand.Float64, Peers: func() int { return 1 }, WarmOverage: 1, WarmSlack: 0,
-		Shunned: func(id.Server, float64, time.Duration) {},
+		Ejected: func(id.Server, float64, time.Duration) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -32,8 +32,8 @@
 	HasReport bool
 	// Pace is how long work takes on the backend server's machine, in percent of the usual; 0 means unknown.
 	Pace float64
-	// Shunned is how much longer the backend server is left alone, since most of its answers are failures.
-	Shunned time.Duration
+	// Ejected is how much longer the backend server is ejected, since most of its answers are failures.
+	Ejected time.Duration
 }
 
 // Heard takes over what another VM has in flight.
@@ -55,8 +55,8 @@
 			if l.Work > 0 {
 				c.peerWork = l.Work
 			}
-			if l.Shunned > 0 {
-				c.peersShunUntil = max(c.peersShunUntil, now.Add(min(l.Shunned, maxShun)))
+			if l.Ejected > 0 {
+				c.peersEjectedUntil = max(c.peersEjectedUntil, now.Add(min(l.Ejected, maxEjection)))
 			}
 			if at := now.Add(-l.ReportAge); l.HasReport && at > c.reportedAt {
 				c.reported, c.reportedAt, c.sinceReport = l.Reported, at, 0
@@ -98,32 +98,32 @@
 	now := d.options.Clock.Boot()
 	mayShare := map[id.Service]bool{}
 	for name := range d.services {
-		mayShare[name] = d.sharesShuns(now, name)
+		mayShare[name] = d.mayShareEjections(now, name)
 	}
 	for name, c := range d.servers {
 		age := now.Sub(c.heardAt)
-		shunned := max(0, c.shunnedUntil.Sub(now))
+		ejected := max(0, c.ejectedUntil.Sub(now))
 		if !mayShare[c.Service] {
-			shunned = 0
+			ejected = 0
 		}
-		if c.inFlight > 0 || age < reportFresh || shunned > 0 {
+		if c.inFlight > 0 || age < reportFresh || ejected > 0 {
 			out = append(out, Load{
-				Shunned: shunned, Server: name, InFlight: c.inFlight, Work: c.work, Reported: c.heard, ReportAge: age, HasReport: age < reportFresh, Pace: c.pace,
+				Ejected: ejected, Server: name, InFlight: c.inFlight, Work: c.work, Reported: c.heard, ReportAge: age, HasReport: age < reportFresh, Pace: c.pace,
 			})
 		}
 	}
 	return out
 }
 
-// sharesShuns reports whether this VM shuns few enough backend servers of a service to tell others.
-func (d *Dispatcher) sharesShuns(now clock.Instant, name id.Service) bool {
-	shunned, all := 0, d.snapshot.ByService[name]
+// mayShareEjections reports whether this VM ejections few enough backend servers of a service to tell others.
+func (d *Dispatcher) mayShareEjections(now clock.Instant, name id.Service) bool {
+	ejected, all := 0, d.snapshot.ByService[name]
 	for _, n := range all {
-		if c := d.servers[n]; c != nil && now < c.shunnedUntil {
-			shunned++
+		if c := d.servers[n]; c != nil && now < c.ejectedUntil {
+			ejected++
 		}
 	}
-	return shunned <= max(1, len(all)/sharedShuns)
+	return ejected <= max(1, len(all)/ejectedPart)
 }
 
 // KeyLoad is the number of requests for a key.
--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -26,14 +26,14 @@
 	failuresToPause = 3
 	// errorSmoothing is the weight of an answer in the share of failures; three failures in a row pass errorShare.
 	errorSmoothing = 0.3
-	// sharedShuns bounds the backend servers of a service that one VM makes others leave alone, as a part of them: where
-	// it sees more failing, the fault may be its own.
-	sharedShuns = 5
-	// errorShare is the share of failures among a backend server's answers from which it is left alone.
+	// ejectedPart bounds the backend servers of a service that one VM tells others to eject: one in so many. Where it
+	// sees more failing, the fault may be its own.
+	ejectedPart = 5
+	// errorShare is the share of failures among a backend server's answers from which it is ejected.
 	errorShare = 0.6
-	// firstShun and maxShun bound the time for which it is left alone by all VMs.
-	firstShun = time.Second
-	maxShun   = 5 * time.Second
+	// firstEjection and maxEjection bound the time for which all VMs send it nothing.
+	firstEjection = time.Second
+	maxEjection   = 5 * time.Second
 	// shedPause is how long a backend server that turned a request away gets nothing from this VM.
 	shedPause = 60 * time.Millisecond
 	// normalPace is the pace of a machine without disturbing neighbours, in percent.
@@ -74,11 +74,11 @@
 	failures    int
 	failing     float64
 	pausedUntil clock.Instant
-	// erring is the share of failures among its answers, and shuns the number of times that it was too high.
-	erring float64
-	shuns  int
-	// shunnedUntil is when it may be tried again after such answers to this VM, and peersShunUntil after those to others.
-	shunnedUntil, peersShunUntil clock.Instant
+	// errorRate is the share of failures among its answers, and ejections the number of times that it was too high.
+	errorRate float64
+	ejections int
+	// ejectedUntil is when it may be tried again after such answers to this VM, and peersEjectedUntil after those to others.
+	ejectedUntil, peersEjectedUntil clock.Instant
 	// answeredAt is when it last answered this VM without a failure.
 	answeredAt clock.Instant
 	// refusedAt is when a connection was last refused, or 0.
@@ -138,10 +138,10 @@
 func (s *server) answered(now clock.Instant, latency time.Duration) {
 	s.failures, s.pausedUntil, s.refusedAt = 0, 0, 0
 	s.failing *= 1 - smoothing
-	s.erring *= 1 - errorSmoothing
-	s.shunnedUntil, s.answeredAt = 0, now
-	if s.erring < errorShare/2 {
-		s.shuns = 0
+	s.errorRate *= 1 - errorSmoothing
+	s.ejectedUntil, s.answeredAt = 0, now
+	if s.errorRate < errorShare/2 {
+		s.ejections = 0
 	}
 	if s.work == 0 {
 		s.work = latency
@@ -157,22 +157,22 @@
 	}
 }
 
-// erred notes an answer by which the backend server says that it has failed, or a connection that it broke off.
+// noteError notes an answer by which the backend server says that it has failed, or a connection that it broke off.
 //
 // Both are quick, so that a backend server that does little else would draw
 // most requests: it always has free slots.
-func (s *server) erred(now clock.Instant) {
-	s.erring += errorSmoothing * (1 - s.erring)
-	if s.erring < errorShare {
+func (s *server) noteError(now clock.Instant) {
+	s.errorRate += errorSmoothing * (1 - s.errorRate)
+	if s.errorRate < errorShare {
 		return
 	}
-	s.shuns++
-	s.shunnedUntil = now.Add(min(firstShun<<min(s.shuns-1, 4), maxShun))
+	s.ejections++
+	s.ejectedUntil = now.Add(min(firstEjection<<min(s.ejections-1, 4), maxEjection))
 }
 
-// isShunned reports whether the backend server is left alone since most of its answers are failures.
-func (s *server) isShunned(now clock.Instant) bool {
-	return now < s.shunnedUntil || now < s.peersShunUntil && now.Sub(s.answeredAt) > ownAnswer
+// isEjected reports whether the backend server gets nothing for some time, since most of its answers are failures.
+func (s *server) isEjected(now clock.Instant) bool {
+	return now < s.ejectedUntil || now < s.peersEjectedUntil && now.Sub(s.answeredAt) > ownAnswer
 }
 
 // pause leaves the backend server alone, longer with each failure.
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -53,10 +53,10 @@
 	if ok && c.Life == s.Server.Life {
 		c.inFlight--
 		c.note(now, report)
-		before := c.shuns
+		before := c.ejections
 		c.learn(now, result, report, time.Duration(float64(now.Sub(s.taken))/s.turns))
-		if c.shuns > before {
-			d.options.Shunned(s.Server.Server, c.erring, c.shunnedUntil.Sub(now))
+		if c.ejections > before {
+			d.options.Ejected(s.Server.Server, c.errorRate, c.ejectedUntil.Sub(now))
 		}
 	}
 	if result == Answered {
@@ -112,13 +112,13 @@
 		s.failed(now)
 	case Broken:
 		s.failed(now)
-		s.erred(now)
+		s.noteError(now)
 	case Unreachable:
 		s.failures++
 		s.refusedAt = now
 		s.pause(now)
 	case Erred:
-		s.erred(now)
+		s.noteError(now)
 	case Cancelled, Misplaced:
 	}
 }
--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -22,8 +22,9 @@
 	clockDrift = 2
 	// arrivalSlack covers the way of a grant and a sender that was stopped right after it.
 	arrivalSlack = 500 * time.Millisecond
-	// successionSlack covers the time that a former leader needs to notice that it was replaced: it goes on as long
-	// as most VMs have said within 700 ms that the store has been silent for 1 s, and they look after 1.5 s.
+	// successionSlack covers the time that a former leader needs to notice that it was replaced. It goes on as long as
+	// most VMs have told it within 700 ms that they don't reach the store; those that hear the new leader, which sends
+	// a heartbeat each 150 ms, tell the former one nothing any more.
 	successionSlack = 1500 * time.Millisecond
 	// retryPause is the time between two tries of an order that failed.
 	retryPause = 100 * time.Millisecond
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -192,7 +192,7 @@
 			loads[i] = dispatch.Load{
 				Server: l.Server, InFlight: l.InFlight, Work: time.Duration(l.Work) * time.Millisecond,
 				Reported: l.Reported, ReportAge: time.Duration(l.ReportAge) * time.Millisecond, HasReport: l.HasReport,
-				Pace: float64(l.Pace), Shunned: time.Duration(l.Shunned) * time.Millisecond,
+				Pace: float64(l.Pace), Ejected: time.Duration(l.Ejected) * time.Millisecond,
 			}
 		}
 		e.dispatcher.Heard(m.From, loads)
@@ -312,7 +312,7 @@
 	s := e.snapshot.Load()
 	for _, l := range loads {
 		server := s.Servers[l.Server]
-		if server.Domain != e.settings.FailureDomain || s.Tables[server.Service] != nil || l.Shunned > 0 {
+		if server.Domain != e.settings.FailureDomain || s.Tables[server.Service] != nil || l.Ejected > 0 {
 			out = append(out, l)
 		}
 	}
@@ -329,7 +329,7 @@
 func loadMessage(loads []dispatch.Load) *gossip.Load {
 	m := &gossip.Load{Servers: make([]gossip.ServerLoad, len(loads))}
 	for i, l := range loads {
-		m.Servers[i] = gossip.ServerLoad{Server: l.Server, InFlight: l.InFlight, Work: int(l.Work.Milliseconds()), Pace: int(l.Pace), HasReport: l.HasReport, Shunned: int(l.Shunned.Milliseconds())}
+		m.Servers[i] = gossip.ServerLoad{Server: l.Server, InFlight: l.InFlight, Work: int(l.Work.Milliseconds()), Pace: int(l.Pace), HasReport: l.HasReport, Ejected: int(l.Ejected.Milliseconds())}
 		if l.HasReport {
 			m.Servers[i].Reported, m.Servers[i].ReportAge = l.Reported, int(l.ReportAge.Milliseconds())
 		}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -96,10 +96,10 @@
 	}
 }
 
-// observeShun writes a line for a backend server that is left alone.
-func (e *Edge) observeShun(server id.Server, share float64, duration time.Duration) {
-	e.metrics.sendings.Add("shunned", 1)
-	e.log.Warn("backend server is left alone: most of its answers are failures", "server", string(server), "share", share, "forMs", duration.Milliseconds())
+// observeEjection writes a line for a backend server that is ejected for some time.
+func (e *Edge) observeEjection(server id.Server, share float64, duration time.Duration) {
+	e.metrics.sendings.Add("ejected", 1)
+	e.log.Warn("backend server is ejected: most of its answers are failures", "server", string(server), "share", share, "forMs", duration.Milliseconds())
 }
 
 // server serves the metrics as JSON.
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -84,8 +84,8 @@
 	Pace int `cbor:"7,keyasint,omitempty"`
 	// HasReport says that Reported is known.
 	HasReport bool `cbor:"6,keyasint,omitempty"`
-	// Shunned is how much longer it is left alone for its failures, in milliseconds.
-	Shunned int `cbor:"8,keyasint,omitempty"`
+	// Ejected is how much longer it is left alone for its failures, in milliseconds.
+	Ejected int `cbor:"8,keyasint,omitempty"`
 }
 
 // KeyCount is the number of requests for a key since the last message.
