--- a/edge/store.go
+++ b/edge/store.go
@@ -111,10 +111,7 @@
 // without the store, all VMs together look for its return at a bounded rate.
 func (e *Edge) retryPause(failures int) time.Duration {
 	longest := longRetry
-	e.mu.Lock()
-	vm, _, fresh := e.elector.Leader(e.clock.Boot())
-	e.mu.Unlock()
-	if fresh && vm != e.settings.VM {
+	if e.followsLeader() {
 		longest = max(longest, retryPerPeer*time.Duration(e.peerCount()))
 	}
 	pause := min(shortRetry<<min(failures, 6), longest)
