--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -89,13 +89,19 @@
 
 // ejectsFew reports whether at most half of a service's backend servers are ejected; where most fail, each is as good as another.
 func (d *Dispatcher) ejectsFew(now clock.Instant, name id.Service) bool {
-	ejected, all := 0, d.snapshot.ByService[name]
-	for _, n := range all {
-		if c := d.servers[n]; c != nil && c.isEjected(now) {
-			ejected++
+	ejected, all := d.countServers(name, func(c *server) bool { return c.isEjected(now) })
+	return 2*ejected <= all
+}
+
+// countServers returns how many of a service's backend servers match, and how many there are.
+func (d *Dispatcher) countServers(name id.Service, matches func(c *server) bool) (matching, all int) {
+	names := d.snapshot.ByService[name]
+	for _, n := range names {
+		if c := d.servers[n]; c != nil && matches(c) {
+			matching++
 		}
 	}
-	return 2*ejected <= len(all)
+	return matching, len(names)
 }
 
 // chooseOwner takes room at the owner of a key.
--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -117,13 +117,8 @@
 
 // mayShareEjections reports whether this VM ejections few enough backend servers of a service to tell others.
 func (d *Dispatcher) mayShareEjections(now clock.Instant, name id.Service) bool {
-	ejected, all := 0, d.snapshot.ByService[name]
-	for _, n := range all {
-		if c := d.servers[n]; c != nil && now < c.ejectedUntil {
-			ejected++
-		}
-	}
-	return ejected <= max(1, len(all)/ejectedPart)
+	ejected, all := d.countServers(name, func(c *server) bool { return now < c.ejectedUntil })
+	return ejected <= max(1, all/ejectedPart)
 }
 
 // KeyLoad is the number of requests for a key.
