Bound the bytes of responses and bodies that never end

Long bodies were limited one by one, not together. A response without an id was taken for the answer to any request. Change: heads, informational responses, skipped responses and bodies have limits; long bodies that are being read share an eighth of the process's memory; a caller's body has to be complete before the request's deadline (408); a response without an id fails its request, except a 400.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,10 +51,12 @@
 	clock       clock.Clock
 	incarnation id.Incarnation
 
-	store      *platform.Client
-	mirror     *fleet.Mirror
-	socket     *gossip.Socket
-	backends   *http1.Client
+	store    *platform.Client
+	mirror   *fleet.Mirror
+	socket   *gossip.Socket
+	backends *http1.Client
+	// bodies is the quota for the long bodies of requests and responses that are being read.
+	bodies     *http1.Quota
 	dispatcher *dispatch.Dispatcher
 	forwarder  *forward.Forwarder
 	poison     *poison.Tracker
@@ -109,6 +111,7 @@
 		store:           platform.NewClient(s.Store),
 		mirror:          fleet.NewMirror(platform.Decode),
 		backends:        http1.NewClient(),
+		bodies:          http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
 		poison:          poison.NewTracker(),
 		splitter:        newTrafficSplitter(),
 		tasks:           task.NewSet(),
@@ -130,13 +133,15 @@
 		Headers: entry.HeaderNames{
 			RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Key: platform.HeaderKey, Reserved: platform.ReservedHeaders(),
 		},
-		View: e.view, PickService: e.splitter.pick, Forward: e.forwarder.Forward, Observe: e.observeRequest,
+		Bodies: e.bodies, View: e.view, PickService: e.splitter.pick, Forward: e.forwarder.Forward, Observe: e.observeRequest,
 	})
 	e.keys = newKeyManager(e)
 	return e, nil
 }
 
 const (
+	// bodyMemoryDivisor is the part of the process's memory that long bodies may use while they are read: one eighth.
+	bodyMemoryDivisor = 8
 	// retryBudgetFraction is the fraction of the retry budget that is used, since the windows of the VMs are not aligned.
 	retryBudgetFraction = 0.8
 	// maxViewStaleness is the store staleness from which the snapshot may be out of date, so that a route missing from it may exist.
--- a/edge/send.go
+++ b/edge/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 
@@ -19,9 +18,6 @@
 // maxResponseBytes limits the size of a buffered response, in bytes.
 const maxResponseBytes = 32 << 20
 
-// errResponseTooLarge means that a response reaches maxResponseBytes.
-var errResponseTooLarge = errors.New("the answer is too large")
-
 // sendAttempt makes one attempt at sending a request to a backend server.
 func (e *Edge) sendAttempt(ctx context.Context, a forward.Attempt) (reply *forward.Reply, failure *forward.Failure) {
 	r, server := a.Request, a.Slot.Server
@@ -29,17 +25,14 @@
 	platform.SetAttemptHeaders(header, r.ID, a.Timeout, server.Server)
 	resp, err := e.backends.Do(ctx, http1.Request{
 		Address: server.Address, Server: string(server.Server), Method: r.Method, Target: r.Target, Host: r.Host, Header: header, Body: r.Body,
-		Matches:        func(h http.Header) bool { return platform.MatchesRequest(h, r.ID) },
+		Match:          func(status int, h http.Header) http1.Match { return platform.MatchResponse(status, h, r.ID) },
 		MaxConnections: a.Slot.MaxConnections, NewConnection: a.NewConnection,
 	})
 	if err != nil {
 		return nil, newFailure(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err == nil && len(body) == maxResponseBytes {
-		err = errResponseTooLarge
-	}
+	body, err := http1.ReadBody(resp.Body, maxResponseBytes, e.bodies)
 	if err != nil {
 		return nil, &forward.Failure{Sent: true, Cause: errors.Wrap(err, "read the answer")}
 	}
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -44,6 +44,7 @@
 	WrongMethod        Reason = "wrong method"
 	NoKey              Reason = "no key"
 	BodyTooLarge       Reason = "body too large"
+	BodyTimeout        Reason = "body timeout"
 	HeaderTooLarge     Reason = "header too large"
 	Overloaded         Reason = "overloaded"
 	DeadlineExceeded   Reason = "deadline"
@@ -67,6 +68,7 @@
 	WrongMethod:       http.StatusMethodNotAllowed,
 	NoKey:             http.StatusBadRequest,
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
+	BodyTimeout:       http.StatusRequestTimeout,
 	HeaderTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
 	DeadlineExceeded:  http.StatusGatewayTimeout,
 	PoisonRequest:     http.StatusUnprocessableEntity,
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/http1"
 )
 
 // HeaderNames are the names of the header fields in callers' requests, as the platform defines them.
@@ -40,6 +42,8 @@
 type Dependencies struct {
 	Clock   clock.Clock
 	Headers HeaderNames
+	// Bodies is the quota for the long bodies that are being read; nil means no limit.
+	Bodies *http1.Quota
 	// View returns the latest snapshot of the deployment; current is false if it may be stale.
 	View func() (s *fleet.Snapshot, current bool)
 	// PickService selects the service of a request from its route's targets.
@@ -97,7 +101,7 @@
 	defer h.inFlight.Add(-1)
 	started := h.deps.Clock.Boot()
 	e := Event{ID: r.Header.Get(h.deps.Headers.RequestID)}
-	request, err := h.parseRequest(r, started, &e)
+	request, err := h.parseRequest(w, r, started, &e)
 	var response *forward.Answer
 	if err == nil {
 		response, err = h.forward(r, request)
@@ -131,7 +135,7 @@
 
 // parseRequest matches a request to a route and returns the request to forward. It sets the version, route and service of
 // e, or those that are known when it returns an error.
-func (h *Handler) parseRequest(r *http.Request, started clock.Instant, e *Event) (request *forward.Request, err error) {
+func (h *Handler) parseRequest(w http.ResponseWriter, r *http.Request, started clock.Instant, e *Event) (request *forward.Request, err error) {
 	s, current := h.deps.View()
 	c := s.Configuration
 	if c == nil {
@@ -146,13 +150,14 @@
 		return nil, outcome.NotRun(outcome.NoRoute, "no route matches host %s and path %s", r.Host, r.URL.Path)
 	}
 	e.Route = route
-	body, err := readBody(r, c.Limits)
+	limit := h.timeLimit(r, route)
+	body, err := h.readBody(w, r, c.Limits, limit)
 	if err != nil {
 		return nil, err
 	}
 	request = &forward.Request{
 		ID: e.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header), Body: body,
-		Route: route, Service: h.deps.PickService(route), Arrived: started, Deadline: started.Add(h.timeLimit(r, route)),
+		Route: route, Service: h.deps.PickService(route), Arrived: started, Deadline: started.Add(limit),
 	}
 	request.Objective = started.Add(route.Objective - h.waitLimits.elapsed(route.Name, h.callerTimeout(r)))
 	e.Service = request.Service
@@ -188,8 +193,8 @@
 }
 
 // readBody checks the size of the header and reads the whole body, so that a request that was not run can be retried
-// at another backend server.
-func readBody(r *http.Request, limits fleet.Limits) (body []byte, err error) {
+// at another backend server. A body that isn't complete within timeout is an error.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits, timeout time.Duration) (body []byte, err error) {
 	size := 0
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -209,12 +214,24 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	body, err = io.ReadAll(io.LimitReader(r.Body, allowed+1))
+	// A caller that sends its body slowly must not hold the request beyond its deadline.
+	connection := http.NewResponseController(w)
+	if err := connection.SetReadDeadline(time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, outcome.NotRun(outcome.CallerDisconnected, "the connection is closed: %v", err)
+	}
+	body, err = http1.ReadBody(r.Body, int(allowed), h.deps.Bodies)
 	switch {
-	case err != nil:
-		return nil, outcome.NotRun(outcome.CallerDisconnected, "the body broke off after %d bytes", len(body))
-	case int64(len(body)) > allowed:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, outcome.NotRun(outcome.BodyTimeout, "the body was not complete within %s", timeout)
+	case errors.Is(err, http1.ErrTooLarge):
 		return nil, outcome.NotRun(outcome.BodyTooLarge, "the body has more than %d bytes", allowed)
+	case errors.Is(err, http1.ErrQuota):
+		return nil, outcome.NotRun(outcome.Overloaded, "%v", err)
+	case err != nil:
+		return nil, outcome.NotRun(outcome.CallerDisconnected, "the body broke off: %v", err)
+	}
+	if err := connection.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, outcome.NotRun(outcome.CallerDisconnected, "the connection is closed: %v", err)
 	}
 	return body, nil
 }
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -23,6 +23,12 @@
 	inlineWriteBytes = 4 << 10
 	// maxMismatches limits the responses to other requests that are skipped while waiting for a response.
 	maxMismatches = 3
+	// maxSkippedBytes limits the body of such a response.
+	maxSkippedBytes = 1 << 20
+	// maxHeadBytes limits the bytes read for the head of one response.
+	maxHeadBytes = 128 << 10
+	// maxInformational limits the informational responses (1xx) before a response.
+	maxInformational = 16
 	// idleMargin is subtracted from the idle timeout that a server announces, so that a connection isn't reused while the
 	// server closes it.
 	idleMargin = time.Second
@@ -31,11 +37,39 @@
 // errNoResponse marks errors on a connection that ended before a valid response head was received.
 var errNoResponse = errors.New("the connection ended without a response")
 
+// errHeadTooLarge means that a response's head exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the response is too large")
+
+// headLimiter limits the bytes that are read from a socket while a response's head is parsed, since net/http buffers a
+// head of any length.
+type headLimiter struct {
+	socket net.Conn
+	// remaining is the number of bytes that may still be read, or negative if there is no limit.
+	remaining int
+}
+
+// Read reads from the socket. It returns errHeadTooLarge once the limit is reached.
+func (l *headLimiter) Read(p []byte) (n int, err error) {
+	if l.remaining < 0 {
+		return l.socket.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err = l.socket.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+// unlimited is the value of headLimiter.remaining while a body is read.
+const unlimited = -1
+
 // connection is one connection to a backend server.
 type connection struct {
 	client *Client
 	key    poolKey
 	socket net.Conn
+	heads  *headLimiter
 	reader *bufio.Reader
 	// usableUntil is the time from which the server may close the idle connection.
 	usableUntil time.Time
@@ -50,7 +84,8 @@
 		}
 		return nil, err
 	}
-	return &connection{client: c, key: key, socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes)}, nil
+	heads := &headLimiter{socket: socket, remaining: unlimited}
+	return &connection{client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
@@ -146,23 +181,40 @@
 //
 // The response's body is closed by the body that roundTrip returns.
 func (c *connection) readHead(r Request) (got *http.Response, err error) {
-	for mismatches := 0; ; {
+	for mismatches, informational := 0, 0; ; {
+		c.heads.remaining = maxHeadBytes
 		got, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.heads.remaining = unlimited
 		if err != nil {
 			return nil, errors.Mark(err, errNoResponse)
 		}
 		if got.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return nil, errors.Newf("more than %d informational responses", maxInformational)
+			}
 			continue
 		}
-		if r.Matches == nil || r.Matches(got.Header) {
+		match := Own
+		if r.Match != nil {
+			match = r.Match(got.StatusCode, got.Header)
+		}
+		switch match {
+		case Own:
 			return got, nil
+		case Unidentified:
+			return nil, errors.Newf("a response with status %d doesn't say to which request it belongs", got.StatusCode)
+		case Foreign:
 		}
 		if mismatches++; mismatches > maxMismatches || got.ContentLength < 0 && !isChunked(got) {
 			return nil, errors.New("the response belongs to another request")
 		}
-		if _, err := io.Copy(io.Discard, got.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(got.Body, maxSkippedBytes))
+		if err != nil {
 			return nil, err
 		}
+		if skipped == maxSkippedBytes {
+			return nil, errors.New("the response belongs to another request and is too long to be skipped")
+		}
 	}
 }
 
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -35,14 +35,27 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with the given header belongs to this request; nil accepts every response.
-	Matches func(h http.Header) bool
+	// Match says whether a response belongs to this request; nil accepts every response.
+	Match func(status int, h http.Header) Match
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
 	// NewConnection requires a new connection, since an idle one may have been dropped without notice.
 	NewConnection bool
 }
 
+// Match says whether a response belongs to a request.
+type Match int
+
+const (
+	// Own is a response to the request.
+	Own Match = iota
+	// Foreign is a response to another request, such as a second copy that came late; it is skipped.
+	Foreign
+	// Unidentified is a response that doesn't say to which request it belongs. The request fails, since the response may be
+	// a copy of an earlier one.
+	Unidentified
+)
+
 // Response is a response whose body has not been read yet.
 type Response struct {
 	Status int
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -89,7 +89,21 @@
 func request(s *fakeServer, id string) http1.Request {
 	return http1.Request{
 		Address: s.listener.Addr().String(), Method: http.MethodGet, Target: "/a", Host: "h", Header: http.Header{"X-Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Match: match(id),
+	}
+}
+
+// match returns the function that recognizes the responses to the request with the given id.
+func match(id string) func(int, http.Header) http1.Match {
+	return func(_ int, h http.Header) http1.Match {
+		switch h.Get("X-Id") {
+		case id:
+			return http1.Own
+		case "":
+			return http1.Unidentified
+		default:
+			return http1.Foreign
+		}
 	}
 }
 
@@ -146,6 +160,7 @@
 	}{
 		"no response":    {responses: []string{closeWithoutResponse}, sent: true},
 		"invalid HTTP":   {responses: []string{"hello\r\n\r\n"}, sent: true},
+		"no id":          {responses: []string{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"}, sent: true},
 		"truncated body": {responses: []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 30\r\n\r\n" + bodyBeforeClose}, sent: true},
 	}
 	for name, test := range tests {
