Send long messages between VMs in compressed fragments

Change: a message that is longer than a datagram is compressed and sent in fragments, which receivers join within bounds; fetches are compressed where the fetching VM asks for it; heads and requests of fetches are bounded.

--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -1,7 +1,8 @@
 // Package gossip exchanges messages between entry VMs: heartbeats, store updates and load.
 //
-// Messages are sent as UDP datagrams and may be lost. Missed store updates are
-// fetched over TCP from the same port. Both are encoded in CBOR.
+// Messages are sent as UDP datagrams and may be lost. A message that is longer
+// than a datagram is sent in fragments. Missed store updates are fetched over TCP
+// from the same port. Both are encoded in CBOR.
 //
 // # Usage
 //
@@ -40,6 +41,8 @@
 	CrashReports []CrashReport `cbor:"8,keyasint,omitempty"`
 	// Relay asks the receiver to forward the message within its failure domain.
 	Relay bool `cbor:"9,keyasint,omitempty"`
+	// Fragment is a part of a longer message; the other parts of this one are omitted.
+	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
 }
 
 // Heartbeat reports a VM's state, its replica of the store and whether it is the leader.
@@ -107,13 +110,17 @@
 	// MaxDatagramBytes limits the encoded size of a message, so that a datagram needs at most 5 Ethernet frames.
 	MaxDatagramBytes = 7 << 10
 	maxFetchBytes    = 32 << 20
+	maxHeaderBytes   = 16 << 10
 	pathChanges      = "/v1/changes"
 	queryAfter       = "after"
+	// queryCompress asks for a compressed response; a VM of an earlier version ignores it.
+	queryCompress    = "compress"
+	headerCompressed = "X-Compressed"
 	fetchTimeout     = 2 * time.Second
 )
 
-// ErrTooLarge means that an encoded message is longer than MaxDatagramBytes.
-var ErrTooLarge = errors.New("the message is larger than a datagram")
+// ErrTooLarge means that an encoded message is too long even when it is compressed.
+var ErrTooLarge = errors.New("the message is too large")
 
 // Socket sends and receives messages. It is safe for concurrent use.
 type Socket struct {
@@ -122,6 +129,8 @@
 	since     func(after id.Revision) fleet.Update
 	client    *http.Client
 	sent      atomic.Int64
+	// fragmented is the number of messages that were sent in fragments.
+	fragmented atomic.Uint64
 }
 
 // Listen opens the address for datagrams by UDP, and by TCP for VMs that fetch missed updates. since returns the store's
@@ -134,7 +143,7 @@
 	}
 	s = &Socket{since: since, client: &http.Client{
 		Timeout:   fetchTimeout,
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 	}}
 	if s.datagrams, err = net.ListenUDP("udp", udp); err != nil {
 		return nil, err
@@ -149,7 +158,7 @@
 // Serve calls receive for each message until the context is done or the socket fails, and then sends the result on the channel.
 func (s *Socket) Serve(ctx context.Context, receive func(Message)) <-chan error {
 	done := make(chan error, 1)
-	server := &http.Server{Handler: http.HandlerFunc(s.serveChanges), ReadHeaderTimeout: fetchTimeout}
+	server := &http.Server{Handler: http.HandlerFunc(s.serveChanges), ReadHeaderTimeout: fetchTimeout, ReadTimeout: fetchTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
@@ -174,6 +183,7 @@
 
 func (s *Socket) receive(receive func(Message)) error {
 	buffer := make([]byte, 64<<10)
+	fragments := newAssembler(time.Now)
 	for {
 		n, _, err := s.datagrams.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -183,44 +193,93 @@
 			// The error reports an earlier datagram that could not be delivered; the socket remains usable.
 			continue
 		}
-		var m Message
-		if cbor.Unmarshal(buffer[:n], &m) == nil && m.From != "" {
+		if m, ok := decode(buffer[:n], fragments); ok {
 			receive(m)
 		}
 	}
 }
 
+// decode decodes a datagram. ok is false if it is malformed, or a fragment of a message that isn't complete yet.
+func decode(data []byte, fragments *assembler) (m Message, ok bool) {
+	if cbor.Unmarshal(data, &m) != nil || m.From == "" {
+		return m, false
+	}
+	if m.Fragment == nil {
+		return m, true
+	}
+	compressed := fragments.add(m.From, m.Incarnation, *m.Fragment)
+	if compressed == nil {
+		return m, false
+	}
+	data, err := decompress(compressed, maxMessageBytes)
+	if err != nil {
+		return m, false
+	}
+	var whole Message
+	if cbor.Unmarshal(data, &whole) != nil || whole.From == "" || whole.Fragment != nil {
+		return m, false
+	}
+	return whole, true
+}
+
 // Send sends a message to each address. It returns the last error; a lost datagram isn't detected.
 func (s *Socket) Send(m Message, addresses ...string) (err error) {
 	defer func() { err = errors.Wrap(err, "send a message to other VMs") }()
-	data, err := cbor.Marshal(m)
+	datagrams, err := s.encode(m)
 	if err != nil {
 		return err
 	}
-	if len(data) > MaxDatagramBytes {
-		return ErrTooLarge
-	}
 	for _, address := range addresses {
 		to, resolveErr := netip.ParseAddrPort(address)
 		if resolveErr != nil {
 			err = resolveErr
 			continue
 		}
-		if _, sendErr := s.datagrams.WriteToUDPAddrPort(data, to); sendErr != nil {
-			err = sendErr
+		for _, data := range datagrams {
+			if _, sendErr := s.datagrams.WriteToUDPAddrPort(data, to); sendErr != nil {
+				err = sendErr
+			}
+			s.sent.Add(int64(len(data)))
 		}
-		s.sent.Add(int64(len(data)))
 	}
 	return err
 }
 
+// encode returns the datagrams of a message: one, or its fragments if it is too long for one.
+func (s *Socket) encode(m Message) (datagrams [][]byte, err error) {
+	data, err := cbor.Marshal(m)
+	switch {
+	case err != nil:
+		return nil, err
+	case len(data) <= MaxDatagramBytes:
+		return [][]byte{data}, nil
+	case len(data) > maxMessageBytes:
+		return nil, ErrTooLarge
+	}
+	compressed, err := compress(data)
+	if err != nil {
+		return nil, err
+	}
+	if len(compressed) > MaxCompressedBytes {
+		return nil, ErrTooLarge
+	}
+	for _, f := range split(s.fragmented.Add(1), compressed) {
+		datagram, err := cbor.Marshal(Message{From: m.From, Incarnation: m.Incarnation, Domain: m.Domain, Fragment: &f})
+		if err != nil {
+			return nil, err
+		}
+		datagrams = append(datagrams, datagram)
+	}
+	return datagrams, nil
+}
+
 // SentBytes returns the total number of bytes sent in datagrams.
 func (s *Socket) SentBytes() int64 { return s.sent.Load() }
 
 // Fetch returns the store's changes after a revision, as known to another VM.
 func (s *Socket) Fetch(ctx context.Context, address string, after id.Revision) (u fleet.Update, err error) {
 	defer func() { err = errors.Wrapf(err, "fetch the items of the store from %s", address) }()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathChanges+"?"+queryAfter+"="+strconv.FormatUint(uint64(after), 10), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathChanges+"?"+queryAfter+"="+strconv.FormatUint(uint64(after), 10)+"&"+queryCompress+"=1", nil)
 	if err != nil {
 		return u, err
 	}
@@ -236,6 +295,11 @@
 	if err != nil {
 		return u, err
 	}
+	if response.Header.Get(headerCompressed) != "" {
+		if data, err = decompress(data, maxFetchBytes); err != nil {
+			return u, err
+		}
+	}
 	return u, cbor.Unmarshal(data, &u)
 }
 
@@ -254,5 +318,11 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	if r.URL.Query().Get(queryCompress) != "" && len(data) > MaxDatagramBytes {
+		if compressed, err := compress(data); err == nil {
+			data = compressed
+			w.Header().Set(headerCompressed, "1")
+		}
+	}
 	_, _ = w.Write(data)
 }
