--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -12,8 +12,13 @@
 const (
 	// GrantTTL is how long a grant is valid from its arrival; it is longer than the failover to a new leader.
 	GrantTTL = 2500 * time.Millisecond
-	// renewPeriod allows several renewals to be lost within GrantTTL.
-	renewPeriod = 500 * time.Millisecond
+	// minRenewPeriod is the time between two renewals of a grant if there are few ranges. It allows several renewals to be lost within
+	// GrantTTL.
+	minRenewPeriod = 500 * time.Millisecond
+	// maxRenewPeriod still allows for three more attempts within GrantTTL after a lost renewal.
+	maxRenewPeriod = time.Second
+	// maxRenewalRate is the number of renewals per second from which the period grows with the number of ranges.
+	maxRenewalRate = 700
 	// GrantTimeout bounds a grant call.
 	GrantTimeout = 250 * time.Millisecond
 	// ReleaseTimeout bounds a release call, which is answered once the requests in flight have ended.
@@ -215,10 +220,19 @@
 			s.grantedAt = now
 		}
 		// A handover is sent once; a renewal is the same grant without it.
-		s.granted, s.handover, s.nextCommandAt = true, "", now.Add(renewPeriod)
+		s.granted, s.handover, s.nextCommandAt = true, "", now.Add(RenewPeriod(len(g.ranges)))
 	}
 }
 
+// RenewPeriod returns the time between two renewals of a grant if there are so many ranges.
+//
+// It answers the load on the leader of a large fleet: each range is renewed by a
+// call of its own, so the calls would take all of its processor time after some
+// hundred ranges were split off for hot keys.
+func RenewPeriod(ranges int) time.Duration {
+	return min(max(minRenewPeriod, time.Duration(ranges)*time.Second/maxRenewalRate), maxRenewPeriod)
+}
+
 // IsGranted reports whether the owner of a moving range has confirmed its grant.
 func (g *Granter) IsGranted(service id.Service, r fleet.Range) bool {
 	s, ok := g.ranges[rangeKey{service, r.From, r.To, r.Fence}]
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -123,3 +123,42 @@
 		})
 	}
 }
+
+// The calls that renew grants must not take all of the leader's time when hot keys have split the ranges, and a range must
+// be renewed often enough for some lost calls.
+func TestRenewalsOfManyRanges(t *testing.T) {
+	tests := map[string]struct {
+		ranges  int
+		maxRate float64
+	}{
+		"a small fleet":                {ranges: 10, maxRate: 20},
+		"a range for each of 274":      {ranges: 274, maxRate: 548},
+		"three ranges for each of 274": {ranges: 822, maxRate: 822},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := &fleet.Table{Service: service, Fence: 1}
+			for i := range test.ranges {
+				table.Ranges = append(table.Ranges, fleet.Range{From: fleet.Key(i), To: fleet.Key(i), Owner: incarnation("a"), Fence: 1})
+			}
+			never := func(fleet.Incarnation) bool { return false }
+			start := clock.Instant(time.Hour)
+			g := ownership.NewGranter(start)
+			renewals := 0
+			lastAt := map[fleet.Key]clock.Instant{}
+			for at := start; at < start.Add(10*time.Second); at = at.Add(50 * time.Millisecond) {
+				for _, c := range g.Due(at, table, ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}) {
+					g.Report(at, c, ownership.Done, "")
+					if before, ok := lastAt[c.From]; ok {
+						renewals++
+						// Three more calls fit into the hold time if this one is lost.
+						is.True(at.Sub(before)+3*(ownership.GrantTimeout+100*time.Millisecond) < ownership.GrantTTL)
+					}
+					lastAt[c.From] = at
+				}
+			}
+			is.True(float64(renewals)/10 <= test.maxRate)
+		})
+	}
+}
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -45,11 +45,18 @@
 	// minMoves and serversPerMove bound the ranges that one plan moves for balance, so that the requests of few keys are
 	// held up at once.
 	minMoves       = 3
-	serversPerMove = 5
+	serversPerMove = 2
 	// maxPieces bounds the pieces into which each range is split whose owner must not keep its keys.
 	maxPieces = 6
-	// mergeRangesPerServer is the number of ranges per backend server above which adjacent ranges are merged.
-	mergeRangesPerServer = 4
+	// mergeRangesPerServer is the number of ranges per backend server above which ranges are joined, since each of them is
+	// renewed by a call of its own.
+	mergeRangesPerServer = 1.5
+	// maxJoinedKeys is the number of keys up to which a range is moved to the owner of an adjacent one to be joined with it.
+	maxJoinedKeys = 32
+	// maxJoinedUtilization is the load of such a range up to which it is moved, as a share of a backend server's capacity.
+	maxJoinedUtilization = 0.05
+	// serversPerJoin bounds the ranges that one plan moves to join them, in proportion to the backend servers.
+	serversPerJoin = 20
 	// idleWeightShare is the total of the base weights that all keys get, also those without requests, as a share of the load.
 	idleWeightShare = 0.2
 	// minLoadRate is the load in requests per second below which keys are balanced by count.
@@ -76,6 +83,9 @@
 //
 // A nil load means that no keys are moved for balance.
 func Plan(service id.Service, t *fleet.Table, candidates []Candidate, load Load) (next *fleet.Table, changed bool) {
+	if load == nil && t != nil && !needsRepair(t, candidates) {
+		return t, false
+	}
 	p := newPlanner(service, t, candidates, load)
 	if len(p.targets) == 0 {
 		return p.table, false
@@ -84,11 +94,29 @@
 	p.evacuate()
 	if load != nil {
 		p.balance()
+		p.joinRanges()
 	}
 	p.mergeRanges()
 	return p.table, p.changed
 }
 
+// needsRepair reports whether keys have no owner, or one that must not keep them. It is much cheaper than a plan, which
+// sums up the weights of all keys.
+func needsRepair(t *fleet.Table, candidates []Candidate) bool {
+	eligible := make(map[fleet.Incarnation]bool, len(candidates))
+	for _, c := range candidates {
+		eligible[c.Incarnation] = c.Eligible
+	}
+	next := 0
+	for _, r := range t.Ranges {
+		if int(r.From) != next || !r.Moving() && !eligible[r.Owner] {
+			return true
+		}
+		next = int(r.To) + 1
+	}
+	return next != fleet.KeyCount
+}
+
 func newPlanner(service id.Service, t *fleet.Table, candidates []Candidate, load Load) *planner {
 	p := &planner{table: &fleet.Table{Service: service}, assigned: map[fleet.Incarnation]float64{}, byIncarnation: map[fleet.Incarnation]Candidate{}, immovable: map[fleet.Incarnation]bool{}}
 	if t != nil {
@@ -341,9 +369,56 @@
 	p.changed = true
 }
 
+// hasManyRanges reports whether the table has so many ranges that some should be joined.
+func (p *planner) hasManyRanges() bool {
+	return float64(len(p.table.Ranges)) > mergeRangesPerServer*float64(len(p.targets))
+}
+
+// joinRanges moves some short and idle ranges to the owners of adjacent ones. The ranges remain from keys that were hot.
+func (p *planner) joinRanges() {
+	if !p.hasManyRanges() {
+		return
+	}
+	moves := max(1, len(p.targets)/serversPerJoin)
+	for i, r := range p.table.Ranges {
+		if moves == 0 {
+			return
+		}
+		if r.Moving() || r.Size() > maxJoinedKeys {
+			continue
+		}
+		if owner, ok := p.adjacentOwner(i); ok {
+			p.assigned[r.Owner] -= p.weightOf(r.From, r.To)
+			p.table.Ranges[i] = p.reassign(fleet.Range{From: r.From, To: r.To}, r, owner)
+			p.changed = true
+			moves--
+		}
+	}
+}
+
+// adjacentOwner returns an owner of a range next to the range at an index, if it can bear that range's load.
+func (p *planner) adjacentOwner(at int) (owner fleet.Incarnation, found bool) {
+	r := p.table.Ranges[at]
+	weight := p.weightOf(r.From, r.To)
+	for _, next := range []int{at - 1, at + 1} {
+		if next < 0 || next >= len(p.table.Ranges) {
+			continue
+		}
+		n := p.table.Ranges[next]
+		c, known := p.byIncarnation[n.Owner]
+		if !known || !c.Eligible || c.Capacity <= 0 || n.Moving() || n.Owner == r.Owner {
+			continue
+		}
+		if weight/c.Capacity <= maxJoinedUtilization && p.utilization(c)+weight/c.Capacity <= p.meanUtilization() {
+			return n.Owner, true
+		}
+	}
+	return owner, false
+}
+
 // mergeRanges merges adjacent ranges of one owner under a new fence when the table has many ranges.
 func (p *planner) mergeRanges() {
-	if len(p.table.Ranges) <= mergeRangesPerServer*len(p.targets) {
+	if !p.hasManyRanges() {
 		return
 	}
 	var out []fleet.Range
