Divide the VMs of a failure domain into groups that share backend servers

Cause: 59 VMs in a failure domain told each other their requests each 464 ms, by reports that expired after 400 ms, and all chose the best backend server by the same late reports. Change: subset.Division gives each group of at least 8 VMs a part of each service's backend servers; reports go to the group only, the others are reached by two random choices and only while their load is known to be low; refusals at lasting overload come after an eighth of the objective, also where one VM's own queue is nearly always empty.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -37,35 +37,147 @@
 	if demand.Keyed {
 		return d.chooseOwner(now, s, demand)
 	}
-	var best, local candidate
-	for c := range d.eligible(now, s, demand) {
-		score := c.expectedLatency(now, s.serviceTime) + time.Duration(d.options.Random()*tieBreakShare*float64(s.serviceTime))
-		if c.Domain == d.domain {
-			local.keepBest(c, score)
+	tiers := d.tiers(now, s, demand)
+	var chosen candidate
+	for i, t := range tiers {
+		if i > 0 && !t.informed && s.outside.value(now) >= d.maxOutsideLoad(now, s.name) {
+			continue
+		}
+		c := d.chooseFrom(now, s, t)
+		switch {
+		case c.server == nil:
+			continue
+		case chosen.server == nil || c.score+s.serviceTime <= chosen.score:
+			chosen = c
+		}
+		// The next tiers cost more: they are farther away, or this VM knows less of their load.
+		fastEnough := time.Duration(localObjectiveShare * float64(demand.Objective.Sub(now)))
+		if i < len(tiers)-1 && chosen.score < fastEnough {
+			break
 		}
-		best.keepBest(c, score)
 	}
-	if best.server == nil {
+	if chosen.server == nil {
 		return nil, nil
 	}
-	// Traffic between failure domains costs more and is slower, so a local backend server is preferred where it is fast enough.
-	if local.server != nil && (local.score < time.Duration(localObjectiveShare*float64(demand.Objective.Sub(now))) || local.score < best.score+s.serviceTime) {
-		best = local
+	slot = d.reserveSlot(now, chosen.server, s)
+	slot.outside = chosen.outside
+	return slot, nil
+}
+
+const (
+	// maxOutsideLoad is the average load per slot from which backend servers of which this VM is not informed get no requests, as their
+	// own groups need the slots that are free.
+	maxOutsideLoad = 0.5
+	// maxOutsideLoadWithoutOwn is the same for a VM whose preferred backend servers are all unavailable.
+	maxOutsideLoadWithoutOwn = 1.0
+)
+
+// maxOutsideLoad returns the average load from which backend servers of which this VM is not informed get no requests.
+func (d *Dispatcher) maxOutsideLoad(now clock.Instant, name id.Service) float64 {
+	for n := range d.preference(name).servers {
+		if c := d.servers[n]; c != nil && d.isAvailable(now, c) && !c.isEjected(now) {
+			return maxOutsideLoad
+		}
 	}
-	return d.reserveSlot(now, best.server, s), nil
+	return maxOutsideLoadWithoutOwn
+}
+
+// tier is a set of backend servers that may run a request. Tiers are tried in order of their distance.
+type tier struct {
+	servers []*server
+	// informed says that this VM hears of the requests of the other VMs that prefer these backend servers. Otherwise the VMs with the same
+	// late reports would all choose the same backend server.
+	informed bool
+}
+
+// maxInformedVMs is the number of VMs up to which each of them hears in time of the requests of all others.
+const maxInformedVMs = 16
+
+// tiers returns the eligible backend servers: those that this VM's group prefers, the others of its failure domain, and all others.
+func (d *Dispatcher) tiers(now clock.Instant, s *service, demand Demand) (out [3]tier) {
+	p := d.preference(s.name)
+	out[0].informed = p.exclusive
+	out[1].informed = p.exclusive && d.division.Groups() == 1
+	out[2].informed = len(d.snapshot.Peers) <= maxInformedVMs
+	for c := range d.eligible(now, s, demand) {
+		i := 2
+		switch {
+		case p.servers[c.Incarnation.Server]:
+			i = 0
+		case c.Domain == d.domain:
+			i = 1
+		}
+		out[i].servers = append(out[i].servers, c)
+	}
+	return out
+}
+
+// sampleSize is the number of backend servers drawn at random from a tier of which this VM is not informed.
+const sampleSize = 2
+
+// chooseFrom returns the best backend server of a tier, or the better one of two drawn at random if this VM is not informed of their load.
+func (d *Dispatcher) chooseFrom(now clock.Instant, s *service, t tier) (best candidate) {
+	n := len(t.servers)
+	if !t.informed {
+		n = min(n, sampleSize)
+		for i := range n {
+			j := i + int(d.options.Random()*float64(len(t.servers)-i))
+			t.servers[i], t.servers[j] = t.servers[j], t.servers[i]
+		}
+	}
+	for _, c := range t.servers[:n] {
+		score := c.expectedLatency(now, s.serviceTime) + time.Duration(d.options.Random()*tieBreakShare*float64(s.serviceTime))
+		if best.server == nil || score < best.score {
+			best = candidate{server: c, score: score, outside: !t.informed}
+		}
+	}
+	return best
 }
 
 // candidate is a backend server with its score; a lower score is better.
 type candidate struct {
 	server *server
 	score  time.Duration
+	// outside says that this VM is not informed of the backend server's load.
+	outside bool
+}
+
+// preference holds the backend servers of a service that this VM prefers.
+type preference struct {
+	servers map[id.Server]bool
+	// exclusive says that only this VM's neighbours prefer them, too.
+	exclusive bool
 }
 
-// keepBest replaces the candidate if the given backend server has a lower score.
-func (b *candidate) keepBest(c *server, score time.Duration) {
-	if b.server == nil || score < b.score {
-		b.server, b.score = c, score
+// preference returns the preference for a service in the current snapshot.
+func (d *Dispatcher) preference(name id.Service) *preference {
+	if p, ok := d.preferences[name]; ok {
+		return p
 	}
+	servers, exclusive := d.division.Servers(d.vm, d.localServers(name))
+	p := &preference{servers: make(map[id.Server]bool, len(servers)), exclusive: exclusive}
+	for _, n := range servers {
+		p.servers[n] = true
+	}
+	d.preferences[name] = p
+	return p
+}
+
+// localServers returns the backend servers of a service in this VM's failure domain.
+func (d *Dispatcher) localServers(name id.Service) (out []id.Server) {
+	for _, n := range d.snapshot.ByService[name] {
+		if d.snapshot.Servers[n].Domain == d.domain {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Neighbours returns the VMs that prefer the same backend servers as this one; they need its load reports.
+func (d *Dispatcher) Neighbours() []id.VM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.division.Neighbours(d.vm)
 }
 
 // eligible yields the backend servers that a request may be sent to now.
@@ -197,13 +309,8 @@
 
 // warmupShare returns this VM's share of the warm-up rate of a cold backend server, in requests per second; 0 means that it may send none.
 func (d *Dispatcher) warmupShare(c *server, warmupRate float64) float64 {
-	senders := []id.VM{d.vm}
-	for vm, p := range d.snapshot.Peers {
-		// Unreachable VMs count too: they may be partitioned from this VM and still send.
-		if p.Domain == d.domain && vm != d.vm {
-			senders = append(senders, vm)
-		}
-	}
+	// Unreachable VMs count too: they may be partitioned from this VM and still send.
+	senders := d.division.Senders(c.Incarnation.Server, d.localServers(c.Service))
 	score := func(vm id.VM) uint64 { return xxhash.Sum64String(string(c.Incarnation.Server) + "\x00" + string(vm)) }
 	slices.SortFunc(senders, func(a, b id.VM) int { return cmp.Compare(score(a), score(b)) })
 	// Each sender's token bucket allows a burst of one request on top of its rate.
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/subset"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -54,8 +55,11 @@
 	vm      id.VM
 	domain  id.Domain
 
-	mu          sync.Mutex
-	snapshot    *fleet.Snapshot
+	mu       sync.Mutex
+	snapshot *fleet.Snapshot
+	// division is the division of this VM's failure domain, and preferences what follows from it, as far as it was needed yet.
+	division    subset.Division
+	preferences map[id.Service]*preference
 	servers     map[id.Server]*server
 	services    map[id.Service]*service
 	peers       map[id.VM]*peer
@@ -73,6 +77,8 @@
 	throughput meter
 	served     int64
 	overload   overloadDetector
+	outside    outsideLoad
+	saturation saturation
 }
 
 // waiter is a queued request.
@@ -101,7 +107,9 @@
 	acquiredAt clock.Instant
 	// queueFactor is the factor by which requests queued ahead were expected to extend the service time.
 	queueFactor float64
-	done        bool
+	// outside says that the VM was not informed of the backend server's load.
+	outside bool
+	done    bool
 }
 
 // NewDispatcher returns a dispatcher without backend servers; Update sets them.
@@ -109,6 +117,7 @@
 	return &Dispatcher{
 		options: newOptions(opts), vm: vm, domain: domain,
 		snapshot: &fleet.Snapshot{}, servers: map[id.Server]*server{}, services: map[id.Service]*service{},
+		division: subset.Divide([]id.VM{vm}), preferences: map[id.Service]*preference{},
 		peers: map[id.VM]*peer{}, movedFences: map[id.Service]map[fleet.Fence]bool{}, keyCounts: map[id.Service]map[fleet.Key]int{},
 	}
 }
@@ -128,6 +137,7 @@
 	defer d.mu.Unlock()
 	now := d.options.Clock.Boot()
 	d.snapshot = s
+	d.divide()
 	for name, known := range d.servers {
 		if next, ok := s.Servers[name]; !ok || next.Incarnation != known.Incarnation {
 			delete(d.servers, name)
@@ -146,6 +156,17 @@
 	}
 }
 
+// divide derives the division of the failure domain from the snapshot.
+func (d *Dispatcher) divide() {
+	vms := []id.VM{d.vm}
+	for vm, p := range d.snapshot.Peers {
+		if p.Domain == d.domain && vm != d.vm {
+			vms = append(vms, vm)
+		}
+	}
+	d.division, d.preferences = subset.Divide(vms), map[id.Service]*preference{}
+}
+
 // MarkMoved records that the new owner has accepted the fence of moving keys, so that requests for them may be sent.
 func (d *Dispatcher) MarkMoved(service id.Service, fence fleet.Fence) {
 	d.mu.Lock()
@@ -178,11 +199,17 @@
 	}
 	if len(s.waiting) == 0 || demand.Keyed || demand.Retry {
 		slot, refusal := d.choose(now, s, demand)
+		if !demand.Keyed && !demand.Retry {
+			s.saturation.observe(now, slot != nil)
+		}
 		if slot != nil || refusal != nil && refusal.Final {
 			d.mu.Unlock()
 			return slot, refusal.err()
 		}
 	}
+	if len(s.waiting) > 0 && !demand.Keyed && !demand.Retry {
+		s.saturation.observe(now, false)
+	}
 	until, refusal := d.waitLimit(now, s, demand)
 	if refusal != nil {
 		d.mu.Unlock()
--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// Loads returns this VM's requests in flight, fresh load reports and ejections, by backend server.
+// Loads returns this VM's requests in flight, fresh load reports and ejections, by backend server. Where the failure domain is divided,
+// it omits the backend servers that the neighbours don't prefer, unless they are ejected.
 func (d *Dispatcher) Loads() (out []Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -107,6 +108,9 @@
 		if !canShare[c.Service] {
 			ejected = 0
 		}
+		if ejected == 0 && !d.isOfInterest(c) {
+			continue
+		}
 		if c.inFlight > 0 || age < reportTTL || ejected > 0 {
 			out = append(out, Load{
 				EjectedFor: ejected, Server: name, InFlight: c.inFlight, ServiceTime: c.serviceTime, Reported: c.ownReported, ReportAge: age, HasReport: age < reportTTL, Slowdown: c.slowdown,
@@ -116,6 +120,17 @@
 	return out
 }
 
+// isOfInterest reports whether this VM's neighbours need its requests in flight at a backend server.
+//
+// The owner of a key gets requests from all VMs of a large fleet, of which the
+// neighbours are a small part. Its own load reports tell more.
+func (d *Dispatcher) isOfInterest(c *server) bool {
+	if d.division.Groups() == 1 {
+		return true
+	}
+	return d.snapshot.Tables[c.Service] == nil && d.preference(c.Service).servers[c.Incarnation.Server]
+}
+
 // canShareEjections reports whether this VM ejects few enough backend servers of a service to report the ejections to other VMs.
 func (d *Dispatcher) canShareEjections(now clock.Instant, name id.Service) bool {
 	ejected, all := d.countServers(name, func(c *server) bool { return now < c.ejectedUntil })
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -99,9 +99,15 @@
 			ahead++
 		}
 	}
-	if ahead > 0 && !demand.isLate(now) && s.overload.observeLate(now) {
+	if !demand.isLate(now) {
 		// In a lasting queue each request waits as long as it may, so the limit is reduced.
-		inTime = min(inTime, now.Add(time.Duration(overloadWaitShare*float64(demand.Objective.Sub(now)))))
+		left := float64(demand.Objective.Sub(now))
+		if ahead > 0 && s.overload.observeLate(now) {
+			inTime = min(inTime, now.Add(time.Duration(overloadWaitShare*left)))
+		}
+		if s.saturation.isLasting(now) {
+			return min(last, inTime, now.Add(time.Duration(saturatedWaitShare*left))), nil
+		}
 	}
 	wait := time.Duration(float64(ahead) / max(s.throughput.value(now), minThroughput) * float64(time.Second))
 	if ahead > 0 && now.Add(time.Duration(float64(wait)*waitSafetyFactor)) > inTime {
@@ -113,6 +119,9 @@
 // overloadWaitShare is the part of the time to its objective for which a request may be queued during a lasting overload.
 const overloadWaitShare = 0.25
 
+// saturatedWaitShare is the same while most arrivals find no free slot: a queue can't be worked off then.
+const saturatedWaitShare = 0.125
+
 // lateWaitShare is the part of the time to its deadline for which a request past its objective may be queued.
 const lateWaitShare = 0.25
 
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -49,6 +49,9 @@
 	s.done = true
 	now := d.options.Clock.Boot()
 	service := d.service(s.Server.Service)
+	if s.outside {
+		service.outside.record(now, report)
+	}
 	c, ok := d.servers[s.Server.Server]
 	if ok && c.Incarnation == s.Server.Incarnation {
 		c.inFlight--
