Announce completed moves together and plan by the new rates

Change: completed moves and changes of the store within 30 ms share a message; load reports go to the group; reports to other failure domains end where these have more than 24 VMs; the rank of a candidate is computed only when no leader is heard.

--- a/edge/commands.go
+++ b/edge/commands.go
@@ -113,9 +113,8 @@
 	switch {
 	case moved:
 		e.dispatcher.MarkMoved(c.Service, c.Fence)
-		m := e.heartbeatMessage()
-		m.Heartbeat.Granted = append(m.Heartbeat.Granted, gossip.Grant{Service: c.Service, Fence: c.Fence})
-		e.announce(m)
+		k.queueGrant(gossip.Grant{Service: c.Service, Fence: c.Fence})
+		e.notify(e.updatesPending)
 		e.log.Info("keys have a new owner", "service", string(c.Service), "from", int(c.From), "to", int(c.To), "server", string(c.Incarnation.Server), "fence", int64(c.Fence), "warm", c.Handover != "")
 	case outcome == ownership.Done && c.Release:
 		e.log.Info("keys were released", "service", string(c.Service), "from", int(c.From), "to", int(c.To), "server", string(c.Incarnation.Server), "fence", int64(c.Fence), "handover", handover != "")
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -22,18 +22,21 @@
 	coordinateTick = 50 * time.Millisecond
 	// followerHeartbeatPeriod is the time between two heartbeats of a VM that isn't the leader.
 	followerHeartbeatPeriod = 400 * time.Millisecond
-	// loadReportPeriod is the time between two load reports to the other VMs of the failure domain, if they are at most maxFullRatePeers.
+	// loadReportPeriod is the time between two load reports to the VMs that prefer the same backend servers, if they are at most maxFullRatePeers.
 	loadReportPeriod = 40 * time.Millisecond
 	// loadKeepAlive is the maximum time between two load reports while there is no load to report.
 	loadKeepAlive = 250 * time.Millisecond
-	// maxFullRatePeers is the number of other VMs in the failure domain above which the period of load reports grows in proportion to their number.
+	// maxFullRatePeers is the number of such VMs above which the period of load reports grows in proportion to their number.
 	maxFullRatePeers = 5
 	// crossDomainLoadPeriod is the time between two load reports to other failure domains; their traffic is priced by the byte.
 	crossDomainLoadPeriod = 160 * time.Millisecond
 	// crossDomainSampleSize limits the number of VMs that receive such a report.
 	crossDomainSampleSize = 8
+	// maxCrossDomainVMs is the number of VMs in other failure domains above which they get no load reports: in a larger fleet, too few
+	// reports reach each of them while they are valid.
+	maxCrossDomainVMs = 3 * crossDomainSampleSize
 	// keyReportPeriod is the time between two reports of request counts per key to the leader.
-	keyReportPeriod = 400 * time.Millisecond
+	keyReportPeriod = 300 * time.Millisecond
 	// maxKeysPerMessage limits the number of keys in one message.
 	maxKeysPerMessage = 300
 	fetchTimeout      = time.Second
@@ -49,7 +52,7 @@
 		now := e.clock.Boot()
 		e.mu.Lock()
 		vm, term, fresh := e.elector.Leader(now)
-		campaign := !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
+		campaign := !fresh && !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
 		e.campaigning = e.campaigning || campaign
 		e.mu.Unlock()
 		leading := vm == e.settings.VM
@@ -67,7 +70,7 @@
 		if now.Sub(heartbeatAt) >= period {
 			heartbeatAt = now
 			if leading || !fresh {
-				e.broadcastHeartbeat(ctx)
+				e.broadcastHeartbeat()
 			} else {
 				e.sendToVM(vm, e.heartbeatMessage())
 			}
@@ -97,7 +100,6 @@
 func (e *Edge) heartbeatMessage() gossip.Message {
 	members := e.members()
 	position := e.mirror.Position()
-	granted := e.keys.completedMoves()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Boot()
@@ -106,7 +108,7 @@
 		SettlingTime: max(0, e.removalsHeldUntil.Sub(now)), StoreUnreachable: e.storeFailedAt > e.storeAnsweredAt && now.Sub(e.storeFailedAt) < e.storeFailureTTL(),
 	}
 	if heartbeat.Leading {
-		heartbeat.Term, heartbeat.Granted = e.elector.Term(), granted
+		heartbeat.Term = e.elector.Term()
 	}
 	return e.withSender(gossip.Message{Heartbeat: heartbeat})
 }
@@ -117,8 +119,14 @@
 	return m
 }
 
-// broadcastHeartbeat sends this VM's heartbeat to all registered VMs.
-func (e *Edge) broadcastHeartbeat(context.Context) { e.announce(e.heartbeatMessage()) }
+// broadcastHeartbeat sends this VM's heartbeat to all registered VMs, the leader's with the completed moves of keys.
+func (e *Edge) broadcastHeartbeat() {
+	m := e.heartbeatMessage()
+	if m.Heartbeat.Leading {
+		m.Heartbeat.Granted = e.keys.completedMoves()
+	}
+	e.announce(m)
+}
 
 // sendToVM sends a message to one registered VM.
 func (e *Edge) sendToVM(vm id.VM, m gossip.Message) {
@@ -147,10 +155,11 @@
 	return out
 }
 
-// updateBatchPeriod is the time between two messages with store updates, so that changes close together share a message.
+// updateBatchPeriod is the time between two messages with news of the leader, so that changes close together share one.
+// Hundreds of key ranges may move at the same time, and each message goes to every VM.
 const updateBatchPeriod = 30 * time.Millisecond
 
-// broadcastUpdates sends changes of the store to all VMs while this VM is the leader.
+// broadcastUpdates sends changes of the store and completed moves of keys to all VMs while this VM is the leader.
 func (e *Edge) broadcastUpdates(ctx context.Context) error {
 	announced := e.mirror.Position()
 	for {
@@ -159,15 +168,19 @@
 		case <-ctx.Done():
 			return nil
 		}
+		granted := e.keys.takeNewGrants()
 		if !e.leads() {
 			announced = e.mirror.Position()
 			continue
 		}
 		u := e.mirror.Since(announced)
 		announced = u.To
-		if len(u.Items) > 0 {
+		if len(u.Items) > 0 || len(granted) > 0 {
 			m := e.heartbeatMessage()
-			m.Update = &u
+			m.Heartbeat.Granted = granted
+			if len(u.Items) > 0 {
+				m.Update = &u
+			}
 			e.announce(m)
 		}
 		select {
@@ -273,14 +286,15 @@
 	})
 }
 
-// reportLoad sends this VM's load to the VMs of its failure domain and to a sample of the others, and request counts per key to the leader, until the context ends.
+// reportLoad sends this VM's load to the VMs that prefer the same backend servers and to a sample of the other failure domains, and
+// request counts per key to the leader, until the context ends.
 func (e *Edge) reportLoad(ctx context.Context) error {
 	var sentAt, crossDomainSentAt, keysSentAt clock.Instant
 	sentEmpty := true
 	for {
 		e.dispatcher.ExpirePeers()
 		e.dispatcher.Tick()
-		nearby := e.peerAddresses(func(p fleet.Peer) bool { return p.Domain == e.settings.FailureDomain })
+		nearby := e.neighbourAddresses()
 		now := e.clock.Boot()
 		loads := e.dispatcher.Loads()
 		if len(loads) > 0 || !sentEmpty || now.Sub(sentAt) >= loadKeepAlive {
@@ -307,6 +321,17 @@
 	}
 }
 
+// neighbourAddresses returns the addresses of the VMs that prefer the same backend servers as this one.
+func (e *Edge) neighbourAddresses() (out []string) {
+	peers := e.snapshot.Load().Peers
+	for _, vm := range e.dispatcher.Neighbours() {
+		if p, ok := peers[vm]; ok {
+			out = append(out, p.Address)
+		}
+	}
+	return out
+}
+
 // crossDomainLoads returns the loads that other failure domains need: of backend servers outside this VM's domain, of keyed services, and of ejected ones.
 func (e *Edge) crossDomainLoads(loads []dispatch.Load) (out []dispatch.Load) {
 	s := e.snapshot.Load()
@@ -319,9 +344,12 @@
 	return out
 }
 
-// sampleOtherDomains returns the addresses of a random sample of VMs in other failure domains.
+// sampleOtherDomains returns the addresses of a random sample of VMs in other failure domains, or none in a large fleet.
 func (e *Edge) sampleOtherDomains() []string {
 	remote := e.peerAddresses(func(p fleet.Peer) bool { return p.Domain != e.settings.FailureDomain })
+	if len(remote) > maxCrossDomainVMs {
+		return nil
+	}
 	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
 	return remote[:min(len(remote), crossDomainSampleSize)]
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -248,7 +248,7 @@
 	e.leaving.Store(true)
 	e.handler.Drain()
 	e.log.Info("graceful shutdown began", "inFlight", e.handler.InFlight())
-	resigned := e.resign(ctx)
+	resigned := e.resign()
 	grace := e.settings.GraceTime.Std() - graceMargin
 	<-e.clock.After(min(balancerDetectionTime, grace/2))
 	drainCtx, cancel := context.WithTimeout(ctx, max(0, grace-e.clock.Boot().Sub(startedAt)))
@@ -262,7 +262,7 @@
 	// Key grants expire without a leader, so a leader that can't be replaced keeps renewing them until the end of the grace time.
 	for !resigned && drainCtx.Err() == nil {
 		<-e.clock.After(resignRetryPause)
-		resigned = e.resign(ctx)
+		resigned = e.resign()
 	}
 }
 
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/keyload"
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -24,10 +24,6 @@
 	firstRebalanceDelay = 3 * time.Second
 	// settledMoveWriteDelay is how long completed moves may stay listed as moving in the table before the table is written for them alone.
 	settledMoveWriteDelay = 3 * time.Second
-	// loadTimeConstant is the time constant of the exponentially decayed request rate of a key.
-	loadTimeConstant = 1500 * time.Millisecond
-	// minKeyRate is the rate, in requests per second, below which a key is dropped from the load.
-	minKeyRate = 0.02
 	// maxFailedCalls is the number of consecutive failed calls from which a backend server may count as lost.
 	maxFailedCalls = 3
 	// evictionDelay is how long calls to a backend server must keep failing before it loses its keys.
@@ -45,8 +41,7 @@
 	leadingSince   clock.Instant
 	rebalancedAt   map[id.Service]clock.Instant
 	tableChangedAt map[id.Service]clock.Instant
-	load           map[id.Service]map[fleet.Key]float64
-	decayedAt      clock.Instant
+	load           map[id.Service]*keyload.Meter
 	failureStates  map[fleet.Incarnation]*failureState
 	// lastEntries holds the last known entry of each backend server.
 	lastEntries  map[id.Server]fleet.Server
@@ -56,6 +51,8 @@
 	latestAtAddress map[string]fleet.Incarnation
 	writeInFlight   bool
 	heartbeats      int
+	// newGrants are the completed moves that the next broadcast announces.
+	newGrants []gossip.Grant
 	// lastAppearedAt is when a previously unknown backend server last appeared.
 	lastAppearedAt clock.Instant
 }
@@ -70,25 +67,29 @@
 func (k *keyManager) reset(now clock.Instant) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.granter, k.leadingSince, k.decayedAt = ownership.NewGranter(now), now, now
+	k.granter, k.leadingSince, k.newGrants = ownership.NewGranter(now), now, nil
 	k.rebalancedAt, k.tableChangedAt = map[id.Service]clock.Instant{}, map[id.Service]clock.Instant{}
 	if k.load == nil {
-		k.load = map[id.Service]map[fleet.Key]float64{}
+		k.load = map[id.Service]*keyload.Meter{}
 	}
 	k.failureStates = map[fleet.Incarnation]*failureState{}
 	k.incarnations, k.ended, k.latestAtAddress = map[id.Server]fleet.Incarnation{}, map[fleet.Incarnation]bool{}, map[string]fleet.Incarnation{}
 }
 
-// addLoad adds n requests for a key to the load.
+// addLoad adds n requests for a key to the load of a keyed service; other services are ignored.
 func (k *keyManager) addLoad(service id.Service, key fleet.Key, n int) {
+	c := k.edge.snapshot.Load().Configuration
+	if c == nil || !c.Services[service].Keyed {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	load := k.load[service]
-	if load == nil {
-		load = map[fleet.Key]float64{}
-		k.load[service] = load
+	meter := k.load[service]
+	if meter == nil {
+		meter = keyload.NewMeter(k.edge.clock.Boot())
+		k.load[service] = meter
 	}
-	load[key] += float64(n) / loadTimeConstant.Seconds()
+	meter.Add(key, n)
 }
 
 // run plans key ownership and makes the due calls until the context ends.
@@ -113,7 +114,9 @@
 	}
 	now := k.edge.clock.Boot()
 	k.mu.Lock()
-	k.decay(now)
+	for _, meter := range k.load {
+		meter.Decay(now)
+	}
 	k.recordIncarnations(s)
 	k.mu.Unlock()
 	for name, service := range s.Configuration.Services {
@@ -127,25 +130,6 @@
 	}
 }
 
-// decay reduces the weight of old requests exponentially.
-func (k *keyManager) decay(now clock.Instant) {
-	elapsed := now.Sub(k.decayedAt)
-	if elapsed < rebalancePeriod/2 {
-		return
-	}
-	k.decayedAt = now
-	factor := math.Exp(-elapsed.Seconds() / loadTimeConstant.Seconds())
-	for _, load := range k.load {
-		for key, rate := range load {
-			if rate *= factor; rate < minKeyRate {
-				delete(load, key)
-			} else {
-				load[key] = rate
-			}
-		}
-	}
-}
-
 // completedMoves returns the moves that are granted but still listed as moving in the tables.
 //
 // Most heartbeats carry recent moves only, since older ones were already sent several times.
@@ -167,6 +151,21 @@
 	return out
 }
 
+// queueGrant adds a completed move to the next broadcast.
+func (k *keyManager) queueGrant(g gossip.Grant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.newGrants = append(k.newGrants, g)
+}
+
+// takeNewGrants returns the completed moves that were not broadcast yet.
+func (k *keyManager) takeNewGrants() (out []gossip.Grant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out, k.newGrants = k.newGrants, nil
+	return out
+}
+
 const (
 	// recentMoveTime is how long a completed move is sent in every heartbeat.
 	recentMoveTime = 500 * time.Millisecond
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -132,7 +132,7 @@
 // If the store doesn't confirm that the lease is revoked, no other VM can be elected yet:
 // this one then continues to lead while the majority of the VMs can't reach the store
 // either, and done is false.
-func (e *Edge) resign(ctx context.Context) (done bool) {
+func (e *Edge) resign() (done bool) {
 	e.mu.Lock()
 	vm, _, _ := e.elector.Leader(e.clock.Boot())
 	leading, lease := vm == e.settings.VM, e.lease
@@ -150,6 +150,6 @@
 	e.elector.LeaseEnded(e.clock.Boot())
 	e.mu.Unlock()
 	e.resigned.Store(true)
-	e.broadcastHeartbeat(ctx)
+	e.broadcastHeartbeat()
 	return true
 }
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -40,8 +40,8 @@
 		return nil
 	}
 	k.rebalancedAt[name] = now
-	if load := k.load[name]; load != nil {
-		return load
+	if meter := k.load[name]; meter != nil {
+		return meter.Rates()
 	}
 	return ownership.Load{}
 }
