Start with a copy from another VM, limit requests for hot keys, fetch less

(2) A heartbeat of the leader could overtake the update that it sends within 30 ms, so all VMs fetched the update at once; each fetch built a compressor of 1 MB. Change: weak VMs read the first page only and copy the rest from a strong VM if its copy is at least as recent; registrations have no lease, the leader removes those of VMs silent for two minutes; fetches wait for the update and reuse compressors; the leader sends the share of requests for a hot key that its owner can serve, and VMs refuse the others at once.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -65,6 +65,7 @@
 	peers       map[id.VM]*peer
 	movedFences map[id.Service]map[fleet.Fence]bool
 	keyCounts   map[id.Service]map[fleet.Key]int
+	admissions  admissions
 }
 
 // service is the queue and the measurements of one service.
@@ -196,6 +197,10 @@
 	now := d.options.Clock.Boot()
 	if demand.Keyed && !demand.Retry {
 		d.countKey(demand)
+		if !d.admits(now, demand) {
+			defer d.mu.Unlock()
+			return nil, &Refusal{Reason: Overloaded, RetryAfter: throttledRetryAfter, ServiceTime: s.serviceTime, Final: true}
+		}
 	}
 	if len(s.waiting) == 0 || demand.Keyed || demand.Retry {
 		slot, refusal := d.choose(now, s, demand)
--- a/coordination/dispatch/fleet_test.go
+++ b/coordination/dispatch/fleet_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -52,6 +53,9 @@
 	uneven float64
 	// period is the time between two load reports of a VM to its neighbours.
 	period time.Duration
+	// hot is the rate of requests for a key of the first server, as a multiple of that server's capacity. If it is set, all requests are for
+	// keys, of which each server owns the same number.
+	hot float64
 	// oracle chooses with exact knowledge of all backend servers, as a bound for any policy.
 	oracle bool
 }
@@ -59,13 +63,16 @@
 // fleetResult counts requests by what callers got.
 type fleetResult struct {
 	requests, inTime, late, refused, failed, sheds int
-	refusalWait                                    time.Duration
+	// hotInTime and hotLate are those of the requests for a key of the first server.
+	hotInTime, hotLate int
+	refusalWait        time.Duration
 }
 
 func (r fleetResult) share(n int) float64 { return float64(n) / float64(r.requests) }
 
 func (r fleetResult) String() string {
-	return fmt.Sprintf("requests %d: in time %.3f, late %.3f, refused %.3f, failed %.3f, sheds %.3f", r.requests, r.share(r.inTime), r.share(r.late), r.share(r.refused), r.share(r.failed), r.share(r.sheds))
+	return fmt.Sprintf("requests %d: in time %.3f, late %.3f, refused %.3f, failed %.3f, sheds %.3f; hot: %d in time, %d late",
+		r.requests, r.share(r.inTime), r.share(r.late), r.share(r.refused), r.share(r.failed), r.share(r.sheds), r.hotInTime, r.hotLate)
 }
 
 // player runs a fleetLoad in virtual time.
@@ -187,11 +194,11 @@
 }
 
 // request sends one request through a VM and counts its result.
-func (p *player) request(vm int, work float64) {
+func (p *player) request(vm, server int, work float64) {
 	began := p.clock.Boot()
 	ctx, cancel := context.WithTimeout(context.Background(), fleetDeadline)
 	defer cancel()
-	result, refused := p.send(ctx, vm, work, began)
+	result, refused := p.send(ctx, vm, server, work, began)
 	took := p.clock.Boot().Sub(began)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -207,10 +214,17 @@
 	default:
 		p.result.late++
 	}
+	if p.load.hot > 0 && server == 0 && result == dispatch.Answered {
+		if took <= fleetObjective {
+			p.result.hotInTime++
+		} else {
+			p.result.hotLate++
+		}
+	}
 }
 
 // send makes up to three attempts, as a server may reject a request.
-func (p *player) send(ctx context.Context, vm int, work float64, began clock.Instant) (result dispatch.Result, refused bool) {
+func (p *player) send(ctx context.Context, vm, server int, work float64, began clock.Instant) (result dispatch.Result, refused bool) {
 	if p.load.oracle {
 		s := p.best()
 		if s == nil {
@@ -220,6 +234,9 @@
 		return result, false
 	}
 	demand := dispatch.Demand{Service: service, Arrived: began, Deadline: began.Add(fleetDeadline), Objective: began.Add(fleetObjective)}
+	if p.load.hot > 0 {
+		demand.Keyed, demand.Key = true, fleet.Key(server)
+	}
 	for range 3 {
 		slot, err := p.vms[vm].Acquire(ctx, demand)
 		if err != nil {
@@ -235,11 +252,33 @@
 		if result != dispatch.Shed {
 			return result, false
 		}
-		demand.Avoid, demand.Retry = append(demand.Avoid, slot.Server.Server), true
+		demand.Retry = true
+		if !demand.Keyed {
+			demand.Avoid = append(demand.Avoid, slot.Server.Server)
+		}
 	}
 	return dispatch.Shed, true
 }
 
+// limitHotKey sends the leader's limits to all VMs until ctx ends. The leader knows the rates and the mean service times.
+func (p *player) limitHotKey(ctx context.Context, t *fleet.Table) {
+	capacity := slots / fleetWork.Seconds() / noiseFactor
+	load := ownership.Load{}
+	var candidates []ownership.Candidate
+	for i, name := range p.names {
+		candidates = append(candidates, ownership.Candidate{Incarnation: fleet.Incarnation{Server: name, Born: 1}, Eligible: true, Warm: true, Capacity: capacity / p.servers[name].speed})
+		load[fleet.Key(i)] = p.load.utilization * capacity
+	}
+	load[0] += p.load.hot * capacity
+	limits := map[id.Service][]ownership.Admission{service: ownership.Admissions(t, candidates, load)}
+	// The first limits come after a second, when the leader has noticed the hot key.
+	for time.Sleep(time.Second); ctx.Err() == nil; time.Sleep(150 * time.Millisecond) {
+		for _, vm := range p.vms {
+			vm.SetAdmissions(limits)
+		}
+	}
+}
+
 // gossip sends the load reports of each VM to the VMs that it tells, until ctx ends.
 func (p *player) gossip(ctx context.Context, vm int, random *rand.Rand) {
 	for ctx.Err() == nil {
@@ -272,13 +311,24 @@
 			peers[vm] = fleet.Peer{VM: vm, Domain: "east"}
 			p.indexes[vm] = i
 		}
+		tables := map[id.Service]*fleet.Table{}
+		if l.hot > 0 {
+			t := &fleet.Table{Service: service, Fence: 1}
+			for i, name := range p.names {
+				t.Ranges = append(t.Ranges, fleet.Range{From: fleet.Key(i), To: fleet.Key(i), Owner: servers[name].Incarnation, Fence: 1})
+			}
+			tables[service] = t
+		}
 		snapshot := &fleet.Snapshot{
 			Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service, MaxConnections: 1800}}, fleet.Limits{}),
-			Peers:         peers, Servers: servers, ByService: fleet.ByService(servers), Tables: map[id.Service]*fleet.Table{},
+			Peers:         peers, Servers: servers, ByService: fleet.ByService(servers), Tables: tables,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
 		group.Go(func() { p.noise(ctx) })
+		if l.hot > 0 {
+			group.Go(func() { p.limitHotKey(ctx, tables[service]) })
+		}
 		var shares []float64
 		total := 0.0
 		for i := range l.vms {
@@ -295,7 +345,9 @@
 				group.Go(func() { p.gossip(ctx, i, random) })
 			}
 		}
-		interval := float64(time.Second) / (capacity * l.utilization)
+		rate := capacity * l.utilization
+		hotRate := l.hot * slots / fleetWork.Seconds() / noiseFactor
+		interval := float64(time.Second) / (rate + hotRate)
 		arrivals := rand.New(rand.NewPCG(5, 6))
 		for end := time.Now().Add(fleetTime); time.Now().Before(end); {
 			time.Sleep(time.Duration(interval * arrivals.ExpFloat64()))
@@ -306,7 +358,11 @@
 			}
 			// The work is spread log-normally around its mean.
 			work := math.Exp(0.5*arrivals.NormFloat64() - 0.125)
-			group.Go(func() { p.request(vm, work) })
+			server := arrivals.IntN(l.servers)
+			if arrivals.Float64() < hotRate/(rate+hotRate) {
+				server = 0
+			}
+			group.Go(func() { p.request(vm, server, work) })
 		}
 		time.Sleep(2 * fleetDeadline)
 		cancel()
@@ -347,3 +403,24 @@
 		})
 	}
 }
+
+// The owner of a hot key serves as many requests as it can, and in time: if its queue is always full, the requests for its other
+// keys are late, too. Each of many VMs hears of it only with its own few responses.
+func TestHotOwner(t *testing.T) {
+	tests := map[string]fleetLoad{
+		"4 VMs, ten times the capacity":  {vms: 4, servers: 30, utilization: 0.5, hot: 10, period: 40 * time.Millisecond},
+		"59 VMs, twice the capacity":     {vms: 59, servers: 30, utilization: 0.5, hot: 2, period: 64 * time.Millisecond},
+		"59 VMs, ten times the capacity": {vms: 59, servers: 30, utilization: 0.5, hot: 10, period: 64 * time.Millisecond},
+		"295 VMs, 30 times the capacity": {vms: 295, servers: 30, utilization: 0.5, hot: 30, period: 64 * time.Millisecond},
+	}
+	for name, load := range tests {
+		t.Run(name, func(t *testing.T) {
+			result := load.play(t)
+			capacity := slots / fleetWork.Seconds() / noiseFactor / 0.7 * fleetTime.Seconds()
+			t.Logf("%s; hot in time %.3f, late %.3f of the owner's capacity", result, float64(result.hotInTime)/capacity, float64(result.hotLate)/capacity)
+			if got := float64(result.hotInTime) / capacity; got < 0.6 {
+				t.Errorf("%.3f of the owner's capacity is used for answers in time, want at least 0.6", got)
+			}
+		})
+	}
+}
--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -65,6 +65,8 @@
 	knownLeader id.VM
 	knownAt     clock.Instant
 	peers       map[id.VM]heartbeat
+	// startedAt is when the elector was created, and wonAt when this VM last became the leader.
+	startedAt, wonAt clock.Instant
 	// waitStart is when the wait for a leader's heartbeat began; CampaignFailed and Resigned move it so that the next campaign begins
 	// at the right time.
 	waitStart clock.Instant
@@ -72,7 +74,7 @@
 
 // NewElector returns the elector of a VM that does not lead. The wait for heartbeats of a leader begins at now.
 func NewElector(self id.VM, now clock.Instant) *Elector {
-	return &Elector{self: self, peers: map[id.VM]heartbeat{}, waitStart: now}
+	return &Elector{self: self, peers: map[id.VM]heartbeat{}, waitStart: now, startedAt: now}
 }
 
 // RecordHeartbeat records a heartbeat of another VM; storeUnreachable says that the VM called the store and got no answer.
@@ -125,7 +127,7 @@
 
 // Won records that this VM has written the leader's record of a term, under a lease opened at the given time.
 func (e *Elector) Won(begun clock.Instant, term id.Revision) {
-	e.leading, e.uncertain, e.term, e.leaseFrom = true, false, term, begun
+	e.leading, e.uncertain, e.term, e.leaseFrom, e.wonAt = true, false, term, begun, begun
 }
 
 // Renewed records that the store has renewed the lease, by a call that was sent at the given time.
@@ -169,6 +171,12 @@
 	return 2*unreachable > len(members)
 }
 
+// SilentFor returns for how long no heartbeat of a VM has reached this leader. VMs send heartbeats to the leader only, so the time
+// before it won doesn't count.
+func (e *Elector) SilentFor(now clock.Instant, vm id.VM) time.Duration {
+	return now.Sub(max(e.peers[vm].at, e.wonAt, e.startedAt))
+}
+
 // IsReachable reports whether a heartbeat of a VM came within peerTimeout.
 func (e *Elector) IsReachable(now clock.Instant, vm id.VM) bool {
 	p, ok := e.peers[vm]
--- a/coordination/leader/leader_test.go
+++ b/coordination/leader/leader_test.go
@@ -115,3 +115,18 @@
 		})
 	}
 }
+
+// A new leader has heard of nobody yet and must not take the others for lost.
+func TestSilentFor(t *testing.T) {
+	is := is.New(t)
+	start := clock.Instant(time.Hour)
+	e := leader.NewElector("a", start)
+	is.Equal(e.SilentFor(start.Add(time.Minute), "b"), time.Minute)
+	e.RecordHeartbeat(start.Add(time.Minute), "b", false, 0, false)
+	won := start.Add(2 * time.Minute)
+	e.Won(won, 7)
+	is.Equal(e.SilentFor(won, "b"), time.Duration(0))
+	e.RecordHeartbeat(won.Add(time.Second), "b", false, 0, false)
+	is.Equal(e.SilentFor(won.Add(time.Minute), "b"), 59*time.Second)
+	is.Equal(e.SilentFor(won.Add(time.Minute), "c"), time.Minute)
+}
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -83,7 +83,7 @@
 //
 // A nil load means that no keys are moved for balance.
 func Plan(service id.Service, t *fleet.Table, candidates []Candidate, load Load) (next *fleet.Table, changed bool) {
-	if load == nil && t != nil && !needsRepair(t, candidates) {
+	if load == nil && t != nil && !needsRepair(t, candidates) && !hasAdjacentRanges(t) {
 		return t, false
 	}
 	p := newPlanner(service, t, candidates, load)
@@ -117,6 +117,21 @@
 	return next != fleet.KeyCount
 }
 
+// hasAdjacentRanges reports whether two ranges could be merged.
+func hasAdjacentRanges(t *fleet.Table) bool {
+	for i := 1; i < len(t.Ranges); i++ {
+		if isMergeable(t.Ranges[i-1], t.Ranges[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// isMergeable reports whether two ranges are adjacent, have the same owner and aren't moving.
+func isMergeable(a, b fleet.Range) bool {
+	return a.Owner == b.Owner && !a.Moving() && !b.Moving() && a.To+1 == b.From
+}
+
 func newPlanner(service id.Service, t *fleet.Table, candidates []Candidate, load Load) *planner {
 	p := &planner{table: &fleet.Table{Service: service}, assigned: map[fleet.Incarnation]float64{}, byIncarnation: map[fleet.Incarnation]Candidate{}, immovable: map[fleet.Incarnation]bool{}}
 	if t != nil {
@@ -423,7 +438,7 @@
 	}
 	var out []fleet.Range
 	for _, r := range p.table.Ranges {
-		if n := len(out) - 1; n >= 0 && out[n].Owner == r.Owner && !out[n].Moving() && !r.Moving() && out[n].To+1 == r.From {
+		if n := len(out) - 1; n >= 0 && isMergeable(out[n], r) {
 			p.table.Fence++
 			out[n].To, out[n].Fence = r.To, p.table.Fence
 			p.changed = true
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/leader"
+	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -40,6 +41,9 @@
 	// maxKeysPerMessage limits the number of keys in one message.
 	maxKeysPerMessage = 300
 	fetchTimeout      = time.Second
+	// fetchDelay is how long a VM waits for a missing update before it fetches it. A heartbeat of the leader may overtake the update, which
+	// is sent with those of the next updateBatchPeriod.
+	fetchDelay = 3 * updateBatchPeriod
 	// fetchJitterPerVM, multiplied by the number of registered VMs, is the maximum random delay of a fetch; maxFetchJitter limits it.
 	fetchJitterPerVM = 3 * time.Millisecond
 	maxFetchJitter   = 250 * time.Millisecond
@@ -124,10 +128,21 @@
 	m := e.heartbeatMessage()
 	if m.Heartbeat.Leading {
 		m.Heartbeat.Granted = e.keys.completedMoves()
+		m.Heartbeat.Admissions, m.Heartbeat.HasAdmissions = e.keys.currentAdmissions(), true
+		e.setAdmissions(m.Heartbeat.Admissions)
 	}
 	e.announce(m)
 }
 
+// setAdmissions applies the leader's limits of the requests for keys.
+func (e *Edge) setAdmissions(list []gossip.Admission) {
+	limits := map[id.Service][]ownership.Admission{}
+	for _, a := range list {
+		limits[a.Service] = append(limits[a.Service], ownership.Admission{From: a.From, To: a.To, Fence: a.Fence, Share: float64(a.PerMille) / 1000})
+	}
+	e.dispatcher.SetAdmissions(limits)
+}
+
 // sendToVM sends a message to one registered VM.
 func (e *Edge) sendToVM(vm id.VM, m gossip.Message) {
 	if p, ok := e.snapshot.Load().Peers[vm]; ok {
@@ -223,6 +238,25 @@
 
 // handleHeartbeat handles a heartbeat and the store update that may come with it.
 func (e *Edge) handleHeartbeat(m gossip.Message) {
+	heartbeat := m.Heartbeat
+	leads := e.recordHeartbeat(m)
+	complete := true
+	if m.Update != nil {
+		complete = e.mirror.Apply(*m.Update)
+	}
+	if heartbeat.Leading && (!complete || heartbeat.Position > e.mirror.Position() && m.Update == nil) {
+		e.fetchUpdate(m.From, heartbeat.Position)
+	}
+	if heartbeat.HasAdmissions && leads {
+		e.setAdmissions(heartbeat.Admissions)
+	}
+	for _, g := range heartbeat.Granted {
+		e.dispatcher.MarkMoved(g.Service, g.Fence)
+	}
+}
+
+// recordHeartbeat records a heartbeat for the election and reports whether its sender is the present leader.
+func (e *Edge) recordHeartbeat(m gossip.Message) (leads bool) {
 	heartbeat := m.Heartbeat
 	e.mu.Lock()
 	now := e.clock.Boot()
@@ -246,20 +280,12 @@
 	if oldLeader == e.settings.VM && vm != oldLeader {
 		e.log.Warn("this VM no longer leads: another one does", "leader", string(vm), "term", uint64(term))
 	}
-	complete := true
-	if m.Update != nil {
-		complete = e.mirror.Apply(*m.Update)
-	}
-	if heartbeat.Leading && (!complete || heartbeat.Position > e.mirror.Position() && m.Update == nil) {
-		e.fetchUpdate(m.From)
-	}
-	for _, g := range heartbeat.Granted {
-		e.dispatcher.MarkMoved(g.Service, g.Fence)
-	}
+	return fresh && vm == m.From
 }
 
-// fetchUpdate fetches the missing store items from another VM; only one fetch runs at a time.
-func (e *Edge) fetchUpdate(from id.VM) {
+// fetchUpdate fetches the missing store items up to a position from another VM, unless they arrive meanwhile. Only one fetch runs at a
+// time.
+func (e *Edge) fetchUpdate(from id.VM, wanted id.Revision) {
 	p, ok := e.snapshot.Load().Peers[from]
 	e.mu.Lock()
 	inProgress := e.fetching
@@ -269,20 +295,25 @@
 		return
 	}
 	e.tasks.Go(context.Background(), func(ctx context.Context) {
+		defer func() {
+			e.mu.Lock()
+			e.fetching = false
+			e.mu.Unlock()
+		}()
 		// All VMs may have missed the same message, and the VM that answers may be small: the jitter spreads their fetches.
 		jitter := min(fetchJitterPerVM*time.Duration(e.peerCount()), maxFetchJitter)
-		<-e.clock.After(rand.N(jitter))
+		<-e.clock.After(fetchDelay + rand.N(jitter))
+		if e.mirror.Position() >= wanted {
+			return
+		}
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
 		u, err := e.socket.Fetch(ctx, p.Address, e.mirror.Position())
 		if err != nil {
 			e.log.Warn("fetching a store update from another VM failed", "from", string(from), "error", err)
-		} else {
-			e.mirror.Apply(u)
+			return
 		}
-		e.mu.Lock()
-		e.fetching = false
-		e.mu.Unlock()
+		e.mirror.Apply(u)
 	})
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,8 +71,10 @@
 	lease   platform.Lease
 	// campaigning is set while this VM campaigns for the leadership.
 	campaigning bool
-	// registered is set while this VM's registration is in the store.
-	registered bool
+	// registeredAt is the store's revision of this VM's registration, or 0 before it.
+	registeredAt id.Revision
+	// registerTriedAt is when this VM last tried to register.
+	registerTriedAt clock.Instant
 	// fetching is set while store items are being fetched from another VM.
 	fetching bool
 	// storeSyncedAt is when the store last answered this VM or the leader; removalsHeldUntil is when removals of entries take effect again after an outage.
@@ -212,6 +214,7 @@
 		{"changes", e.broadcastUpdates},
 		{"load", e.reportLoad},
 		{"keys", e.keys.run},
+		{"registrations", e.removeLostRegistrations},
 	} {
 		supervisor.Add(c)
 	}
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	keyManagerTick = 50 * time.Millisecond
 	// rebalancePeriod is the time between two plans that move keys to balance the load.
 	rebalancePeriod = 500 * time.Millisecond
+	// admissionPeriod is the time between two computations of the limits of requests for hot keys.
+	admissionPeriod = 250 * time.Millisecond
 	// firstTableDelay is how long the first table waits after a backend server has appeared, since backend servers start together.
 	firstTableDelay = 800 * time.Millisecond
 	// firstRebalanceDelay is how long a new leader collects load reports before it balances.
@@ -53,6 +56,9 @@
 	heartbeats      int
 	// newGrants are the completed moves that the next broadcast announces.
 	newGrants []gossip.Grant
+	// admissions limit the requests for keys whose owners are overloaded.
+	admissions map[id.Service][]ownership.Admission
+	limitedAt  map[id.Service]clock.Instant
 	// lastAppearedAt is when a previously unknown backend server last appeared.
 	lastAppearedAt clock.Instant
 }
@@ -72,6 +78,7 @@
 	if k.load == nil {
 		k.load = map[id.Service]*keyload.Meter{}
 	}
+	k.admissions, k.limitedAt = map[id.Service][]ownership.Admission{}, map[id.Service]clock.Instant{}
 	k.failureStates = map[fleet.Incarnation]*failureState{}
 	k.incarnations, k.ended, k.latestAtAddress = map[id.Server]fleet.Incarnation{}, map[fleet.Incarnation]bool{}, map[string]fleet.Incarnation{}
 }
@@ -124,6 +131,7 @@
 			continue
 		}
 		k.plan(ctx, now, s, name)
+		k.limitRequests(now, s, name)
 		if t := s.Tables[name]; t != nil {
 			k.sendDueCalls(ctx, now, t)
 		}
@@ -151,6 +159,18 @@
 	return out
 }
 
+// currentAdmissions returns the limits of the requests for keys, as they are sent to the other VMs.
+func (k *keyManager) currentAdmissions() (out []gossip.Admission) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for service, list := range k.admissions {
+		for _, a := range list {
+			out = append(out, gossip.Admission{Service: service, From: a.From, To: a.To, Fence: a.Fence, PerMille: int(math.Ceil(1000 * a.Share))})
+		}
+	}
+	return out
+}
+
 // queueGrant adds a completed move to the next broadcast.
 func (k *keyManager) queueGrant(g gossip.Grant) {
 	k.mu.Lock()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
+	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
 )
@@ -112,6 +113,15 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLogger()}
 }
 
+// limitCounts returns the number of limits of requests for keys by service.
+func limitCounts(limits map[id.Service][]ownership.Admission) map[id.Service]int {
+	out := map[id.Service]int{}
+	for service, list := range limits {
+		out[service] = len(list)
+	}
+	return out
+}
+
 func (m *metrics) values() map[string]any {
 	e := m.edge
 	s := e.snapshot.Load()
@@ -123,7 +133,8 @@
 		"Requests": json.RawMessage(m.requests.String()), "Sendings": json.RawMessage(m.attempts.String()), "Store": json.RawMessage(m.store.String()),
 		"InFlight": e.handler.InFlight(), "Position": s.Position, "Configuration": version, "NewsAgeMs": e.storeStaleness().Milliseconds(),
 		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(),
-		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(),
+		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
+		"Limits": limitCounts(e.dispatcher.Admissions()),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/edge/registration.go
+++ b/edge/registration.go
@@ -4,44 +4,49 @@
 	"context"
 	"encoding/json"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/fleet"
 )
 
+// isRegistered reports whether this VM has registered and its registration wasn't removed since.
 func (e *Edge) isRegistered() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.registered
+	if e.registeredAt == 0 {
+		return false
+	}
+	_, listed := e.snapshot.Load().Peers[e.settings.VM]
+	return listed || e.mirror.Position() < e.registeredAt
 }
 
 // register writes this VM's address to the store, so that other VMs find it.
 func (e *Edge) register(ctx context.Context) {
-	if e.leaving.Load() {
+	e.mu.Lock()
+	now := e.clock.Boot()
+	tooEarly := e.registerTriedAt > 0 && now.Sub(e.registerTriedAt) < registerRetryPeriod
+	if !tooEarly {
+		e.registerTriedAt = now
+	}
+	e.mu.Unlock()
+	if tooEarly || e.leaving.Load() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	lease, err := e.store.GrantLease(ctx, registrationTTL)
-	if err != nil {
-		e.log.Warn("this VM could not be registered", "error", err)
-		return
-	}
 	value, err := json.Marshal(fleet.Peer{VM: e.settings.VM, Domain: e.settings.FailureDomain, Address: e.settings.PeerAddress, Incarnation: e.incarnation, Strength: e.strength()})
 	if err != nil {
 		e.log.Error("the registration could not be encoded", "error", err)
 		return
 	}
-	if _, err := e.store.Write(ctx, nil, platform.Put{Key: platform.KeyPeer(e.settings.VM), Value: value, Lease: lease}); err != nil {
+	revision, err := e.store.Write(ctx, nil, platform.Put{Key: platform.KeyPeer(e.settings.VM), Value: value})
+	if err != nil {
 		e.log.Warn("this VM could not be registered", "error", err)
 		return
 	}
 	e.mu.Lock()
-	e.registered = true
+	e.registeredAt = revision
 	e.mu.Unlock()
 	e.log.Info("this VM is registered", "address", e.settings.PeerAddress)
-	e.tasks.Go(context.WithoutCancel(ctx), func(ctx context.Context) { e.renewRegistration(ctx, lease) })
 }
 
 // linkMbpsPerCore is the link rate, in Mbit/s, that counts as much as one processor core in the election of a leader.
@@ -52,18 +57,47 @@
 	return min(e.settings.Processor, e.settings.Link/linkMbpsPerCore)
 }
 
-// renewRegistration renews the registration until the VM leaves or the lease is lost.
-func (e *Edge) renewRegistration(ctx context.Context, lease platform.Lease) {
-	for !e.leaving.Load() {
-		<-e.clock.After(registrationRenewPeriod)
+// removeLostRegistrations removes the registrations of VMs that this VM, as the leader, hasn't heard of for a long time, until the
+// context ends.
+//
+// Registrations have no lease, since its calls at hundreds of starts would cost
+// more than this. A VM whose registration was removed although it runs registers
+// again.
+func (e *Edge) removeLostRegistrations(ctx context.Context) error {
+	for {
+		select {
+		case <-e.clock.After(registrationCheckPeriod):
+		case <-ctx.Done():
+			return nil
+		}
+		s := e.snapshot.Load()
+		if s.Leader == nil || s.Leader.VM != e.settings.VM || !e.leads() {
+			continue
+		}
+		lost := e.lostPeers(s)
+		if len(lost) == 0 {
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := e.store.RenewLease(callCtx, lease)
+		err := e.store.Remove(callCtx, []platform.Condition{{Key: platform.KeyLeader(), Revision: s.Leader.Term}}, lost...)
 		cancel()
-		if errors.Is(err, platform.ErrLeaseNotFound) {
-			e.mu.Lock()
-			e.registered = false
-			e.mu.Unlock()
-			return
+		if err != nil {
+			e.log.Warn("registrations of lost VMs could not be removed", "count", len(lost), "error", err)
+			continue
+		}
+		e.log.Info("registrations of lost VMs are removed", "keys", lost)
+	}
+}
+
+// lostPeers returns the store keys of the VMs that were not heard of for registrationTTL, at most maxRemovedRegistrations.
+func (e *Edge) lostPeers(s *fleet.Snapshot) (keys []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Boot()
+	for vm := range s.Peers {
+		if vm != e.settings.VM && e.elector.SilentFor(now, vm) >= registrationTTL && len(keys) < maxRemovedRegistrations {
+			keys = append(keys, platform.KeyPeer(vm))
 		}
 	}
+	return keys
 }
--- a/edge/store.go
+++ b/edge/store.go
@@ -37,10 +37,15 @@
 	leaderSyncPeriod = 150 * time.Millisecond
 	// followerSyncPeriod is the same for a VM that isn't the leader but must watch the store; many VMs may be partitioned from the leader at the same time.
 	followerSyncPeriod = 700 * time.Millisecond
-	// registrationTTL is the TTL of the lease of a VM's registration, which holds its address and isn't a liveness signal.
+	// registrationTTL is the time after which the registration of a VM that the leader doesn't hear of is removed. The registration holds
+	// the VM's address and isn't a liveness signal.
 	registrationTTL = 2 * time.Minute
-	// registrationRenewPeriod is the time between two renewals of the registration.
-	registrationRenewPeriod = 40 * time.Second
+	// registerRetryPeriod is the least time between two attempts at registering; each call is priced, also at an unreachable store.
+	registerRetryPeriod = time.Second
+	// registrationCheckPeriod is the time between two checks for such VMs.
+	registrationCheckPeriod = 20 * time.Second
+	// maxRemovedRegistrations is the number of registrations that one call removes; the store limits the keys of a transaction.
+	maxRemovedRegistrations = 30
 )
 
 // storeStaleness returns the time since the store last answered this VM or the leader.
@@ -65,6 +70,9 @@
 	for ctx.Err() == nil {
 		startedAt := e.clock.Boot()
 		if !e.mustWatchStore() && e.mirror.Position() > 0 {
+			if !e.isRegistered() {
+				e.register(ctx)
+			}
 			e.pause(ctx, idlePollPeriod)
 			continue
 		}
@@ -128,7 +136,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if full {
-		return e.store.ReadAll(ctx)
+		return e.readWhole(ctx)
 	}
 	return e.store.Watch(ctx, e.mirror.Position(), wait)
 }
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -34,6 +34,21 @@
 	k.edge.tasks.Go(ctx, func(ctx context.Context) { k.writeTable(ctx, s.Leader.Term, t, next) })
 }
 
+// limitRequests computes the limits of the requests for keys whose owners are overloaded.
+func (k *keyManager) limitRequests(now clock.Instant, s *fleet.Snapshot, name id.Service) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	meter, t := k.load[name], s.Tables[name]
+	if now.Sub(k.limitedAt[name]) < admissionPeriod {
+		return
+	}
+	k.limitedAt[name] = now
+	delete(k.admissions, name)
+	if meter != nil && t != nil && now.Sub(k.leadingSince) > firstRebalanceDelay {
+		k.admissions[name] = ownership.Admissions(t, k.candidates(now, s, name), meter.Rates())
+	}
+}
+
 // loadForRebalance returns the load of a service when a rebalance is due, or nil.
 func (k *keyManager) loadForRebalance(now clock.Instant, name id.Service) ownership.Load {
 	if now.Sub(k.leadingSince) <= firstRebalanceDelay || now.Sub(k.rebalancedAt[name]) < rebalancePeriod {
--- a/transport/gossip/compress.go
+++ b/transport/gossip/compress.go
@@ -6,19 +6,29 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/state/pool"
 )
 
 // errExpandsTooFar means that compressed data is longer than allowed when it is decompressed.
 var errExpandsTooFar = errors.New("the decompressed data is too long")
 
+// writers holds compressors, each of which takes more than half a megabyte.
+var writers = pool.NewPool(func() *flate.Writer {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic("gossip: the level of compression is invalid: " + err.Error())
+	}
+	return w
+})
+
 // compress returns data in the DEFLATE format. Configurations and key tables repeat most of their names, and the sender's
 // link limits how fast hundreds of VMs get them.
 func compress(data []byte) (out []byte, err error) {
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	w := writers.Get()
+	defer writers.Put(w)
+	w.Reset(&b)
 	if _, err := w.Write(data); err != nil {
 		return nil, err
 	}
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -62,6 +62,19 @@
 	SettlingTime time.Duration `cbor:"7,keyasint,omitempty"`
 	// StoreUnreachable is set if the VM has tried to reach the store and failed.
 	StoreUnreachable bool `cbor:"8,keyasint,omitempty"`
+	// Admissions limit the requests for keys whose owners are overloaded.
+	Admissions []Admission `cbor:"9,keyasint,omitempty"`
+	// HasAdmissions says that Admissions are all limits; other heartbeats leave them out.
+	HasAdmissions bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Admission limits the requests for a range of keys under a fence to a share, in thousandths.
+type Admission struct {
+	Service  id.Service  `cbor:"1,keyasint"`
+	From     fleet.Key   `cbor:"2,keyasint"`
+	To       fleet.Key   `cbor:"3,keyasint"`
+	Fence    fleet.Fence `cbor:"4,keyasint"`
+	PerMille int         `cbor:"5,keyasint"`
 }
 
 // Grant identifies a range whose new owner has accepted the grant, by service and fence.
