--- a/edge/commands.go
+++ b/edge/commands.go
@@ -30,7 +30,16 @@
 	})
 	k.mu.Unlock()
 	for _, c := range commands {
-		k.edge.tasks.Go(ctx, func(ctx context.Context) { k.execute(ctx, c) })
+		k.edge.tasks.Go(ctx, func(ctx context.Context) {
+			defer func() {
+				if value := recover(); value != nil {
+					// The range would otherwise wait for this command for ever.
+					k.recordOutcome(c, ownership.Unanswered, "", false)
+					panic(value)
+				}
+			}()
+			k.execute(ctx, c)
+		})
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -116,13 +116,13 @@
 		bodies:          http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
 		poison:          poison.NewTracker(),
 		splitter:        newTrafficSplitter(),
-		tasks:           task.NewSet(),
 		elector:         leader.NewElector(s.VM, o.Clock.Boot()),
 		retainedServers: map[id.Server]fleet.Server{},
 		resync:          make(chan struct{}, 1),
 		replan:          make(chan struct{}, 1),
 		updatesPending:  make(chan struct{}, 1),
 	}
+	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
 	e.store.Observe = e.metrics.observeStore
@@ -184,7 +184,7 @@
 // Run serves until the context ends, then drains the requests in flight.
 func (e *Edge) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "entry VM %s", e.settings.VM) }()
-	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since); err != nil {
+	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic)); err != nil {
 		return err
 	}
 	callers, err := net.Listen("tcp", e.settings.CallerAddress)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -22,6 +22,7 @@
 type metrics struct {
 	edge         *Edge
 	lostMessages atomic.Int64
+	panics       atomic.Int64
 	store        *expvar.Map
 	requests     *expvar.Map
 	attempts     *expvar.Map
@@ -97,6 +98,12 @@
 	}
 }
 
+// observePanic counts and logs a panic in the handling of one message or in one task.
+func (e *Edge) observePanic(value any, stack []byte) {
+	e.metrics.panics.Add(1)
+	e.log.Error("a panic ended the handling of one message or task", "value", fmt.Sprint(value), "stack", string(stack))
+}
+
 // observeEjection counts and logs the ejection of a backend server.
 func (e *Edge) observeEjection(server id.Server, share float64, duration time.Duration) {
 	e.metrics.attempts.Add("ejected", 1)
@@ -132,7 +139,7 @@
 	out := map[string]any{
 		"Requests": json.RawMessage(m.requests.String()), "Sendings": json.RawMessage(m.attempts.String()), "Store": json.RawMessage(m.store.String()),
 		"InFlight": e.handler.InFlight(), "Position": s.Position, "Configuration": version, "NewsAgeMs": e.storeStaleness().Milliseconds(),
-		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(),
+		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()),
 	}
--- a/state/task/task.go
+++ b/state/task/task.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 )
 
@@ -16,13 +17,25 @@
 type Set struct {
 	mu      sync.Mutex
 	running int
+	onPanic func(value any, stack []byte)
 	// idle is closed, and replaced, whenever the number of running goroutines falls to 0.
 	idle chan struct{}
 }
 
+// Option sets an option of a Set.
+type Option func(*Set)
+
+// WithOnPanic sets the function that is called with the value and the stack of a panic, which then ends only its goroutine. Without it a
+// panic ends the process.
+func WithOnPanic(f func(value any, stack []byte)) Option { return func(s *Set) { s.onPanic = f } }
+
 // NewSet returns an empty Set.
-func NewSet() *Set {
-	return &Set{idle: make(chan struct{})}
+func NewSet(opts ...Option) *Set {
+	s := &Set{idle: make(chan struct{})}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Go runs f in a goroutine. f must return soon after the context is done.
@@ -32,6 +45,13 @@
 	s.mu.Unlock()
 	go func() {
 		defer s.done()
+		if s.onPanic != nil {
+			defer func() {
+				if value := recover(); value != nil {
+					s.onPanic(value, debug.Stack())
+				}
+			}()
+		}
 		f(ctx)
 	}()
 }
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -144,11 +145,19 @@
 	sent      atomic.Int64
 	// fragmented is the number of messages that were sent in fragments.
 	fragmented atomic.Uint64
+	onPanic    func(value any, stack []byte)
 }
 
+// Option sets an option of a Socket.
+type Option func(*Socket)
+
+// WithOnPanic sets the function that is called with the value and the stack of a panic while a message is handled. The panic ends only the
+// handling of that message; without the function it ends the process.
+func WithOnPanic(f func(value any, stack []byte)) Option { return func(s *Socket) { s.onPanic = f } }
+
 // Listen opens the address for datagrams by UDP, and by TCP for VMs that fetch missed updates. since returns the store's
 // changes after a revision.
-func Listen(address string, since func(after id.Revision) fleet.Update) (s *Socket, err error) {
+func Listen(address string, since func(after id.Revision) fleet.Update, opts ...Option) (s *Socket, err error) {
 	defer func() { err = errors.Wrapf(err, "listen for other VMs at %s", address) }()
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -158,6 +167,9 @@
 		Timeout:   fetchTimeout,
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 	}}
+	for _, opt := range opts {
+		opt(s)
+	}
 	if s.datagrams, err = net.ListenUDP("udp", udp); err != nil {
 		return nil, err
 	}
@@ -206,9 +218,21 @@
 			// The error reports an earlier datagram that could not be delivered; the socket remains usable.
 			continue
 		}
-		if m, ok := decode(buffer[:n], fragments); ok {
-			receive(m)
-		}
+		s.handle(buffer[:n], fragments, receive)
+	}
+}
+
+// handle decodes a datagram and calls receive if it completes a message.
+func (s *Socket) handle(data []byte, fragments *assembler, receive func(Message)) {
+	if s.onPanic != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				s.onPanic(value, debug.Stack())
+			}
+		}()
+	}
+	if m, ok := decode(data, fragments); ok {
+		receive(m)
 	}
 }
 
@@ -339,3 +363,6 @@
 	}
 	_, _ = w.Write(data)
 }
+
+// Address returns the address for datagrams.
+func (s *Socket) Address() string { return s.datagrams.LocalAddr().String() }
