Leave a failure domain whose backend servers refuse connections

The VMs there refused 1,933 requests in 3 s after four attempts at near servers, within 7 ms, while the others had free slots. Change: after two refused connections in a failure domain the request's next attempts avoid it.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -93,15 +93,19 @@
 // maxInformedVMs is the number of VMs up to which each of them hears in time of the requests of all others.
 const maxInformedVMs = 16
 
-// tiers returns the eligible backend servers: those that this VM's group prefers, the others of its failure domain, and all others.
-func (d *Dispatcher) tiers(now clock.Instant, s *service, demand Demand) (out [3]tier) {
+// tiers returns the eligible backend servers: those that this VM's group prefers, the others of its failure domain, all others, and those
+// of the failure domain to avoid.
+func (d *Dispatcher) tiers(now clock.Instant, s *service, demand Demand) (out [4]tier) {
 	p := d.preference(s.name)
 	out[0].informed = p.exclusive
 	out[1].informed = p.exclusive && d.division.Groups() == 1
 	out[2].informed = len(d.snapshot.Peers) <= maxInformedVMs
+	out[3].informed = out[2].informed
 	for c := range d.eligible(now, s, demand) {
 		i := 2
 		switch {
+		case c.Domain == demand.AvoidDomain:
+			i = 3
 		case p.servers[c.Incarnation.Server]:
 			i = 0
 		case c.Domain == d.domain:
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -45,6 +45,8 @@
 	Objective clock.Instant
 	// Avoid holds the backend servers that were already tried.
 	Avoid []id.Server
+	// AvoidDomain is a failure domain whose backend servers are used only if there are no others, or empty.
+	AvoidDomain id.Domain
 	// Retry says that the request was sent before, so that it is queued ahead of first attempts.
 	Retry bool
 }
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -101,6 +101,9 @@
 const (
 	// maxRejections limits the attempts of one request that backend servers reject or don't receive.
 	maxRejections = 4
+	// maxUnreachableOfDomain is the number of backend servers of a failure domain that must refuse a request's connection before the
+	// request avoids the failure domain.
+	maxUnreachableOfDomain = 2
 	// minAttemptTimeout is the minimum time to the deadline for another attempt.
 	minAttemptTimeout = 20 * time.Millisecond
 	// misplacedDelay is the delay before the next attempt at a key that is being moved.
@@ -132,6 +135,10 @@
 	// possibleRuns counts the attempts that a backend server may have run.
 	possibleRuns int
 	rejections   int
+	// unreachable counts the backend servers that refused the connection, by failure domain, and avoidDomain is the one that has more
+	// than a few of them.
+	unreachable map[id.Domain]int
+	avoidDomain id.Domain
 	// received counts the attempts that a backend server may have received; further ones use the retry budget.
 	received  int
 	attempts  int
@@ -180,7 +187,7 @@
 	r := s.request
 	return dispatch.Demand{
 		Service: r.Service, Priority: r.Route.Priority, Keyed: r.Keyed, Key: r.Key, Arrived: r.Arrived,
-		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, Retry: s.attempts > 0,
+		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, AvoidDomain: s.avoidDomain, Retry: s.attempts > 0,
 	}
 }
 
@@ -249,6 +256,7 @@
 	if !failure.Sent {
 		if failure.Refused {
 			f.recordCrash(server)
+			s.recordUnreachable(slot.Server.Domain)
 		}
 		result := dispatch.Unreachable
 		if failure.AtConnectionLimit {
@@ -297,6 +305,17 @@
 		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.refusePoisonous(r) == nil
 }
 
+// recordUnreachable counts a backend server that refused the connection. After some of a failure domain, the next attempts avoid it:
+// all of its backend servers may be down.
+func (s *requestState) recordUnreachable(domain id.Domain) {
+	if s.unreachable == nil {
+		s.unreachable = map[id.Domain]int{}
+	}
+	if s.unreachable[domain]++; s.unreachable[domain] >= maxUnreachableOfDomain {
+		s.avoidDomain = domain
+	}
+}
+
 // sleep waits for d and reports false if ctx ended first.
 func (f *Forwarder) sleep(ctx context.Context, d time.Duration) bool {
 	select {
