--- a/coordination/dispatch/fleet_test.go
+++ b/coordination/dispatch/fleet_test.go
@@ -31,13 +31,18 @@
 	noisePeriod   = 400 * time.Millisecond
 	noiseShare    = 0.2
 	noiseSlowdown = 3.0
+	slowFactor    = 12.0
+	slowFrom      = 4 * time.Second
+	slowTo        = 12 * time.Second
 	// noiseFactor is the mean slowdown by noise.
 	noiseFactor = 1 + noiseShare*(noiseSlowdown-1)
 )
 
 // fleetServer simulates a backend server with slots, a bounded queue and a noisy machine.
 type fleetServer struct {
-	speed   float64
+	speed float64
+	// hidden is a factor of the service time that the server doesn't report; 0 means 1.
+	hidden  float64
 	noisy   bool
 	running int
 	waiting []chan struct{}
@@ -56,6 +61,8 @@
 	// hot is the rate of requests for a key of the first server, as a multiple of that server's capacity. If it is set, all requests are for
 	// keys, of which each server owns the same number.
 	hot float64
+	// slow is the share of the servers whose work takes slowFactor times as long from slowFrom to slowTo, without their reports telling so.
+	slow float64
 	// oracle chooses with exact knowledge of all backend servers, as a bound for any policy.
 	oracle bool
 }
@@ -108,6 +115,23 @@
 	}
 }
 
+// slowDown makes a share of the servers slow for some time.
+func (p *player) slowDown() {
+	set := func(factor float64) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for i, name := range p.names {
+			if float64(i%10) < 10*p.load.slow {
+				p.servers[name].hidden = factor
+			}
+		}
+	}
+	time.Sleep(slowFrom)
+	set(slowFactor)
+	time.Sleep(slowTo - slowFrom)
+	set(0)
+}
+
 // report returns a server's load report.
 func (s *fleetServer) report() dispatch.Report {
 	return dispatch.Report{Known: true, Running: s.running, Waiting: len(s.waiting), Slots: slots, Slowdown: int(100 * s.slowdown())}
@@ -154,7 +178,7 @@
 			break
 		}
 		p.mu.Lock()
-		left -= float64(step) / s.slowdown()
+		left -= float64(step) / s.slowdown() / max(1, s.hidden)
 		p.mu.Unlock()
 	}
 	p.mu.Lock()
@@ -182,7 +206,7 @@
 	for _, name := range p.names {
 		s := p.servers[name]
 		queued := max(0, s.running+len(s.waiting)-slots+1)
-		latency := s.speed * (1 + float64(queued)/slots)
+		latency := s.speed * max(1, s.hidden) * (1 + float64(queued)/slots)
 		if len(s.waiting) < fleetQueue && latency < lowest {
 			best, lowest = s, latency
 		}
@@ -326,6 +350,9 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
 		group.Go(func() { p.noise(ctx) })
+		if l.slow > 0 {
+			group.Go(p.slowDown)
+		}
 		if l.hot > 0 {
 			group.Go(func() { p.limitHotKey(ctx, tables[service]) })
 		}
@@ -377,14 +404,16 @@
 func TestFleetLoads(t *testing.T) {
 	const period = 64 * time.Millisecond
 	tests := map[string]fleetLoad{
-		"a small fleet at 70 %":   {vms: 4, servers: 4, utilization: 0.7, uneven: 2, period: 40 * time.Millisecond},
-		"59 VMs at 70 %":          {vms: 59, servers: 30, utilization: 0.7, uneven: 2, period: period},
-		"59 VMs at 85 %":          {vms: 59, servers: 30, utilization: 0.85, uneven: 2, period: period},
-		"59 uneven VMs at 70 %":   {vms: 59, servers: 30, utilization: 0.7, uneven: 6, period: period},
-		"59 VMs, 9 servers, 70 %": {vms: 59, servers: 9, utilization: 0.7, uneven: 2, period: period},
-		"19 VMs at 80 %":          {vms: 19, servers: 18, utilization: 0.8, uneven: 2, period: period},
-		"59 VMs at 120 %":         {vms: 59, servers: 30, utilization: 1.2, uneven: 2, period: period},
-		"59 VMs at 170 %":         {vms: 59, servers: 30, utilization: 1.7, uneven: 2, period: period},
+		"a small fleet at 70 %":             {vms: 4, servers: 4, utilization: 0.7, uneven: 2, period: 40 * time.Millisecond},
+		"59 VMs at 70 %":                    {vms: 59, servers: 30, utilization: 0.7, uneven: 2, period: period},
+		"59 VMs at 85 %":                    {vms: 59, servers: 30, utilization: 0.85, uneven: 2, period: period},
+		"59 uneven VMs at 70 %":             {vms: 59, servers: 30, utilization: 0.7, uneven: 6, period: period},
+		"59 VMs, 9 servers, 70 %":           {vms: 59, servers: 9, utilization: 0.7, uneven: 2, period: period},
+		"19 VMs at 80 %":                    {vms: 19, servers: 18, utilization: 0.8, uneven: 2, period: period},
+		"8 VMs, two in five secretly slow":  {vms: 4, servers: 10, utilization: 0.45, uneven: 2, period: 40 * time.Millisecond, slow: 0.4},
+		"59 VMs, two in five secretly slow": {vms: 59, servers: 30, utilization: 0.45, uneven: 2, period: period, slow: 0.4},
+		"59 VMs at 120 %":                   {vms: 59, servers: 30, utilization: 1.2, uneven: 2, period: period},
+		"59 VMs at 170 %":                   {vms: 59, servers: 30, utilization: 1.7, uneven: 2, period: period},
 	}
 	for name, load := range tests {
 		t.Run(name, func(t *testing.T) {
