Keep the registrations of VMs that are just starting

Cause: a VM that has registered but not sent its first heartbeat counted as silent for as long as the leader leads.

--- a/edge/registration.go
+++ b/edge/registration.go
@@ -6,6 +6,7 @@
 
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // isRegistered reports whether this VM has registered and its registration wasn't removed since.
@@ -64,6 +65,7 @@
 // more than this. A VM whose registration was removed although it runs registers
 // again.
 func (e *Edge) removeLostRegistrations(ctx context.Context) error {
+	var silent map[id.VM]bool
 	for {
 		select {
 		case <-e.clock.After(registrationCheckPeriod):
@@ -72,9 +74,11 @@
 		}
 		s := e.snapshot.Load()
 		if s.Leader == nil || s.Leader.VM != e.settings.VM || !e.leads() {
+			silent = nil
 			continue
 		}
-		lost := e.lostPeers(s)
+		var lost []string
+		lost, silent = e.lostPeers(s, silent)
 		if len(lost) == 0 {
 			continue
 		}
@@ -89,15 +93,21 @@
 	}
 }
 
-// lostPeers returns the store keys of the VMs that were not heard of for registrationTTL, at most maxRemovedRegistrations.
-func (e *Edge) lostPeers(s *fleet.Snapshot) (keys []string) {
+// lostPeers returns the VMs that were not heard of for registrationTTL, and the store keys of those that were silent at the check before,
+// too, at most maxRemovedRegistrations. A VM that has just registered may not have sent its first heartbeat yet.
+func (e *Edge) lostPeers(s *fleet.Snapshot, before map[id.VM]bool) (keys []string, silent map[id.VM]bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Boot()
+	silent = map[id.VM]bool{}
 	for vm := range s.Peers {
-		if vm != e.settings.VM && e.elector.SilentFor(now, vm) >= registrationTTL && len(keys) < maxRemovedRegistrations {
+		if vm == e.settings.VM || e.elector.SilentFor(now, vm) < registrationTTL {
+			continue
+		}
+		silent[vm] = true
+		if before[vm] && len(keys) < maxRemovedRegistrations {
 			keys = append(keys, platform.KeyPeer(vm))
 		}
 	}
-	return keys
+	return keys, silent
 }
