Plan by the paces of owners of keys that all VMs hear of

Cause: since reports go to a group only, the leader of a large fleet knows the machine of an owner of keys by one answer in half a minute: all capacities were the same to the planner, though machines differ by a factor of two. Change: VMs send the paces that owners of keys told them with the counts of keys; the leader averages them.

--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -172,6 +172,34 @@
 	return out
 }
 
+// Pace is the service time on the machine of a backend server that owns keys, in percent of the usual one, at its last report to this VM.
+type Pace struct {
+	Server   id.Server
+	Slowdown int
+}
+
+// Paces returns the paces of the owners of keys that reported to this VM since a time.
+//
+// Each VM of a large fleet hears of an owner of keys every half minute, so only
+// the reports to all VMs together tell how fast it is.
+func (d *Dispatcher) Paces(since clock.Instant) (out []Pace) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, c := range d.servers {
+		if c.slowdown > 0 && c.ownReportedAt >= since && d.snapshot.Tables[c.Service] != nil {
+			out = append(out, Pace{Server: name, Slowdown: int(c.slowdown)})
+		}
+	}
+	return out
+}
+
+// ServiceTime returns the average service time of a service's requests at a pace of 100 %.
+func (d *Dispatcher) ServiceTime(name id.Service) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.service(name).serviceTime
+}
+
 // ServerState is a VM's view of a backend server, for rebalancing and metrics.
 type ServerState struct {
 	Incarnation        fleet.Incarnation
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -228,6 +228,7 @@
 	for _, k := range m.Keys {
 		e.keys.addLoad(k.Service, k.Key, k.Count)
 	}
+	e.keys.addPaces(m.Paces)
 	for _, d := range m.CrashReports {
 		e.poison.MergeCrashes(e.clock.Boot(), poison.Fingerprint(d.Fingerprint), d.Crashes)
 	}
@@ -398,8 +399,9 @@
 
 // reportKeyLoads sends the request counts per key to the leader.
 func (e *Edge) reportKeyLoads(now clock.Instant) {
-	counts := e.dispatcher.KeyLoads()
-	if len(counts) == 0 {
+	counts, paces := e.dispatcher.KeyLoads(), e.dispatcher.Paces(e.pacesSentAt)
+	e.pacesSentAt = now
+	if len(counts) == 0 && len(paces) == 0 {
 		return
 	}
 	e.mu.Lock()
@@ -416,9 +418,14 @@
 		}
 		m.Keys = append(m.Keys, gossip.KeyCount{Service: c.Service, Key: c.Key, Count: c.Count})
 	}
-	if vm != e.settings.VM {
-		e.sendToVM(vm, m)
+	for _, p := range paces[:min(len(paces), maxKeysPerMessage)] {
+		m.Paces = append(m.Paces, gossip.Pace{Server: p.Server, Slowdown: p.Slowdown})
 	}
+	if vm == e.settings.VM {
+		e.keys.addPaces(m.Paces)
+		return
+	}
+	e.sendToVM(vm, m)
 }
 
 // reportCrash warns the other VMs of a request that was in flight when backend servers crashed.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,6 +88,8 @@
 	retainedServers map[id.Server]fleet.Server
 
 	snapshot atomic.Pointer[fleet.Snapshot]
+	// pacesSentAt is when the paces of owners of keys were last sent to the leader; only the component "load" uses it.
+	pacesSentAt clock.Instant
 	// leaving is set when the graceful shutdown begins, and resigned once this VM has also given up the leadership.
 	leaving  atomic.Bool
 	resigned atomic.Bool
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 
 // Periods and limits of key ownership.
 const (
+	// paceWeight is the weight of a report in the average pace of a backend server, which gets some ten reports per second. Neighbours on
+	// its machine make it three times slower for less than a second, which must not move keys.
+	paceWeight     = 0.06
 	keyManagerTick = 50 * time.Millisecond
 	// rebalancePeriod is the time between two plans that move keys to balance the load.
 	rebalancePeriod = 500 * time.Millisecond
@@ -59,6 +63,8 @@
 	// admissions limit the requests for keys whose owners are overloaded.
 	admissions map[id.Service][]ownership.Admission
 	limitedAt  map[id.Service]clock.Instant
+	// paces are the average slowdowns of owners of keys, in percent, as all VMs report them.
+	paces map[id.Server]float64
 	// lastAppearedAt is when a previously unknown backend server last appeared.
 	lastAppearedAt clock.Instant
 }
@@ -75,6 +81,9 @@
 	defer k.mu.Unlock()
 	k.granter, k.leadingSince, k.newGrants = ownership.NewGranter(now), now, nil
 	k.rebalancedAt, k.tableChangedAt = map[id.Service]clock.Instant{}, map[id.Service]clock.Instant{}
+	if k.paces == nil {
+		k.paces = map[id.Server]float64{}
+	}
 	if k.load == nil {
 		k.load = map[id.Service]*keyload.Meter{}
 	}
@@ -99,6 +108,29 @@
 	meter.Add(key, n)
 }
 
+// addPaces adds reported slowdowns to the averages of known backend servers.
+func (k *keyManager) addPaces(paces []gossip.Pace) {
+	servers := k.edge.snapshot.Load().Servers
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range paces {
+		if _, known := servers[p.Server]; !known || p.Slowdown <= 0 {
+			continue
+		}
+		average, ok := k.paces[p.Server]
+		if !ok {
+			average = float64(p.Slowdown)
+		}
+		k.paces[p.Server] = average + paceWeight*(float64(p.Slowdown)-average)
+	}
+	if len(k.paces) > 2*len(servers) {
+		maps.DeleteFunc(k.paces, func(server id.Server, _ float64) bool {
+			_, known := servers[server]
+			return !known
+		})
+	}
+}
+
 // run plans key ownership and makes the due calls until the context ends.
 func (k *keyManager) run(ctx context.Context) error {
 	for {
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -75,6 +75,8 @@
 	// minServiceTimeDivisor and maxServiceTimeFactor limit a backend server's assumed service time relative to the median.
 	minServiceTimeDivisor = 2
 	maxServiceTimeFactor  = 16
+	// normalPace is the pace of a backend server on a usual machine, in percent.
+	normalPace = 100
 	// defaultServiceTime is used while no service time is known.
 	defaultServiceTime = 100 * time.Millisecond
 )
@@ -96,6 +98,12 @@
 			cold[st.Incarnation.Server], serviceTimes[st.Incarnation.Server] = st.Cold, st.ServiceTime
 		}
 	}
+	normal := k.edge.dispatcher.ServiceTime(name)
+	for _, n := range s.ByService[name] {
+		if pace, ok := k.paces[n]; ok {
+			serviceTimes[n] = time.Duration(float64(normal) * pace / normalPace)
+		}
+	}
 	median := medianServiceTime(serviceTimes)
 	for _, n := range s.ByService[name] {
 		server := s.Servers[n]
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -42,6 +42,8 @@
 	CrashReports []CrashReport `cbor:"8,keyasint,omitempty"`
 	// Relay asks the receiver to forward the message within its failure domain.
 	Relay bool `cbor:"9,keyasint,omitempty"`
+	// Paces are the paces of owners of keys, for the leader.
+	Paces []Pace `cbor:"11,keyasint,omitempty"`
 	// Fragment is a part of a longer message; the other parts of this one are omitted.
 	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
 }
@@ -114,6 +116,12 @@
 	Count   int        `cbor:"3,keyasint"`
 }
 
+// Pace is the service time on the machine of a backend server, in percent of the usual one.
+type Pace struct {
+	Server   id.Server `cbor:"1,keyasint"`
+	Slowdown int       `cbor:"2,keyasint"`
+}
+
 // CrashReport reports a request that was in flight when backend servers crashed, and how many crashes there were.
 type CrashReport struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
