--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -51,6 +51,8 @@
 	// mergeRangesPerServer is the number of ranges per backend server above which ranges are joined, since each of them is
 	// renewed by a call of its own.
 	mergeRangesPerServer = 1.5
+	// urgentMergeRangesPerServer is the number from which they are merged without waiting for a plan for balance.
+	urgentMergeRangesPerServer = 4
 	// maxJoinedKeys is the number of keys up to which a range is moved to the owner of an adjacent one to be joined with it.
 	maxJoinedKeys = 32
 	// maxJoinedUtilization is the load of such a range up to which it is moved, as a share of a backend server's capacity.
@@ -83,7 +85,7 @@
 //
 // A nil load means that no keys are moved for balance.
 func Plan(service id.Service, t *fleet.Table, candidates []Candidate, load Load) (next *fleet.Table, changed bool) {
-	if load == nil && t != nil && !needsRepair(t, candidates) && !hasAdjacentRanges(t) {
+	if load == nil && t != nil && !needsRepair(t, candidates) && !needsMerge(t, candidates) {
 		return t, false
 	}
 	p := newPlanner(service, t, candidates, load)
@@ -117,8 +119,12 @@
 	return next != fleet.KeyCount
 }
 
-// hasAdjacentRanges reports whether two ranges could be merged.
-func hasAdjacentRanges(t *fleet.Table) bool {
+// needsMerge reports whether ranges have to be merged before the next plan for balance. Each plan that changes the table costs a write to
+// the store.
+func needsMerge(t *fleet.Table, candidates []Candidate) bool {
+	if len(t.Ranges) <= urgentMergeRangesPerServer*len(candidates) {
+		return false
+	}
 	for i := 1; i < len(t.Ranges); i++ {
 		if isMergeable(t.Ranges[i-1], t.Ranges[i]) {
 			return true
