--- /dev/null
+++ b/transport/gossip/message.go
@@ -0,0 +1,107 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+// Message is the content of one datagram; parts that are nil are omitted.
+type Message struct {
+	From        id.VM          `cbor:"1,keyasint"`
+	Incarnation id.Incarnation `cbor:"2,keyasint"`
+	Domain      id.Domain      `cbor:"3,keyasint"`
+	Heartbeat   *Heartbeat     `cbor:"4,keyasint,omitempty"`
+	Update      *fleet.Update  `cbor:"5,keyasint,omitempty"`
+	Load        *Load          `cbor:"6,keyasint,omitempty"`
+	Keys        []KeyCount     `cbor:"7,keyasint,omitempty"`
+	// CrashReports are requests that were in flight when backend servers crashed.
+	CrashReports []CrashReport `cbor:"8,keyasint,omitempty"`
+	// Relay asks the receiver to forward the message within its failure domain.
+	Relay bool `cbor:"9,keyasint,omitempty"`
+	// Paces are the paces of owners of keys, for the leader.
+	Paces []Pace `cbor:"11,keyasint,omitempty"`
+	// Fragment is a part of a longer message; the other parts of this one are omitted.
+	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
+}
+
+// Heartbeat reports a VM's state, its replica of the store and whether it is the leader.
+type Heartbeat struct {
+	// Position is the store revision up to which the VM's mirror is complete.
+	Position id.Revision `cbor:"1,keyasint"`
+	// StoreStaleness is the time since the store last answered the VM or the leader.
+	StoreStaleness time.Duration `cbor:"2,keyasint"`
+	// Leading is set if the VM holds the leader record of Term.
+	Leading bool        `cbor:"3,keyasint,omitempty"`
+	Term    id.Revision `cbor:"4,keyasint,omitempty"`
+	// Leaving is set if the VM is shutting down and has given up the leadership.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Granted lists the moving ranges whose grants were accepted by their new owners.
+	Granted []Grant `cbor:"6,keyasint,omitempty"`
+	// SettlingTime is how much longer removed entries of backend servers may reappear after an outage of the store.
+	SettlingTime time.Duration `cbor:"7,keyasint,omitempty"`
+	// StoreUnreachable is set if the VM has tried to reach the store and failed.
+	StoreUnreachable bool `cbor:"8,keyasint,omitempty"`
+	// Admissions limit the requests for keys whose owners are overloaded.
+	Admissions []Admission `cbor:"9,keyasint,omitempty"`
+	// HasAdmissions says that Admissions are all limits; other heartbeats leave them out.
+	HasAdmissions bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Admission limits the requests for a range of keys under a fence to a share, in thousandths.
+type Admission struct {
+	Service  id.Service  `cbor:"1,keyasint"`
+	From     fleet.Key   `cbor:"2,keyasint"`
+	To       fleet.Key   `cbor:"3,keyasint"`
+	Fence    fleet.Fence `cbor:"4,keyasint"`
+	PerMille int         `cbor:"5,keyasint"`
+}
+
+// Grant identifies a range whose new owner has accepted the grant, by service and fence.
+type Grant struct {
+	Service id.Service  `cbor:"1,keyasint"`
+	Fence   fleet.Fence `cbor:"2,keyasint"`
+}
+
+// Load is the load of backend servers as observed by one VM.
+type Load struct {
+	Servers []ServerLoad `cbor:"1,keyasint"`
+}
+
+// ServerLoad is the load of one backend server as observed by one VM. InFlight counts the VM's own requests at it.
+type ServerLoad struct {
+	Server   id.Server `cbor:"1,keyasint"`
+	InFlight int       `cbor:"2,keyasint"`
+	// ServiceTime is the average service time of a request, in milliseconds; 0 means unknown.
+	ServiceTime int `cbor:"3,keyasint,omitempty"`
+	// Reported is the number of requests in the backend server's last load report, and ReportAge the age of that report,
+	// in milliseconds.
+	Reported  int `cbor:"4,keyasint,omitempty"`
+	ReportAge int `cbor:"5,keyasint,omitempty"`
+	// Slowdown is the service time on the backend server's machine, in percent of the usual one; 0 means unknown.
+	Slowdown int `cbor:"7,keyasint,omitempty"`
+	// HasReport is set if Reported is known.
+	HasReport bool `cbor:"6,keyasint,omitempty"`
+	// EjectedFor is how much longer the backend server is ejected because of failures, in milliseconds.
+	EjectedFor int `cbor:"8,keyasint,omitempty"`
+}
+
+// KeyCount is the number of requests for a key since the preceding message.
+type KeyCount struct {
+	Service id.Service `cbor:"1,keyasint"`
+	Key     fleet.Key  `cbor:"2,keyasint"`
+	Count   int        `cbor:"3,keyasint"`
+}
+
+// Pace is the service time on the machine of a backend server, in percent of the usual one.
+type Pace struct {
+	Server   id.Server `cbor:"1,keyasint"`
+	Slowdown int       `cbor:"2,keyasint"`
+}
+
+// CrashReport reports a request that was in flight when backend servers crashed, and how many crashes there were.
+type CrashReport struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	Crashes     int    `cbor:"2,keyasint"`
+}
