--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"slices"
 	"time"
 
@@ -37,13 +36,13 @@
 	if demand.Keyed {
 		return d.chooseOwner(now, s, demand)
 	}
-	tiers := d.tiers(now, s, demand)
+	p := d.preference(s.name)
 	var chosen candidate
-	for i, t := range tiers {
-		if i > 0 && !t.informed && s.outside.value(now) >= d.maxOutsideLoad(now, s.name) {
+	for i := range tierCount {
+		if i > 0 && !p.informed[i] && s.outside.value(now) >= d.maxOutsideLoad(now, p) {
 			continue
 		}
-		c := d.chooseFrom(now, s, t)
+		c := d.chooseFrom(now, s, tier{servers: d.eligible(now, p, i, demand), informed: p.informed[i]})
 		switch {
 		case c.server == nil:
 			continue
@@ -51,8 +50,7 @@
 			chosen = c
 		}
 		// The next tiers cost more: they are farther away, or this VM knows less of their load.
-		fastEnough := time.Duration(localObjectiveShare * float64(demand.Objective.Sub(now)))
-		if i < len(tiers)-1 && chosen.score < fastEnough {
+		if chosen.score < time.Duration(localObjectiveShare*float64(demand.Objective.Sub(now))) {
 			break
 		}
 	}
@@ -73,9 +71,9 @@
 )
 
 // maxOutsideLoad returns the average load from which backend servers of which this VM is not informed get no requests.
-func (d *Dispatcher) maxOutsideLoad(now clock.Instant, name id.Service) float64 {
-	for n := range d.preference(name).servers {
-		if c := d.servers[n]; c != nil && d.isAvailable(now, c) && !c.isEjected(now) {
+func (d *Dispatcher) maxOutsideLoad(now clock.Instant, p *preference) float64 {
+	for _, c := range p.tiers[0] {
+		if d.isAvailable(now, c) && !c.isEjected(now) {
 			return maxOutsideLoad
 		}
 	}
@@ -90,32 +88,20 @@
 	informed bool
 }
 
+// Tiers of the backend servers of a service, in the order in which they are tried.
+const (
+	// preferredTier holds those that this VM's group prefers, nearTier the others of its failure domain, and farTier all others.
+	preferredTier = iota
+	nearTier
+	farTier
+	// avoidedTier holds those of the failure domain that a request avoids, out of the other tiers.
+	avoidedTier
+	tierCount
+)
+
 // maxInformedVMs is the number of VMs up to which each of them hears in time of the requests of all others.
 const maxInformedVMs = 16
 
-// tiers returns the eligible backend servers: those that this VM's group prefers, the others of its failure domain, all others, and those
-// of the failure domain to avoid.
-func (d *Dispatcher) tiers(now clock.Instant, s *service, demand Demand) (out [4]tier) {
-	p := d.preference(s.name)
-	out[0].informed = p.exclusive
-	out[1].informed = p.exclusive && d.division.Groups() == 1
-	out[2].informed = len(d.snapshot.Peers) <= maxInformedVMs
-	out[3].informed = out[2].informed
-	for c := range d.eligible(now, s, demand) {
-		i := 2
-		switch {
-		case c.Domain == demand.AvoidDomain:
-			i = 3
-		case p.servers[c.Incarnation.Server]:
-			i = 0
-		case c.Domain == d.domain:
-			i = 1
-		}
-		out[i].servers = append(out[i].servers, c)
-	}
-	return out
-}
-
 // sampleSize is the number of backend servers drawn at random from a tier of which this VM is not informed.
 const sampleSize = 2
 
@@ -146,22 +132,51 @@
 	outside bool
 }
 
-// preference holds the backend servers of a service that this VM prefers.
+// preference is the order in which this VM tries the backend servers of a service, as long as the snapshot's backend servers and VMs stay
+// the same.
 type preference struct {
-	servers map[id.Server]bool
-	// exclusive says that only this VM's neighbours prefer them, too.
-	exclusive bool
+	// tiers holds the backend servers of all tiers but avoidedTier.
+	tiers [avoidedTier][]*server
+	// informed says for each tier that this VM hears of the requests of the other VMs that send there.
+	informed [tierCount]bool
+}
+
+// all yields the backend servers of all tiers.
+func (p *preference) all(yield func(c *server) bool) {
+	for _, servers := range p.tiers {
+		for _, c := range servers {
+			if !yield(c) {
+				return
+			}
+		}
+	}
 }
 
+// prefers reports whether this VM's group prefers a backend server.
+func (p *preference) prefers(c *server) bool { return slices.Contains(p.tiers[preferredTier], c) }
+
 // preference returns the preference for a service in the current snapshot.
 func (d *Dispatcher) preference(name id.Service) *preference {
 	if p, ok := d.preferences[name]; ok {
 		return p
 	}
-	servers, exclusive := d.division.Servers(d.vm, d.localServers(name))
-	p := &preference{servers: make(map[id.Server]bool, len(servers)), exclusive: exclusive}
-	for _, n := range servers {
-		p.servers[n] = true
+	preferred, exclusive := d.division.Servers(d.vm, d.localServers(name))
+	p := &preference{}
+	p.informed[preferredTier] = exclusive
+	p.informed[nearTier] = exclusive && d.division.Groups() == 1
+	p.informed[farTier] = len(d.snapshot.Peers) <= maxInformedVMs
+	p.informed[avoidedTier] = p.informed[farTier]
+	for _, n := range d.snapshot.ByService[name] {
+		c := d.servers[n]
+		switch {
+		case c == nil:
+		case c.Domain != d.domain:
+			p.tiers[farTier] = append(p.tiers[farTier], c)
+		case slices.Contains(preferred, n):
+			p.tiers[preferredTier] = append(p.tiers[preferredTier], c)
+		default:
+			p.tiers[nearTier] = append(p.tiers[nearTier], c)
+		}
 	}
 	d.preferences[name] = p
 	return p
@@ -191,42 +206,47 @@
 	return d.division.Neighbours(d.vm)
 }
 
-// eligible yields the backend servers that a request may be sent to now.
-func (d *Dispatcher) eligible(now clock.Instant, s *service, demand Demand) iter.Seq[*server] {
+// eligible returns the backend servers of a tier that a request may be sent to now.
+func (d *Dispatcher) eligible(now clock.Instant, p *preference, tier int, demand Demand) (out []*server) {
 	extra := maxQueuedPerServer
 	if demand.isLate(now) {
 		extra = -lateReservedSlots
 	}
-	skipEjected := d.hasFewEjected(now, s.name)
-	return func(yield func(*server) bool) {
-		for _, name := range d.snapshot.ByService[s.name] {
-			c := d.servers[name]
-			if c == nil || slices.Contains(demand.Avoid, name) || skipEjected && c.isEjected(now) || !d.hasCapacity(now, c, extra) {
-				continue
-			}
-			if !yield(c) {
-				return
-			}
+	skipEjected := hasFewEjected(now, p)
+	add := func(c *server) bool {
+		avoided := demand.AvoidDomain != "" && c.Domain == demand.AvoidDomain
+		if avoided == (tier == avoidedTier) && !slices.Contains(demand.Avoid, c.Incarnation.Server) && !(skipEjected && c.isEjected(now)) && d.hasCapacity(now, c, extra) {
+			out = append(out, c)
 		}
+		return true
 	}
+	switch {
+	case tier < avoidedTier:
+		for _, c := range p.tiers[tier] {
+			add(c)
+		}
+	case demand.AvoidDomain != "":
+		p.all(add)
+	}
+	return out
 }
 
 // hasFewEjected reports whether at most half of a service's backend servers are ejected. Otherwise ejections are ignored:
 // where most backend servers fail, none is a better choice than another.
-func (d *Dispatcher) hasFewEjected(now clock.Instant, name id.Service) bool {
-	ejected, all := d.countServers(name, func(c *server) bool { return c.isEjected(now) })
+func hasFewEjected(now clock.Instant, p *preference) bool {
+	ejected, all := countServers(p, func(c *server) bool { return c.isEjected(now) })
 	return 2*ejected <= all
 }
 
 // countServers returns the number of a service's backend servers that match, and the number of all.
-func (d *Dispatcher) countServers(name id.Service, matches func(c *server) bool) (matching, all int) {
-	names := d.snapshot.ByService[name]
-	for _, n := range names {
-		if c := d.servers[n]; c != nil && matches(c) {
+func countServers(p *preference, matches func(c *server) bool) (matching, all int) {
+	for c := range p.all {
+		all++
+		if matches(c) {
 			matching++
 		}
 	}
-	return matching, len(names)
+	return matching, all
 }
 
 // chooseOwner reserves a slot at the owner of a key.
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -138,9 +139,26 @@
 func (d *Dispatcher) Update(s *fleet.Snapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.options.Clock.Boot()
+	old := d.snapshot
 	d.snapshot = s
-	d.divide()
+	if !isSameMap(old.Servers, s.Servers) || !isSameMap(old.Peers, s.Peers) {
+		d.updateServers(s)
+		d.divide()
+	}
+	for name := range d.services {
+		d.wake(name)
+	}
+}
+
+// isSameMap reports whether two maps are the same one. Snapshots share the maps that a change of the store doesn't affect, and most
+// changes in a large fleet are those of key tables.
+func isSameMap[K comparable, V any](a, b map[K]V) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
+}
+
+// updateServers follows the backend servers of a snapshot.
+func (d *Dispatcher) updateServers(s *fleet.Snapshot) {
+	now := d.options.Clock.Boot()
 	for name, known := range d.servers {
 		if next, ok := s.Servers[name]; !ok || next.Incarnation != known.Incarnation {
 			delete(d.servers, name)
@@ -154,9 +172,6 @@
 		}
 		known.update(now, next)
 	}
-	for name := range d.services {
-		d.wake(name)
-	}
 }
 
 // divide derives the division of the failure domain from the snapshot.
--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -98,17 +98,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.options.Clock.Boot()
-	canShare := map[id.Service]bool{}
-	for name := range d.services {
-		canShare[name] = d.canShareEjections(now, name)
-	}
 	for name, c := range d.servers {
 		age := now.Sub(c.ownReportedAt)
 		ejected := max(0, c.ejectedUntil.Sub(now))
 		if c.inFlight == 0 && age >= reportTTL && ejected == 0 {
 			continue
 		}
-		if !canShare[c.Service] {
+		if ejected > 0 && !d.canShareEjections(now, c.Service) {
 			ejected = 0
 		}
 		if ejected == 0 && !d.isOfInterest(c) {
@@ -131,12 +127,12 @@
 	if d.division.Groups() == 1 {
 		return true
 	}
-	return d.snapshot.Tables[c.Service] == nil && d.preference(c.Service).servers[c.Incarnation.Server]
+	return d.snapshot.Tables[c.Service] == nil && d.preference(c.Service).prefers(c)
 }
 
 // canShareEjections reports whether this VM ejects few enough backend servers of a service to report the ejections to other VMs.
 func (d *Dispatcher) canShareEjections(now clock.Instant, name id.Service) bool {
-	ejected, all := d.countServers(name, func(c *server) bool { return now < c.ejectedUntil })
+	ejected, all := countServers(d.preference(name), func(c *server) bool { return now < c.ejectedUntil })
 	return ejected <= max(1, all/sharedEjectionDivisor)
 }
 
