--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -215,7 +215,7 @@
 	skipEjected := hasFewEjected(now, p)
 	add := func(c *server) bool {
 		avoided := demand.AvoidDomain != "" && c.Domain == demand.AvoidDomain
-		if avoided == (tier == avoidedTier) && !slices.Contains(demand.Avoid, c.Incarnation.Server) && !(skipEjected && c.isEjected(now)) && d.hasCapacity(now, c, extra) {
+		if avoided == (tier == avoidedTier) && !slices.Contains(demand.Avoid, c.Incarnation.Server) && (!skipEjected || !c.isEjected(now)) && d.hasCapacity(now, c, extra) {
 			out = append(out, c)
 		}
 		return true
