Sort VMs by strength in one place, drop an indirection

Cause: the read of the whole change: relay VMs and sources of a copy were sorted by two copies of one comparison; Division.members had one caller and one value of its parameter; tiers were compared with bare numbers. Change: sortByStrength serves both; Neighbours is one function; tiers go by name.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -39,7 +39,7 @@
 	p := d.preference(s.name)
 	var chosen candidate
 	for i := range tierCount {
-		if i > 0 && !p.informed[i] && s.outside.value(now) >= d.maxOutsideLoad(now, p) {
+		if i > preferredTier && !p.informed[i] && s.outside.value(now) >= d.maxOutsideLoad(now, p) {
 			continue
 		}
 		c := d.chooseFrom(now, s, tier{servers: d.eligible(now, p, i, demand), informed: p.informed[i]})
@@ -72,7 +72,7 @@
 
 // maxOutsideLoad returns the average load from which backend servers of which this VM is not informed get no requests.
 func (d *Dispatcher) maxOutsideLoad(now clock.Instant, p *preference) float64 {
-	for _, c := range p.tiers[0] {
+	for _, c := range p.tiers[preferredTier] {
 		if d.isAvailable(now, c) && !c.isEjected(now) {
 			return maxOutsideLoad
 		}
--- a/coordination/subset/subset.go
+++ b/coordination/subset/subset.go
@@ -55,18 +55,13 @@
 
 // Neighbours returns the other VMs in the group of a VM.
 func (d Division) Neighbours(vm id.VM) (out []id.VM) {
-	return d.members(vm, d.groups)
-}
-
-// members returns the other VMs in the group of a VM, out of the given number of groups.
-func (d Division) members(vm id.VM, groups int) (out []id.VM) {
 	at := slices.Index(d.order, vm)
 	if at < 0 {
 		return nil
 	}
-	group := groupOf(at, len(d.order), groups)
+	group := groupOf(at, len(d.order), d.groups)
 	for i, other := range d.order {
-		if other != vm && groupOf(i, len(d.order), groups) == group {
+		if other != vm && groupOf(i, len(d.order), d.groups) == group {
 			out = append(out, other)
 		}
 	}
--- a/edge/announce.go
+++ b/edge/announce.go
@@ -69,9 +69,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	slices.SortFunc(candidates, func(a, b fleet.Peer) int {
-		return cmp.Or(-cmp.Compare(a.Strength, b.Strength), cmp.Compare(a.VM, b.VM))
-	})
+	sortByStrength(candidates)
 	minStrength := minRelayStrength * candidates[0].Strength
 	firstWeak := slices.IndexFunc(candidates, func(p fleet.Peer) bool { return p.Strength < minStrength })
 	if firstWeak > 0 {
@@ -80,6 +78,13 @@
 	return candidates
 }
 
+// sortByStrength sorts VMs by strength, the strongest first.
+func sortByStrength(list []fleet.Peer) {
+	slices.SortFunc(list, func(a, b fleet.Peer) int {
+		return cmp.Or(-cmp.Compare(a.Strength, b.Strength), cmp.Compare(a.VM, b.VM))
+	})
+}
+
 // relayWithinDomain forwards an announcement from another failure domain to the VMs of this one.
 func (e *Edge) relayWithinDomain(m gossip.Message) {
 	m.Relay = false
--- a/edge/bootstrap.go
+++ b/edge/bootstrap.go
@@ -1,10 +1,8 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/hickorylug/hickorylug/platform"
@@ -96,8 +94,6 @@
 			}
 		}
 	}
-	slices.SortFunc(sources, func(a, b fleet.Peer) int {
-		return cmp.Or(-cmp.Compare(a.Strength, b.Strength), cmp.Compare(a.VM, b.VM))
-	})
+	sortByStrength(sources)
 	return sources[:min(len(sources), maxSources)]
 }
