Log and publish the request limits that backend servers name

Change: the header Server-Limit is read with each answer; a VM logs when a backend server's limit begins, changes or ends for it, and /debug/vars lists the limits in force (RequestLimits). Nothing acts on them yet.

--- a/coordination/dispatch/options.go
+++ b/coordination/dispatch/options.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -21,6 +22,9 @@
 	// OnEject is called for each backend server that this VM ejects, with the share of failures among its answers and the time of the
 	// ejection. It must not call the dispatcher.
 	OnEject func(server id.Server, share float64, duration time.Duration)
+	// OnRequestLimit is called when this VM learns that a backend server's request limit began, changed or ended, with the limit or 0. It
+	// must not call the dispatcher.
+	OnRequestLimit func(server id.Server, rate ratelimit.Rate)
 }
 
 // Option sets one of the Options.
@@ -45,10 +49,15 @@
 	return func(o *Options) { o.OnEject = f }
 }
 
+// WithOnRequestLimit sets the function that is called for each change of a backend server's request limit.
+func WithOnRequestLimit(f func(server id.Server, rate ratelimit.Rate)) Option {
+	return func(o *Options) { o.OnRequestLimit = f }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{
 		Clock: clock.System{}, Random: rand.Float64, Peers: func() int { return 1 }, WarmOverage: 1, WarmSlack: 0,
-		OnEject: func(id.Server, float64, time.Duration) {},
+		OnEject: func(id.Server, float64, time.Duration) {}, OnRequestLimit: func(id.Server, ratelimit.Rate) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 )
@@ -83,6 +84,8 @@
 	ejections int
 	// ejectedUntil is when an ejection by this VM ends, and peersEjectedUntil when those by other VMs end.
 	ejectedUntil, peersEjectedUntil clock.Instant
+	// requestLimit is the limit of requests of all VMs that it names in its answers.
+	requestLimit ratelimit.Limit
 	// answeredAt is when it last answered this VM without a failure.
 	answeredAt clock.Instant
 	// refusedAt is when it last refused a connection, or 0 if it has answered since.
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -36,6 +37,9 @@
 	// Slowdown is the current service time on its machine, in percent of the usual one; 0 means unknown.
 	Slowdown int
 	Known    bool
+	// RequestLimit is the number of requests per second that the backend server accepts from all VMs together, also if Known isn't set; 0
+	// means that it named no limit.
+	RequestLimit ratelimit.Rate
 }
 
 // Done releases the slot and records the result of the attempt. Further calls have no effect.
@@ -56,6 +60,7 @@
 	if ok && c.Incarnation == s.Server.Incarnation {
 		c.inFlight--
 		c.recordReport(now, report)
+		s.recordRequestLimit(now, c, result, report)
 		before := c.ejections
 		c.recordResult(now, result, report, time.Duration(float64(now.Sub(s.acquiredAt))/s.queueFactor))
 		if c.ejections > before {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/ownership"
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
 )
@@ -110,6 +111,11 @@
 	e.log.Warn("backend server is ejected: most of its answers are failures", "server", string(server), "share", share, "forMs", duration.Milliseconds())
 }
 
+// observeRequestLimit logs that a backend server's request limit began, changed or ended.
+func (e *Edge) observeRequestLimit(server id.Server, rate ratelimit.Rate) {
+	e.log.Info("backend server names a request limit", "server", string(server), "perSecond", float64(rate))
+}
+
 // server returns an HTTP server for the metrics as JSON.
 func (m *metrics) server() *http.Server {
 	mux := http.NewServeMux()
@@ -141,7 +147,7 @@
 		"InFlight": e.handler.InFlight(), "Position": s.Position, "Configuration": version, "NewsAgeMs": e.storeStaleness().Milliseconds(),
 		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
-		"Limits": limitCounts(e.dispatcher.Admissions()),
+		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/edge/send.go
+++ b/edge/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -39,7 +40,7 @@
 	meta := platform.ParseResponseHeader(resp.Status, resp.Header)
 	return &forward.Reply{
 		Answer:    forward.Answer{Status: resp.Status, Header: resp.Header, Body: body, Server: server.Server},
-		Report:    dispatch.Report{Known: meta.HasLoad, Running: meta.Running, Waiting: meta.Waiting, Slots: meta.Slots, Slowdown: meta.Slowdown},
+		Report:    dispatch.Report{Known: meta.HasLoad, Running: meta.Running, Waiting: meta.Waiting, Slots: meta.Slots, Slowdown: meta.Slowdown, RequestLimit: ratelimit.Rate(meta.RequestLimit)},
 		NotRun:    meta.NotRun,
 		Misplaced: meta.Misplaced,
 	}, nil
