Keep to the request limits that backend servers name, in sum

Cause: no VM acted on the limit. Each VM sends by itself, so a limit for all of them needs a division that holds without agreement. A few VMs, 3 and one more for each request per second, chosen by a hash that all compute, share the limit, each with a bucket of one token; the others send nothing. A VM that sees a limit begin, change or end announces it to all VMs; an observation holds for 10 s without a later one, and only for the process that named it. Requests for keys of a limited owner wait for a token or are refused at once; the planner counts the limit as the owner's capacity, so that its keys move away. Why it works: the sum is at most the limit and one request for each sender, whoever hears of it late, starts, stops or freezes; 1.5 times the limit and 5 requests are allowed in 4 s. The warm-up's choice of senders uses the same code.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -1,13 +1,12 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -289,7 +288,8 @@
 // hasCapacity reports whether a backend server may get one more request, with up to extra requests beyond its slots; a negative extra
 // leaves slots free.
 func (d *Dispatcher) hasCapacity(now clock.Instant, c *server, extra int) bool {
-	return d.isAvailable(now, c) && c.load(now) < c.Slots+extra && (!c.isCold(now) || d.allowsWarmup(now, c, c.Service))
+	return d.isAvailable(now, c) && c.load(now) < c.Slots+extra && (!c.isCold(now) || d.allowsWarmup(now, c, c.Service)) &&
+		d.requestLimitWait(now, c, 1) == 0
 }
 
 // isAvailable reports whether a backend server may get new requests.
@@ -310,6 +310,9 @@
 	expected, load, factor := c.expectedLatency(now, s.serviceTime), c.load(now), c.queueFactor(now)
 	c.inFlight++
 	c.sinceReport++
+	if c.limitBucket != nil {
+		c.limitBucket.Take(now)
+	}
 	if c.isCold(now) && c.warmupLimiter != nil {
 		c.warmupLimiter.AllowN(d.options.Clock.Now(), 1)
 	}
@@ -341,12 +344,9 @@
 // warmupShare returns this VM's share of the warm-up rate of a cold backend server, in requests per second; 0 means that it may send none.
 func (d *Dispatcher) warmupShare(c *server, warmupRate float64) float64 {
 	// Unreachable VMs count too: they may be partitioned from this VM and still send.
-	senders := d.division.Senders(c.Incarnation.Server, d.localServers(c.Service))
-	score := func(vm id.VM) uint64 { return xxhash.Sum64String(string(c.Incarnation.Server) + "\x00" + string(vm)) }
-	slices.SortFunc(senders, func(a, b id.VM) int { return cmp.Compare(score(a), score(b)) })
+	candidates := d.division.Senders(c.Incarnation.Server, d.localServers(c.Service))
 	// Each sender's token bucket allows a burst of one request on top of its rate.
-	limit := min(maxWarmupSenders, int((d.options.WarmOverage-1)*warmupRate+d.options.WarmSlack))
-	senders = senders[:max(1, min(len(senders), limit))]
+	senders := ratelimit.Senders(c.Incarnation.Server, candidates, min(maxWarmupSenders, int((d.options.WarmOverage-1)*warmupRate+d.options.WarmSlack)))
 	if !slices.Contains(senders, d.vm) {
 		return 0
 	}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -183,6 +183,13 @@
 		}
 	}
 	d.division, d.preferences = subset.Divide(vms), map[id.Service]*preference{}
+	now := d.options.Clock.Boot()
+	for _, c := range d.servers {
+		if c.limitBucket != nil {
+			c.sharedRate = 0
+			d.followRequestLimit(now, c, false)
+		}
+	}
 }
 
 // MarkMoved records that the new owner has accepted the fence of moving keys, so that requests for them may be sent.
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/clock"
 )
 
@@ -70,6 +71,11 @@
 	case demand.Keyed && d.isAvailable(now, owner):
 		// The owner has capacity again when the requests beyond its slots are done.
 		r.RetryAfter = min(max(owner.expectedLatency(now, s.serviceTime)-owner.averageServiceTime(s.serviceTime), minRetryAfter), maxRetryAfter)
+		if wait := d.ownerLimitWait(now, s, owner); wait == ratelimit.Never {
+			r.RetryAfter = limitedRetryAfter
+		} else {
+			r.RetryAfter = min(max(r.RetryAfter, wait), maxRetryAfter)
+		}
 	case !d.hasUsableServer(s.name):
 		r.Reason = NoServer
 	}
@@ -147,7 +153,7 @@
 		return min(last, now.Add(handoverWait)), nil
 	case !d.isAvailable(now, owner):
 		return min(last, now.Add(unavailableOwnerWait)), nil
-	case inTime <= now:
+	case inTime <= now || d.ownerLimitWait(now, s, owner) > inTime.Sub(now):
 		return 0, d.refuse(now, s, demand)
 	default:
 		return min(last, inTime), nil
--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -86,6 +86,9 @@
 	ejectedUntil, peersEjectedUntil clock.Instant
 	// requestLimit is the limit of requests of all VMs that it names in its answers.
 	requestLimit ratelimit.Limit
+	// limitBucket holds this VM's share of the request limit, as it follows from sharedRate; it is nil without a limit.
+	limitBucket *ratelimit.Bucket
+	sharedRate  ratelimit.Rate
 	// answeredAt is when it last answered this VM without a failure.
 	answeredAt clock.Instant
 	// refusedAt is when it last refused a connection, or 0 if it has answered since.
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -212,6 +212,7 @@
 		e.keys.addLoad(k.Service, k.Key, k.Count)
 	}
 	e.keys.addPaces(m.Paces)
+	e.applyRequestLimits(m.RequestLimits)
 	for _, d := range m.CrashReports {
 		e.poison.MergeCrashes(e.clock.Boot(), poison.Fingerprint(d.Fingerprint), d.Crashes)
 	}
--- a/edge/load.go
+++ b/edge/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/gossip"
@@ -43,6 +44,7 @@
 	for {
 		e.dispatcher.ExpirePeers()
 		e.dispatcher.Tick()
+		e.announceRequestLimits()
 		nearby := e.neighbourAddresses()
 		now := e.clock.Boot()
 		loads := e.dispatcher.Loads()
@@ -73,6 +75,31 @@
 	}
 }
 
+// announceRequestLimits tells all VMs what this VM has newly observed of the request limits of backend servers.
+func (e *Edge) announceRequestLimits() {
+	news := e.dispatcher.RequestLimitNews()
+	if len(news) == 0 {
+		return
+	}
+	m := e.withSender(gossip.Message{RequestLimits: make([]gossip.RequestLimit, len(news))})
+	for i, n := range news {
+		m.RequestLimits[i] = gossip.RequestLimit{Server: n.Incarnation.Server, Born: n.Incarnation.Born, Rate: float64(n.Rate), Age: int(n.Age.Milliseconds())}
+	}
+	e.announce(m)
+}
+
+// applyRequestLimits records what another VM has observed of the request limits of backend servers.
+func (e *Edge) applyRequestLimits(limits []gossip.RequestLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	news := make([]dispatch.LimitNews, len(limits))
+	for i, l := range limits {
+		news[i] = dispatch.LimitNews{Incarnation: fleet.Incarnation{Server: l.Server, Born: l.Born}, Rate: ratelimit.Rate(l.Rate), Age: time.Duration(l.Age) * time.Millisecond}
+	}
+	e.dispatcher.ApplyRequestLimitNews(news)
+}
+
 // neighbourAddresses returns the addresses of the VMs that prefer the same backend servers as this one.
 func (e *Edge) neighbourAddresses() (out []string) {
 	peers := e.snapshot.Load().Peers
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -98,7 +98,7 @@
 			cold[st.Incarnation.Server], serviceTimes[st.Incarnation.Server] = st.Cold, st.ServiceTime
 		}
 	}
-	normal := k.edge.dispatcher.ServiceTime(name)
+	normal, limits := k.edge.dispatcher.ServiceTime(name), k.edge.dispatcher.RequestLimits()
 	for _, n := range s.ByService[name] {
 		if pace, ok := k.paces[n]; ok {
 			serviceTimes[n] = time.Duration(float64(normal) * pace / normalPace)
@@ -108,9 +108,13 @@
 	for _, n := range s.ByService[name] {
 		server := s.Servers[n]
 		serviceTime := min(max(serviceTimes[n], median/minServiceTimeDivisor), maxServiceTimeFactor*median)
+		capacity := float64(server.Slots) / serviceTime.Seconds()
+		if limit, ok := limits[n]; ok {
+			capacity = min(capacity, float64(limit))
+		}
 		out = append(out, ownership.Candidate{
 			Incarnation: server.Incarnation, Eligible: s.Usable(server) && !k.isLost(now, server.Incarnation), Warm: !cold[n],
-			Capacity: float64(server.Slots) / serviceTime.Seconds(),
+			Capacity: capacity,
 		})
 	}
 	return out
--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -22,6 +22,8 @@
 	Relay bool `cbor:"9,keyasint,omitempty"`
 	// Paces are the paces of owners of keys, for the leader.
 	Paces []Pace `cbor:"11,keyasint,omitempty"`
+	// RequestLimits are observations of the request limits that backend servers name.
+	RequestLimits []RequestLimit `cbor:"12,keyasint,omitempty"`
 	// Fragment is a part of a longer message; the other parts of this one are omitted.
 	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
 }
@@ -100,6 +102,16 @@
 	Slowdown int       `cbor:"2,keyasint"`
 }
 
+// RequestLimit is an observation of the request limit of an incarnation of a backend server.
+type RequestLimit struct {
+	Server id.Server       `cbor:"1,keyasint"`
+	Born   fleet.StartTime `cbor:"2,keyasint"`
+	// Rate is the limit in requests per second, or 0 for its end.
+	Rate float64 `cbor:"3,keyasint"`
+	// Age is the age of the observation, in milliseconds.
+	Age int `cbor:"4,keyasint"`
+}
+
 // CrashReport reports a request that was in flight when backend servers crashed, and how many crashes there were.
 type CrashReport struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
