Say in logs and metrics when a VM reaches no backend server

Change: package reach suspects the VM's own links after two backend servers in a row, or silence, and confirms it by four connections at the same time, to as many failure domains as there are. edge logs 'this VM reaches no backend server' and when it reaches them again; /debug/vars has CutOff. Nothing acts on it yet. Tests can replace how connections to backend servers are opened.

--- a/coordination/dispatch/requestlimit_test.go
+++ b/coordination/dispatch/requestlimit_test.go
@@ -229,7 +229,7 @@
 	}
 	result, report := p.servers[slot.Server.Server].run(chance)
 	p.mu.Lock()
-	if limited && slot.Server.Incarnation.Born == 1 && p.born == 1 {
+	if limited && slot.Server.Born == 1 && p.born == 1 {
 		report.RequestLimit = p.load.limit(p.now())
 		if report.RequestLimit > 0 && p.told[vm] == 0 {
 			p.told[vm] = p.now()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -32,6 +32,7 @@
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/coordination/poison"
+	"github.com/hickorylug/hickorylug/coordination/reach"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -55,6 +56,8 @@
 	mirror   *fleet.Mirror
 	socket   *gossip.Socket
 	backends *http1.Client
+	// reach detects that this VM reaches no backend server.
+	reach *reach.Detector
 	// bodies is the quota for the long bodies of requests and responses that are being read.
 	bodies     *http1.Quota
 	dispatcher *dispatch.Dispatcher
@@ -114,7 +117,7 @@
 		incarnation:     id.Incarnation(u.String()[:8]),
 		store:           platform.NewClient(s.Store),
 		mirror:          fleet.NewMirror(platform.Decode),
-		backends:        http1.NewClient(),
+		reach:           reach.NewDetector(reach.WithClock(o.Clock)),
 		bodies:          http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
 		poison:          poison.NewTracker(),
 		splitter:        newTrafficSplitter(),
@@ -124,6 +127,7 @@
 		replan:          make(chan struct{}, 1),
 		updatesPending:  make(chan struct{}, 1),
 	}
+	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
@@ -215,6 +219,7 @@
 		{"coordination", e.coordinate},
 		{"changes", e.broadcastUpdates},
 		{"load", e.reportLoad},
+		{"reach", e.watchReach},
 		{"keys", e.keys.run},
 		{"registrations", e.removeLostRegistrations},
 	} {
--- a/edge/options.go
+++ b/edge/options.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"io"
 	"log"
 	"log/slog"
+	"net"
 
 	"github.com/hickorylug/hickorylug/state/clock"
 )
@@ -14,6 +16,8 @@
 	Log   *slog.Logger
 	// OnScale is called with the number of backend servers whenever it has changed.
 	OnScale func(servers int)
+	// Dial opens connections to backend servers; nil means plain TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Option sets one of the Options.
@@ -28,6 +32,11 @@
 // WithOnScale sets the function that is called with the number of backend servers whenever it has changed.
 func WithOnScale(f func(servers int)) Option { return func(o *Options) { o.OnScale = f } }
 
+// WithDial sets the function that opens connections to backend servers.
+func WithDial(f func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(o *Options) { o.Dial = f }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{Clock: clock.System{}, Log: slog.Default(), OnScale: func(int) {}}
 	for _, opt := range opts {
--- a/edge/send.go
+++ b/edge/send.go
@@ -24,6 +24,8 @@
 	r, server := a.Request, a.Slot.Server
 	header := r.Header.Clone()
 	platform.SetAttemptHeaders(header, r.ID, a.Timeout, server.Server)
+	wait := e.reach.Begin(server.Server)
+	defer func() { e.reach.End(wait, failure == nil) }()
 	resp, err := e.backends.Do(ctx, http1.Request{
 		Address: server.Address, Server: string(server.Server), Method: r.Method, Target: r.Target, Host: r.Host, Header: header, Body: r.Body,
 		Match:          func(status int, h http.Header) http1.Match { return platform.MatchResponse(status, h, r.ID) },
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -76,8 +76,12 @@
 }
 
 func (c *Client) dial(ctx context.Context, key poolKey) (conn *connection, err error) {
-	dialer := net.Dialer{Timeout: c.options.DialTimeout, KeepAlive: -1, Control: c.setUserTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", key.address)
+	dialCtx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
+	defer cancel()
+	socket, err := c.options.Dial(dialCtx, key.address)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		c.options.OnDial(key.server, err)
+	}
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			err = errors.Mark(err, ErrRefused)
@@ -89,10 +93,10 @@
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func (c *Client) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func (o Options) setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.options.UserTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
 	})
 	return errors.CombineErrors(err, optionErr)
 }
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -16,7 +16,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -222,6 +224,30 @@
 	p.idle = append(p.idle, conn)
 }
 
+// CloseAllIdle closes the idle connections to all backend servers.
+func (c *Client) CloseAllIdle() {
+	c.mu.Lock()
+	keys := slices.Collect(maps.Keys(c.pools))
+	c.mu.Unlock()
+	for _, key := range keys {
+		c.CloseIdle(key.address, key.server)
+	}
+}
+
+// Probe opens a connection to a backend server and closes it without sending anything.
+func (c *Client) Probe(ctx context.Context, address, server string) error {
+	key := poolKey{address, server}
+	if err := c.reserve(key, 0); err != nil {
+		return err
+	}
+	defer c.release(key)
+	conn, err := c.dial(ctx, key)
+	if err != nil {
+		return err
+	}
+	return conn.socket.Close()
+}
+
 // CloseIdle closes the idle connections to a backend server, for example one that was removed.
 func (c *Client) CloseIdle(address, server string) {
 	key := poolKey{address, server}
--- a/transport/http1/options.go
+++ b/transport/http1/options.go
@@ -1,6 +1,10 @@
 package http1
 
-import "time"
+import (
+	"context"
+	"net"
+	"time"
+)
 
 // Options are the settings of a Client.
 type Options struct {
@@ -10,6 +14,10 @@
 	IdleTimeout time.Duration
 	// UserTimeout is how long sent bytes may remain unacknowledged before the connection is closed (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
+	// Dial opens a connection; nil means a TCP connection with UserTimeout. The connection must be a *net.TCPConn.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnDial is called after each attempt to open a connection to a backend server, unless its context was cancelled.
+	OnDial func(server string, err error)
 }
 
 // Defaults of the options.
@@ -30,10 +38,24 @@
 // WithIdleTimeout sets how long an idle connection is kept.
 func WithIdleTimeout(d time.Duration) Option { return func(o *Options) { o.IdleTimeout = d } }
 
+// WithDial sets the function that opens connections, within the dial timeout.
+func WithDial(f func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(o *Options) { o.Dial = f }
+}
+
+// WithOnDial sets the function that is called after each attempt to open a connection.
+func WithOnDial(f func(server string, err error)) Option { return func(o *Options) { o.OnDial = f } }
+
 func newOptions(opts []Option) Options {
-	o := Options{DialTimeout: defaultDialTimeout, IdleTimeout: defaultIdleTimeout, UserTimeout: defaultUserTimeout}
+	o := Options{DialTimeout: defaultDialTimeout, IdleTimeout: defaultIdleTimeout, UserTimeout: defaultUserTimeout, OnDial: func(string, error) {}}
 	for _, opt := range opts {
 		opt(&o)
 	}
+	if o.Dial == nil {
+		dialer := net.Dialer{KeepAlive: -1, Control: o.setUserTimeout}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
 	return o
 }
