--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -112,7 +112,7 @@
 			is := is.New(t)
 			domains, names := map[id.Domain]bool{}, map[id.Server]bool{}
 			for _, s := range reach.Sample(servers[:test.of], test.n, func(n int) int { return n / 2 }) {
-				domains[s.Domain], names[s.Incarnation.Server] = true, true
+				domains[s.Domain], names[s.Server] = true, true
 			}
 			is.Equal(len(names), test.want)
 			is.Equal(len(domains), test.domains)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -44,6 +44,8 @@
 	billing          []worker.Option
 	// links holds the fault proxy between each VM and the store, by the index of the VM.
 	links []*faultproxy.Proxy
+	// serverLinks holds the links between each VM and all backend servers, by the index of the VM.
+	serverLinks []*serverLink
 }
 
 // withGraceTime sets the grace time of the VMs.
@@ -133,7 +135,9 @@
 		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
 		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
 	}
-	e, err := edge.New(cfg, edge.WithLog(slog.New(s.log)))
+	serverLink := newServerLink(s.t)
+	s.serverLinks = append(s.serverLinks, serverLink)
+	e, err := edge.New(cfg, edge.WithLog(slog.New(s.log)), edge.WithDial(serverLink.dial))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -57,7 +57,7 @@
 	var probes sync.WaitGroup
 	for _, server := range servers {
 		probes.Go(func() {
-			if e.backends.Probe(ctx, server.Address, string(server.Incarnation.Server)) == nil {
+			if e.backends.Probe(ctx, server.Address, string(server.Server)) == nil {
 				reached.Add(1)
 			}
 		})
