Send through another VM while this one reaches no backend server

What callers saw: at VMs that were cut off from all backend servers, 9 of 593 first attempts were served, at the others 1119 of 1124. They got 503 'overloaded' after up to four dials of 400 ms, or 504 on connections that hung. Cause: each VM sends by itself and had no other way; failures of its own links counted against all backend servers, which it then paused. Change: package transport/relay. A VM that is cut off, or whose connections to two backend servers in a row failed, makes its attempts, also grants and releases, through another VM; all decisions stay with it. The other VM declines if it is cut off itself, stops, or wouldn't send there. A connection that could not be opened is tried through another VM in the same attempt; what was sent is never made again. Failures of the VM's own links don't count against backend servers or owners of keys, idle connections are closed at both ends of a cut, and a stopping VM ends the attempts that it makes for others. Why it works: the callers' and the VMs' links are intact, and others have room; a decline is certain not to have been sent, so that work that must not run twice may go to the next VM.

--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -167,6 +167,12 @@
 	}
 }
 
+// forgetFailures drops what failures of this VM's attempts said of the backend server.
+func (s *server) forgetFailures() {
+	s.consecutiveFailures, s.failureRate, s.errorRate, s.ejections = 0, 0, 0, 0
+	s.pausedUntil, s.ejectedUntil, s.refusedAt = 0, 0, 0
+}
+
 // recordError records a server error or a broken connection.
 //
 // Both are quick, so that without ejection a backend server that answers little
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -133,6 +133,18 @@
 	}
 }
 
+// ForgetFailures drops what failures of this VM's attempts said of the backend servers, since they were those of its own links.
+func (d *Dispatcher) ForgetFailures() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.servers {
+		c.forgetFailures()
+	}
+	for name := range d.services {
+		d.wake(name)
+	}
+}
+
 // RefusesConnections reports whether a backend server has refused a connection since its last answer.
 func (d *Dispatcher) RefusesConnections(name id.Server) bool {
 	d.mu.Lock()
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/gossip"
-	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
 // sendDueCalls makes the grant and release calls that are due for a table.
@@ -65,24 +62,19 @@
 		return
 	}
 	header := http.Header{"Content-Type": {"application/json"}, platform.HeaderExpect: {string(c.Incarnation.Server)}}
-	resp, err := e.backends.Do(ctx, http1.Request{
-		Address: server.Address, Server: string(c.Incarnation.Server), Method: http.MethodPost, Target: call.Path, Host: server.Address, Header: header, Body: body,
+	result := e.attempt(ctx, relay.Attempt{
+		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: call.Path, Host: server.Address,
+		Header: header, Body: body, Timeout: timeout,
 	})
-	if err != nil {
-		k.recordOutcome(c, ownership.Unanswered, "", errors.Is(err, http1.ErrRefused))
-		return
-	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
 	switch {
-	case err != nil:
-		k.recordOutcome(c, ownership.Unanswered, "", false)
-	case resp.Status == http.StatusOK:
-		k.recordOutcome(c, ownership.Done, resp.Header.Get(platform.HeaderHandover), false)
-	case resp.Status == http.StatusConflict:
+	case result.Failure != nil:
+		k.recordOutcome(c, ownership.Unanswered, "", result.Failure.Refused)
+	case result.Status == http.StatusOK:
+		k.recordOutcome(c, ownership.Done, result.Header.Get(platform.HeaderHandover), false)
+	case result.Status == http.StatusConflict:
 		k.recordOutcome(c, ownership.Refused, "", false)
 	default:
-		e.log.Warn("an order was turned down", "server", string(c.Incarnation.Server), "release", c.Release, "status", resp.Status)
+		e.log.Warn("an order was turned down", "server", string(c.Incarnation.Server), "release", c.Release, "status", result.Status)
 		k.recordOutcome(c, ownership.Unanswered, "", false)
 		k.recordRejection(c.Incarnation)
 	}
@@ -113,7 +105,10 @@
 	k.granter.Report(now, c, outcome, handover)
 	moved = moved && outcome == ownership.Done
 	wasLost := k.isLost(now, c.Incarnation)
-	k.recordCallOutcome(now, c.Incarnation, outcome, connectionRefused)
+	if outcome != ownership.Unanswered || !e.reach.IsSuspected() {
+		// Otherwise the failure may be that of this VM's links.
+		k.recordCallOutcome(now, c.Incarnation, outcome, connectionRefused)
+	}
 	losesKeys := !wasLost && k.isLost(now, c.Incarnation)
 	k.mu.Unlock()
 	if losesKeys {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -42,6 +42,7 @@
 	"github.com/hickorylug/hickorylug/transport/entry"
 	"github.com/hickorylug/hickorylug/transport/gossip"
 	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
 // Edge is one entry VM.
@@ -58,6 +59,10 @@
 	backends *http1.Client
 	// reach detects that this VM reaches no backend server.
 	reach *reach.Detector
+	// relays are the VMs through which this VM sends while it is cut off, and relayHandler sends for such VMs.
+	relays       *reach.Relays
+	relayClient  *relay.Client
+	relayHandler *relay.Handler
 	// bodies is the quota for the long bodies of requests and responses that are being read.
 	bodies     *http1.Quota
 	dispatcher *dispatch.Dispatcher
@@ -118,6 +123,7 @@
 		store:           platform.NewClient(s.Store),
 		mirror:          fleet.NewMirror(platform.Decode),
 		reach:           reach.NewDetector(reach.WithClock(o.Clock)),
+		relays:          reach.NewRelays(reach.WithClock(o.Clock)),
 		bodies:          http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
 		poison:          poison.NewTracker(),
 		splitter:        newTrafficSplitter(),
@@ -128,6 +134,7 @@
 		updatesPending:  make(chan struct{}, 1),
 	}
 	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
+	e.relayClient, e.relayHandler = relay.NewClient(e.bodies), relay.NewHandler(e.bodies, e.attemptForOther)
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
@@ -190,7 +197,7 @@
 // Run serves until the context ends, then drains the requests in flight.
 func (e *Edge) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "entry VM %s", e.settings.VM) }()
-	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic)); err != nil {
+	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic), gossip.WithHandler(relay.Path, e.relayHandler)); err != nil {
 		return err
 	}
 	callers, err := net.Listen("tcp", e.settings.CallerAddress)
@@ -257,6 +264,7 @@
 	startedAt := e.clock.Boot()
 	e.leaving.Store(true)
 	e.handler.Drain()
+	e.relayHandler.Drain()
 	e.log.Info("graceful shutdown began", "inFlight", e.handler.InFlight())
 	resigned := e.resign()
 	grace := e.settings.GraceTime.Std() - graceMargin
@@ -269,6 +277,7 @@
 	for e.handler.InFlight() > 0 && drainCtx.Err() == nil {
 		<-e.clock.After(drainPollPeriod)
 	}
+	e.drainRelayed(drainCtx, drainPollPeriod)
 	// Key grants expire without a leader, so a leader that can't be replaced keeps renewing them until the end of the grace time.
 	for !resigned && drainCtx.Err() == nil {
 		<-e.clock.After(resignRetryPause)
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -42,6 +42,9 @@
 	if ctx.Err() != nil || !e.reach.RecordProbes(reached, len(sample)) {
 		return
 	}
+	// What the failures of this VM's links said of backend servers no longer counts, and connections from before may hang.
+	e.backends.CloseAllIdle()
+	e.dispatcher.ForgetFailures()
 	if e.reach.IsCutOff() {
 		e.log.Warn("this VM reaches no backend server", "probed", len(sample))
 		return
--- /dev/null
+++ b/edge/relay.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/relay"
+)
+
+// attempt makes an attempt at a backend server: directly or, where this VM may be cut off from all of them, through another VM.
+//
+// What the other VM says counts as if this VM had seen it. An attempt that was
+// sent is never made again here.
+func (e *Edge) attempt(ctx context.Context, a relay.Attempt) relay.Result {
+	deadline := e.clock.Boot().Add(a.Timeout)
+	if e.reach.IsSuspected() {
+		if r, ok := e.attemptThroughOthers(ctx, a); ok || e.reach.IsCutOff() {
+			return r
+		}
+	}
+	a.Timeout = deadline.Sub(e.clock.Boot())
+	r := e.attemptDirectly(ctx, a)
+	if f := r.Failure; f == nil || f.Sent || f.AtConnectionLimit || ctx.Err() != nil || !e.reach.IsSuspected() {
+		return r
+	}
+	// Only connections failed, and those to other backend servers as well.
+	a.Timeout = deadline.Sub(e.clock.Boot())
+	if relayed, ok := e.attemptThroughOthers(ctx, a); ok {
+		return relayed
+	}
+	r.Failure.Refused = false
+	return r
+}
+
+// attemptDirectly makes an attempt on a connection of this VM.
+func (e *Edge) attemptDirectly(ctx context.Context, a relay.Attempt) relay.Result {
+	if a.Timeout <= 0 {
+		return relay.Result{Failure: &relay.Failure{Cause: "no time is left"}}
+	}
+	header := a.Header
+	request := http1.Request{
+		Address: a.Address, Server: string(a.Server), Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
+		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
+	}
+	if a.RequestID != "" {
+		header = header.Clone()
+		platform.SetAttemptHeaders(header, a.RequestID, a.Timeout, a.Server)
+		request.Header = header
+		request.Match = func(status int, h http.Header) http1.Match { return platform.MatchResponse(status, h, a.RequestID) }
+	}
+	wait := e.reach.Begin(a.Server)
+	answered := false
+	defer func() { e.reach.End(wait, answered) }()
+	resp, err := e.backends.Do(ctx, request)
+	if err != nil {
+		return relay.Result{Failure: &relay.Failure{
+			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection), Cause: err.Error(),
+		}}
+	}
+	answered = true
+	defer resp.Body.Close()
+	body, err := http1.ReadBody(resp.Body, maxResponseBytes, e.bodies)
+	if err != nil {
+		return relay.Result{Failure: &relay.Failure{Sent: true, Cause: "read the answer: " + err.Error()}}
+	}
+	return relay.Result{Status: resp.Status, Header: resp.Header, Body: body}
+}
+
+// attemptThroughOthers makes an attempt through another VM; ok is false if all that were asked declined.
+func (e *Edge) attemptThroughOthers(ctx context.Context, a relay.Attempt) (r relay.Result, ok bool) {
+	s := e.snapshot.Load()
+	started := e.clock.Boot()
+	r.Failure = &relay.Failure{Cause: "no other VM can be asked"}
+	for _, peer := range e.relays.Candidates(e.settings.VM, s.Peers, s.Servers[a.Server].Domain, rand.IntN) {
+		left := a
+		if left.Timeout -= e.clock.Boot().Sub(started); left.Timeout <= 0 || ctx.Err() != nil {
+			break
+		}
+		result, err := e.relayClient.Do(ctx, peer.VM, peer.Address, left)
+		switch {
+		case err == nil:
+			e.metrics.attempts.Add("relayed", 1)
+			if result.Failure != nil {
+				result.Failure.Cause = "through VM " + string(peer.VM) + ": " + result.Failure.Cause
+			}
+			return result, true
+		case !errors.Is(err, relay.ErrDeclined):
+			return relay.Result{Failure: &relay.Failure{Sent: true, Cause: err.Error()}}, true
+		}
+		e.metrics.attempts.Add("declined", 1)
+		e.relays.Avoid(peer.VM)
+		r.Failure.Cause = err.Error()
+	}
+	return r, false
+}
+
+// attemptForOther makes an attempt for a VM that reaches no backend server; ok is false if this VM declines it.
+//
+// It declines what it wouldn't send itself: the other VM may know less of the
+// backend server. Commands carry the name of the process that is to run them.
+func (e *Edge) attemptForOther(ctx context.Context, a relay.Attempt) (r relay.Result, ok bool) {
+	if e.reach.IsCutOff() {
+		return r, false
+	}
+	if a.RequestID != "" {
+		s := e.snapshot.Load()
+		server, known := s.Servers[a.Server]
+		if !known || server.Born != a.Born || !s.Usable(server) {
+			return relay.Result{Failure: &relay.Failure{Cause: "the backend server is not in use here"}}, true
+		}
+		a.Address = server.Address
+	}
+	r = e.attemptDirectly(ctx, a)
+	if f := r.Failure; f != nil && !f.Sent && !f.AtConnectionLimit && e.reach.IsSuspected() {
+		return r, false
+	}
+	return r, true
+}
+
+// drainRelayed waits for the attempts that are made for other VMs, until the context ends.
+func (e *Edge) drainRelayed(ctx context.Context, poll time.Duration) {
+	for e.relayHandler.InFlight() > 0 && ctx.Err() == nil {
+		<-e.clock.After(poll)
+	}
+}
--- a/edge/send.go
+++ b/edge/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -13,7 +12,7 @@
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
-	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
 // maxResponseBytes limits the size of a buffered response, in bytes.
@@ -22,38 +21,22 @@
 // sendAttempt makes one attempt at sending a request to a backend server.
 func (e *Edge) sendAttempt(ctx context.Context, a forward.Attempt) (reply *forward.Reply, failure *forward.Failure) {
 	r, server := a.Request, a.Slot.Server
-	header := r.Header.Clone()
-	platform.SetAttemptHeaders(header, r.ID, a.Timeout, server.Server)
-	wait := e.reach.Begin(server.Server)
-	defer func() { e.reach.End(wait, failure == nil) }()
-	resp, err := e.backends.Do(ctx, http1.Request{
-		Address: server.Address, Server: string(server.Server), Method: r.Method, Target: r.Target, Host: r.Host, Header: header, Body: r.Body,
-		Match:          func(status int, h http.Header) http1.Match { return platform.MatchResponse(status, h, r.ID) },
-		MaxConnections: a.Slot.MaxConnections, NewConnection: a.NewConnection,
+	result := e.attempt(ctx, relay.Attempt{
+		Server: server.Server, Born: server.Born, Address: server.Address, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body,
+		RequestID: r.ID, Timeout: a.Timeout, MaxConnections: a.Slot.MaxConnections, NewConnection: a.NewConnection, Detached: !r.Route.Idempotent,
 	})
-	if err != nil {
-		return nil, newFailure(err)
+	if f := result.Failure; f != nil {
+		return nil, &forward.Failure{Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Cause: errors.New(f.Cause)}
 	}
-	defer resp.Body.Close()
-	body, err := http1.ReadBody(resp.Body, maxResponseBytes, e.bodies)
-	if err != nil {
-		return nil, &forward.Failure{Sent: true, Cause: errors.Wrap(err, "read the answer")}
-	}
-	meta := platform.ParseResponseHeader(resp.Status, resp.Header)
+	meta := platform.ParseResponseHeader(result.Status, result.Header)
 	return &forward.Reply{
-		Answer:    forward.Answer{Status: resp.Status, Header: resp.Header, Body: body, Server: server.Server},
+		Answer:    forward.Answer{Status: result.Status, Header: result.Header, Body: result.Body, Server: server.Server},
 		Report:    dispatch.Report{Known: meta.HasLoad, Running: meta.Running, Waiting: meta.Waiting, Slots: meta.Slots, Slowdown: meta.Slowdown, RequestLimit: ratelimit.Rate(meta.RequestLimit)},
 		NotRun:    meta.NotRun,
 		Misplaced: meta.Misplaced,
 	}, nil
 }
 
-func newFailure(err error) *forward.Failure {
-	return &forward.Failure{
-		Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection), Cause: err,
-	}
-}
-
 // trafficSplitter selects among the targets of a route so that each gets its exact share.
 type trafficSplitter struct {
 	mu sync.Mutex
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -40,6 +40,8 @@
 	queryCompress    = "compress"
 	headerCompressed = "X-Compressed"
 	fetchTimeout     = 2 * time.Second
+	// idleTimeout is longer than that of the VMs that keep connections, so that it is they who close them.
+	idleTimeout = 15 * time.Second
 )
 
 // ErrTooLarge means that an encoded message is too long even when it is compressed.
@@ -55,6 +57,7 @@
 	// fragmented is the number of messages that were sent in fragments.
 	fragmented atomic.Uint64
 	onPanic    func(value any, stack []byte)
+	mux        *http.ServeMux
 }
 
 // Option sets an option of a Socket.
@@ -64,6 +67,11 @@
 // handling of that message; without the function it ends the process.
 func WithOnPanic(f func(value any, stack []byte)) Option { return func(s *Socket) { s.onPanic = f } }
 
+// WithHandler makes the socket serve a path over TCP, too.
+func WithHandler(path string, h http.Handler) Option {
+	return func(s *Socket) { s.mux.Handle(path, h) }
+}
+
 // Listen opens the address for datagrams by UDP, and by TCP for VMs that fetch missed updates. since returns the store's
 // changes after a revision.
 func Listen(address string, since func(after id.Revision) fleet.Update, opts ...Option) (s *Socket, err error) {
@@ -72,10 +80,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Socket{since: since, client: &http.Client{
+	s = &Socket{since: since, mux: http.NewServeMux(), client: &http.Client{
 		Timeout:   fetchTimeout,
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 	}}
+	s.mux.HandleFunc(pathChanges, s.serveChanges)
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -92,7 +101,7 @@
 // Serve calls receive for each message until the context is done or the socket fails, and then sends the result on the channel.
 func (s *Socket) Serve(ctx context.Context, receive func(Message)) <-chan error {
 	done := make(chan error, 1)
-	server := &http.Server{Handler: http.HandlerFunc(s.serveChanges), ReadHeaderTimeout: fetchTimeout, ReadTimeout: fetchTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: s.mux, ReadHeaderTimeout: fetchTimeout, ReadTimeout: fetchTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
@@ -250,10 +259,6 @@
 }
 
 func (s *Socket) serveChanges(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != pathChanges {
-		http.NotFound(w, r)
-		return
-	}
 	after, err := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
 	if err != nil {
 		http.Error(w, queryAfter+": a revision is wanted", http.StatusBadRequest)
--- /dev/null
+++ b/transport/relay/handler.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hickorylug/hickorylug/transport/http1"
+)
+
+// maxInFlight limits the attempts that are made for other VMs at the same time.
+const maxInFlight = 1000
+
+// Send makes an attempt; ok is false if it was declined.
+type Send func(ctx context.Context, a Attempt) (r Result, ok bool)
+
+// Handler makes attempts for other VMs. It is safe for concurrent use.
+type Handler struct {
+	send     Send
+	quota    *http1.Quota
+	inFlight atomic.Int64
+	draining atomic.Bool
+	made     atomic.Int64
+}
+
+// NewHandler returns a handler that makes attempts with send. Long attempts are read within the quota.
+func NewHandler(quota *http1.Quota, send Send) *Handler { return &Handler{send: send, quota: quota} }
+
+// InFlight returns the number of attempts in flight.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
+// Made returns the number of attempts that were made for other VMs.
+func (h *Handler) Made() int64 { return h.made.Load() }
+
+// Drain makes the handler decline all further attempts.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// ServeHTTP makes an attempt. Every status but 200 says that it was declined.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	inFlight := h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if inFlight > maxInFlight || h.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	data, err := http1.ReadBody(r.Body, maxAttemptBytes, h.quota)
+	var a Attempt
+	if err != nil || cbor.Unmarshal(data, &a) != nil || a.Server == "" || a.Timeout <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	// The server's read timeout is for the request only; it would end the attempt.
+	if http.NewResponseController(w).SetReadDeadline(time.Time{}) != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ctx := r.Context()
+	if a.Detached {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	result, ok := h.send(ctx, a)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	h.made.Add(1)
+	if data, err = cbor.Marshal(result); err != nil {
+		// Any status says that the attempt was not made, so the connection is broken off instead.
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/transport/relay/relay.go
@@ -0,0 +1,117 @@
+// Package relay makes single attempts at backend servers through another VM.
+//
+// A VM that reaches no backend server keeps all decisions: which backend server,
+// how often, and what the caller is told. The other VM only opens the connection.
+// It never asks a further VM, and it declines what it can't or shouldn't send.
+// Both are spoken over HTTP with CBOR bodies.
+//
+// # Usage
+//
+//	h := relay.NewHandler(send) // at the other VM, served at relay.Path
+//	result, err := relay.NewClient().Do(ctx, "vm2", "10.1.0.16:7620", attempt)
+//	if errors.Is(err, relay.ErrDeclined) {
+//		// The attempt was not made; another VM may be asked.
+//	}
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/http1"
+)
+
+// Path is the path at which a VM takes attempts of other VMs.
+const Path = "/v1/attempts"
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	// maxAttemptBytes limits an encoded attempt, and maxResultBytes an encoded result.
+	maxAttemptBytes = 16 << 20
+	maxResultBytes  = 48 << 20
+)
+
+// ErrDeclined marks errors after which the attempt was certainly not made.
+var ErrDeclined = errors.New("the attempt was not made")
+
+// Attempt is one attempt to send a request to a backend server.
+type Attempt struct {
+	Server  id.Server       `cbor:"1,keyasint"`
+	Born    fleet.StartTime `cbor:"2,keyasint"`
+	Address string          `cbor:"3,keyasint"`
+	Method  string          `cbor:"4,keyasint"`
+	Target  string          `cbor:"5,keyasint"`
+	Host    string          `cbor:"6,keyasint"`
+	Header  http.Header     `cbor:"7,keyasint"`
+	Body    []byte          `cbor:"8,keyasint"`
+	// RequestID identifies the response; it is empty for a command, which any response answers.
+	RequestID string `cbor:"9,keyasint"`
+	// Timeout is the time left for the attempt.
+	Timeout        time.Duration `cbor:"10,keyasint"`
+	MaxConnections int           `cbor:"11,keyasint"`
+	NewConnection  bool          `cbor:"12,keyasint"`
+	// Detached says that the attempt goes on if the VM that asked for it disconnects.
+	Detached bool `cbor:"13,keyasint"`
+}
+
+// Result is the result of an attempt: the whole response of the backend server, or a failure.
+type Result struct {
+	Status  int         `cbor:"1,keyasint"`
+	Header  http.Header `cbor:"2,keyasint"`
+	Body    []byte      `cbor:"3,keyasint"`
+	Failure *Failure    `cbor:"4,keyasint"`
+}
+
+// Failure is why an attempt has no response.
+type Failure struct {
+	// Sent says that the backend server may have received the request.
+	Sent bool `cbor:"1,keyasint"`
+	// Refused says that no process listens at the address.
+	Refused bool `cbor:"2,keyasint"`
+	// AtConnectionLimit says that no connection was free and no further one was allowed.
+	AtConnectionLimit bool   `cbor:"3,keyasint"`
+	Cause             string `cbor:"4,keyasint"`
+}
+
+// Client asks other VMs to make attempts. It is safe for concurrent use.
+type Client struct {
+	client *http1.Client
+	quota  *http1.Quota
+}
+
+// NewClient returns a client without connections. Long results are read within the quota.
+func NewClient(quota *http1.Quota) *Client {
+	return &Client{client: http1.NewClient(http1.WithDialTimeout(dialTimeout)), quota: quota}
+}
+
+// Do asks the VM at an address to make an attempt. The error is marked with ErrDeclined unless the attempt may have been made.
+func (c *Client) Do(ctx context.Context, vm id.VM, address string, a Attempt) (r Result, err error) {
+	defer func() { err = errors.Wrapf(err, "send through VM %s", vm) }()
+	data, err := cbor.Marshal(a)
+	if err != nil {
+		return r, errors.Mark(err, ErrDeclined)
+	}
+	response, err := c.client.Do(ctx, http1.Request{
+		Address: address, Server: string(vm), Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{}, Body: data, NewConnection: a.NewConnection,
+	})
+	if err != nil {
+		if !http1.WasSent(err) {
+			err = errors.Mark(err, ErrDeclined)
+		}
+		return r, err
+	}
+	defer response.Body.Close()
+	if response.Status != http.StatusOK {
+		return r, errors.Mark(errors.Newf("unexpected HTTP status %d", response.Status), ErrDeclined)
+	}
+	if data, err = http1.ReadBody(response.Body, maxResultBytes, c.quota); err != nil {
+		return r, err
+	}
+	return r, cbor.Unmarshal(data, &r)
+}
--- /dev/null
+++ b/transport/relay/relay_test.go
@@ -0,0 +1,98 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/relay"
+)
+
+// declined errors say that the attempt was certainly not made, so each other end of an attempt must not look like one.
+func TestOutcomesOfRelayedAttempts(t *testing.T) {
+	quota := http1.NewQuota(1 << 20)
+	answer := relay.Result{Status: http.StatusTeapot, Header: http.Header{"A": {"b"}}, Body: []byte("body")}
+	unsent := relay.Result{Failure: &relay.Failure{Refused: true, Cause: "refused"}}
+	send := func(r relay.Result, ok bool) http.Handler {
+		return relay.NewHandler(quota, func(context.Context, relay.Attempt) (relay.Result, bool) { return r, ok })
+	}
+	draining := relay.NewHandler(quota, func(context.Context, relay.Attempt) (relay.Result, bool) { return answer, true })
+	draining.Drain()
+	tests := map[string]struct {
+		handler  http.Handler
+		attempt  relay.Attempt
+		want     relay.Result
+		declined bool
+		failed   bool
+	}{
+		"answered":                 {handler: send(answer, true), want: answer},
+		"not sent":                 {handler: send(unsent, true), want: unsent},
+		"declined":                 {handler: send(answer, false), declined: true},
+		"a VM that stops":          {handler: draining, declined: true},
+		"a VM that knows no relay": {handler: http.NotFoundHandler(), declined: true},
+		"an attempt for no server": {handler: send(answer, true), attempt: relay.Attempt{Timeout: time.Second, Method: http.MethodGet}, declined: true},
+		"an attempt without time":  {handler: send(answer, true), attempt: relay.Attempt{Server: "s", Method: http.MethodGet}, declined: true},
+		"the connection breaks":    {handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), failed: true},
+		"a panic":                  {handler: relay.NewHandler(quota, func(context.Context, relay.Attempt) (relay.Result, bool) { panic(http.ErrAbortHandler) }), failed: true},
+		"bytes that are no result": {handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("\xff")) }), failed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(test.handler)
+			defer server.Close()
+			a := test.attempt
+			if a.Method == "" {
+				a = relay.Attempt{Server: "s", Method: http.MethodGet, Timeout: time.Second}
+			}
+			got, err := relay.NewClient(quota).Do(t.Context(), "vm2", strings.TrimPrefix(server.URL, "http://"), a)
+			is.Equal(err != nil, test.declined || test.failed)
+			is.Equal(errors.Is(err, relay.ErrDeclined), test.declined)
+			if err == nil {
+				is.Equal(got, test.want)
+			}
+		})
+	}
+}
+
+// An attempt that isn't idempotent goes on when the VM that asked for it disconnects, and any other one ends.
+func TestDetachedAttempts(t *testing.T) {
+	for name, detached := range map[string]bool{"detached": true, "attached": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			began, left, ended := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+			const longest = 30 * time.Second
+			h := relay.NewHandler(nil, func(ctx context.Context, _ relay.Attempt) (relay.Result, bool) {
+				close(began)
+				if detached {
+					<-left
+					ended <- ctx.Err()
+					return relay.Result{}, true
+				}
+				<-ctx.Done()
+				ended <- context.Cause(ctx)
+				return relay.Result{}, true
+			})
+			server := httptest.NewServer(h)
+			defer server.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { <-began; cancel() }()
+			_, err := relay.NewClient(nil).Do(ctx, "vm2", strings.TrimPrefix(server.URL, "http://"), relay.Attempt{Server: "s", Method: http.MethodGet, Timeout: longest, Detached: detached})
+			close(left)
+			got := <-ended
+			if detached {
+				is.NoErr(got)
+				return
+			}
+			is.True(errors.Is(got, context.Canceled)) // not the deadline
+			is.True(err != nil && !errors.Is(err, relay.ErrDeclined))
+		})
+	}
+}
