--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -88,7 +88,9 @@
 	Refused bool
 	// AtConnectionLimit says that no connection was free and no further one was allowed.
 	AtConnectionLimit bool
-	Cause             error
+	// Abandoned says that this VM gave the attempt up, so that it says nothing of the backend server.
+	Abandoned bool
+	Cause     error
 }
 
 // Error returns the text of the cause.
@@ -281,7 +283,10 @@
 		return nil, false, outcome.Unknown(outcome.CallerDisconnected, "the caller left while backend server %s had the request", server)
 	}
 	result := dispatch.TimedOut
-	if ctx.Err() == nil {
+	switch {
+	case failure.Abandoned:
+		result = dispatch.Cancelled
+	case ctx.Err() == nil:
 		result = dispatch.ConnectionBroken
 	}
 	slot.Done(result, dispatch.Report{})
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -61,8 +61,9 @@
 
 // Wait is a request that waits for an answer of a backend server.
 type Wait struct {
-	server id.Server
-	since  clock.Instant
+	server  id.Server
+	since   clock.Instant
+	abandon func()
 }
 
 // NewDetector returns a detector of a VM that isn't cut off.
@@ -81,11 +82,12 @@
 	d.failed[server] = d.options.Clock.Boot()
 }
 
-// Begin records that a request was sent to a backend server; End must be called with the result.
-func (d *Detector) Begin(server id.Server) *Wait {
+// Begin records that a request was sent to a backend server; End must be called with the result. abandon is called if the VM is cut off
+// and its open connections hang as well, so that no answer can come. It must not call the detector.
+func (d *Detector) Begin(server id.Server, abandon func()) *Wait {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := &Wait{server: server, since: d.options.Clock.Boot()}
+	w := &Wait{server: server, since: d.options.Clock.Boot(), abandon: abandon}
 	d.waiting[w] = true
 	return w
 }
@@ -134,9 +136,22 @@
 	if reached > 0 && !d.cutOff {
 		clear(d.failed)
 	}
+	d.abandonHanging(d.options.Clock.Boot())
 	return d.cutOff != before
 }
 
+// abandonHanging ends the requests that hang while the VM is cut off. Open connections that live on have brought an answer lately.
+func (d *Detector) abandonHanging(now clock.Instant) {
+	if !d.cutOff || now.Sub(d.answeredAt) < silence {
+		return
+	}
+	for w := range d.waiting {
+		if now.Sub(w.since) >= silence {
+			w.abandon()
+		}
+	}
+}
+
 // IsCutOff reports whether this VM reaches no backend server.
 func (d *Detector) IsCutOff() bool {
 	d.mu.Lock()
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -21,6 +21,40 @@
 
 func (c *manualClock) Boot() clock.Instant { return c.now }
 
+func ignore() {}
+
+// Work that runs on connections which live on must not be given up.
+func TestHangingRequestsAreAbandoned(t *testing.T) {
+	tests := map[string]struct {
+		waited   time.Duration
+		answered bool
+		reached  int
+		want     int
+	}{
+		"silent connections":   {waited: time.Second, want: 2},
+		"not silent for long":  {waited: 500 * time.Millisecond},
+		"connections live on":  {waited: time.Second, answered: true},
+		"the VM isn't cut off": {waited: time.Second, reached: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &manualClock{now: clock.Instant(time.Hour)}
+			d := reach.NewDetector(reach.WithClock(c))
+			abandoned := 0
+			d.Begin("a", func() { abandoned++ })
+			d.Begin("b", func() { abandoned++ })
+			other := d.Begin("c", ignore)
+			c.now = c.now.Add(test.waited)
+			if test.answered {
+				d.End(other, true)
+			}
+			d.RecordProbes(test.reached, 4)
+			is.Equal(abandoned, test.want)
+		})
+	}
+}
+
 func TestDetector(t *testing.T) {
 	fail := func(d *reach.Detector, names ...id.Server) {
 		for _, n := range names {
@@ -38,26 +72,26 @@
 		"another one is reached":      {play: func(_ *manualClock, d *reach.Detector) { fail(d, "a", "b"); d.RecordDial("c", true) }},
 		"failures that are long past": {play: func(c *manualClock, d *reach.Detector) { fail(d, "a", "b"); c.now = c.now.Add(3 * time.Second) }},
 		"silence": {play: func(c *manualClock, d *reach.Detector) {
-			d.Begin("a")
-			d.Begin("b")
+			d.Begin("a", ignore)
+			d.Begin("b", ignore)
 			c.now = c.now.Add(time.Second)
 		}, probe: true},
 		"silence of one backend server": {play: func(c *manualClock, d *reach.Detector) {
-			d.Begin("a")
-			d.Begin("a")
+			d.Begin("a", ignore)
+			d.Begin("a", ignore)
 			c.now = c.now.Add(time.Second)
 		}},
 		"an answer during the silence": {play: func(c *manualClock, d *reach.Detector) {
-			d.Begin("a")
-			d.Begin("b")
+			d.Begin("a", ignore)
+			d.Begin("b", ignore)
 			c.now = c.now.Add(time.Second)
-			d.End(d.Begin("c"), true)
+			d.End(d.Begin("c", ignore), true)
 		}},
 		"a broken connection during the silence": {play: func(c *manualClock, d *reach.Detector) {
-			d.Begin("a")
-			d.Begin("b")
+			d.Begin("a", ignore)
+			d.Begin("b", ignore)
 			c.now = c.now.Add(time.Second)
-			d.End(d.Begin("c"), false)
+			d.End(d.Begin("c", ignore), false)
 		}, probe: true},
 		"no probe succeeds":             {play: func(_ *manualClock, d *reach.Detector) { fail(d, "a", "b"); d.RecordProbes(0, 4) }, probe: true, cutOff: true},
 		"one probe succeeds":            {play: func(_ *manualClock, d *reach.Detector) { fail(d, "a", "b"); d.RecordProbes(1, 4) }},
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -13,6 +13,9 @@
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
+// errLinksHang is the cause of attempts that end because this VM's links to all backend servers hang.
+var errLinksHang = errors.New("the links of this VM hang")
+
 // attempt makes an attempt at a backend server: directly or, where this VM may be cut off from all of them, through another VM.
 //
 // What the other VM says counts as if this VM had seen it. An attempt that was
@@ -54,13 +57,20 @@
 		request.Header = header
 		request.Match = func(status int, h http.Header) http1.Match { return platform.MatchResponse(status, h, a.RequestID) }
 	}
-	wait := e.reach.Begin(a.Server)
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	wait := e.reach.Begin(a.Server, func() {
+		if !a.Detached {
+			abandon(errLinksHang)
+		}
+	})
 	answered := false
 	defer func() { e.reach.End(wait, answered) }()
 	resp, err := e.backends.Do(ctx, request)
 	if err != nil {
 		return relay.Result{Failure: &relay.Failure{
-			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection), Cause: err.Error(),
+			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection),
+			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Cause: err.Error(),
 		}}
 	}
 	answered = true
@@ -117,10 +127,8 @@
 		a.Address = server.Address
 	}
 	r = e.attemptDirectly(ctx, a)
-	if f := r.Failure; f != nil && !f.Sent && !f.AtConnectionLimit && e.reach.IsSuspected() {
-		return r, false
-	}
-	return r, true
+	isUnsent := r.Failure != nil && !r.Failure.Sent
+	return r, !isUnsent || !e.reach.IsCutOff()
 }
 
 // drainRelayed waits for the attempts that are made for other VMs, until the context ends.
--- a/edge/send.go
+++ b/edge/send.go
@@ -26,7 +26,7 @@
 		RequestID: r.ID, Timeout: a.Timeout, MaxConnections: a.Slot.MaxConnections, NewConnection: a.NewConnection, Detached: !r.Route.Idempotent,
 	})
 	if f := result.Failure; f != nil {
-		return nil, &forward.Failure{Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Cause: errors.New(f.Cause)}
+		return nil, &forward.Failure{Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Abandoned: f.Abandoned, Cause: errors.New(f.Cause)}
 	}
 	meta := platform.ParseResponseHeader(result.Status, result.Header)
 	return &forward.Reply{
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -75,8 +75,10 @@
 	// Refused says that no process listens at the address.
 	Refused bool `cbor:"2,keyasint"`
 	// AtConnectionLimit says that no connection was free and no further one was allowed.
-	AtConnectionLimit bool   `cbor:"3,keyasint"`
-	Cause             string `cbor:"4,keyasint"`
+	AtConnectionLimit bool `cbor:"3,keyasint"`
+	// Abandoned says that the VM gave the attempt up as its own links hang, so that it says nothing of the backend server.
+	Abandoned bool   `cbor:"5,keyasint,omitempty"`
+	Cause     string `cbor:"4,keyasint"`
 }
 
 // Client asks other VMs to make attempts. It is safe for concurrent use.
@@ -98,7 +100,9 @@
 		return r, errors.Mark(err, ErrDeclined)
 	}
 	response, err := c.client.Do(ctx, http1.Request{
-		Address: address, Server: string(vm), Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{}, Body: data, NewConnection: a.NewConnection,
+		Address: address, Server: string(vm), Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{}, Body: data,
+		// The other VM may stop and close an idle connection while the attempt is on its way.
+		NewConnection: a.Detached,
 	})
 	if err != nil {
 		if !http1.WasSent(err) {
