Ask a second VM when the first one may be cut off, too

The VM that was asked was cut off itself without knowing it, since it had no requests of its own, and said that the backend server was out of reach. Change: a VM that knows that it is cut off asks one more VM then. The test sends requests to all VMs that are cut off until each of them has noticed, since nothing else makes a VM look; it used to ask one of them only.

--- a/edge/reach_test.go
+++ b/edge/reach_test.go
@@ -142,13 +142,24 @@
 			if test.others > 0 {
 				s.serverLinks[other].set(test.cut)
 			}
-			served := false
-			for n := 0; n < attempts && !served; n++ {
-				view, renew := s.sendBoth(vm, fmt.Sprint("first ", n), n*9973)
-				served = view == http.StatusOK && renew == http.StatusOK
+			cutOff := []int{vm, other}[:1+test.others]
+			served := map[int]bool{}
+			for n := 0; n < attempts && len(served) < len(cutOff); n++ {
+				for _, vm := range cutOff {
+					if view, renew := s.sendBoth(vm, fmt.Sprint("first ", vm, n), n*9973); view == http.StatusOK && renew == http.StatusOK {
+						served[vm] = true
+					}
+				}
 			}
-			is.True(served) // a VM without backend servers serves its callers through another one
-			for !s.isCutOff(vm) {
+			is.Equal(len(served), len(cutOff)) // a VM without backend servers serves its callers through another one
+			for n, detected := 0, 0; detected < len(cutOff); n++ {
+				detected = 0
+				for _, vm := range cutOff {
+					s.sendBoth(vm, fmt.Sprint("next ", vm, n), n*9973)
+					if s.isCutOff(vm) {
+						detected++
+					}
+				}
 				time.Sleep(pollPeriod)
 			}
 			for n := range requests {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -87,13 +87,21 @@
 	s := e.snapshot.Load()
 	started := e.clock.Boot()
 	r.Failure = &relay.Failure{Cause: "no other VM can be asked"}
+	retried := false
 	for _, peer := range e.relays.Candidates(e.settings.VM, s.Peers, s.Servers[a.Server].Domain, rand.IntN) {
 		left := a
 		if left.Timeout -= e.clock.Boot().Sub(started); left.Timeout <= 0 || ctx.Err() != nil {
 			break
 		}
 		result, err := e.relayClient.Do(ctx, peer.VM, peer.Address, left)
+		isUnreached := err == nil && result.Failure != nil && !result.Failure.Sent && !result.Failure.AtConnectionLimit
 		switch {
+		case isUnreached && !retried && e.reach.IsCutOff():
+			// The other VM may be cut off without knowing it yet.
+			retried = true
+			e.relays.Avoid(peer.VM)
+			r.Failure = result.Failure
+			continue
 		case err == nil:
 			e.metrics.attempts.Add("relayed", 1)
 			if result.Failure != nil {
@@ -105,7 +113,7 @@
 		}
 		e.metrics.attempts.Add("declined", 1)
 		e.relays.Avoid(peer.VM)
-		r.Failure.Cause = err.Error()
+		r.Failure = &relay.Failure{Cause: err.Error()}
 	}
 	return r, false
 }
