--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -106,7 +106,7 @@
 }
 
 func (s *site) addServer(name, service string, opts ...worker.Option) {
-	server := httptest.NewServer(worker.New(name, service, s.journal, append(opts, worker.WithServiceTime(time.Millisecond))...))
+	server := httptest.NewServer(worker.New(name, service, s.journal, append([]worker.Option{worker.WithServiceTime(time.Millisecond)}, opts...)...))
 	s.t.Cleanup(server.Close)
 	s.store.Put("servers/"+name, []byte(fmt.Sprintf(
 		`{"Service":%q,"Address":%q,"Zone":"east","Version":"v1","Slots":4,"State":"ready","WarmupLeftS":0,"Sequence":1,"born":1}`,
--- a/edge/reach_test.go
+++ b/edge/reach_test.go
@@ -187,3 +187,35 @@
 		})
 	}
 }
+
+// TestStoppedVMEndsAttemptsForOthers guards against requests that are cut off by the planned stop of the VM that sends them for another one.
+func TestStoppedVMEndsAttemptsForOthers(t *testing.T) {
+	is := is.New(t)
+	const requests = 6
+	// The work is longer than the part of the grace time that a stopping VM waits for the balancer, and shorter than all of it.
+	s := newSite(t, 2, withGraceTime(6*time.Second), func(s *site) { s.billing = []worker.Option{worker.WithServiceTime(3200 * time.Millisecond)} })
+	for vm := range s.callerAddresses {
+		s.awaitStatus(vm, "/view/x", http.StatusOK)
+	}
+	vm := 1 - s.leader()
+	s.serverLinks[vm].set(refusing)
+	s.awaitCutOff(vm)
+	statuses := make(chan int, requests)
+	name := func(n int) string { return fmt.Sprint("under way ", n) }
+	for n := range requests {
+		go func() {
+			status, _ := s.sendRequest(vm, http.MethodPost, "/renew/y", name(n), nil, "a body")
+			statuses <- status
+		}()
+	}
+	for n := range requests {
+		for s.journal.Runs(name(n)) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	s.stopVM(1 - vm)
+	for range requests {
+		is.Equal(<-statuses, http.StatusOK)
+	}
+	is.Equal(len(s.journal.Violations()), 0)
+}
