Send requests without an id like all others, not like commands

Since attempts go through other VMs, a request without Attempt-Id was sent as a command is: without a deadline, without the name of the expected backend server, so that another process at its address could run it. Cause: the empty id stood for 'command'. Change: attempts say whether they are commands. Evidence: TestAttemptsNameTheirBackendServer fails on a clone with the old condition ('a request without id'), and passes now.

--- a/edge/commands.go
+++ b/edge/commands.go
@@ -64,7 +64,7 @@
 	header := http.Header{"Content-Type": {"application/json"}, platform.HeaderExpect: {string(c.Incarnation.Server)}}
 	result := e.attempt(ctx, relay.Attempt{
 		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: call.Path, Host: server.Address,
-		Header: header, Body: body, Timeout: timeout,
+		Header: header, Body: body, Timeout: timeout, Command: true,
 	})
 	switch {
 	case result.Failure != nil:
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -51,7 +51,7 @@
 		Address: a.Address, Server: string(a.Server), Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
 		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
 	}
-	if a.RequestID != "" {
+	if !a.Command {
 		header = header.Clone()
 		platform.SetAttemptHeaders(header, a.RequestID, a.Timeout, a.Server)
 		request.Header = header
@@ -126,7 +126,7 @@
 	if e.reach.IsCutOff() {
 		return r, false
 	}
-	if a.RequestID != "" {
+	if !a.Command {
 		s := e.snapshot.Load()
 		server, known := s.Servers[a.Server]
 		if !known || server.Born != a.Born || !s.Usable(server) {
--- /dev/null
+++ b/edge/relay_test.go
@@ -0,0 +1,50 @@
+package edge
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/reach"
+	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/relay"
+)
+
+// A caller's request without an id must not be sent like a command, without a deadline and to whatever process has the address.
+func TestAttemptsNameTheirBackendServer(t *testing.T) {
+	tests := map[string]struct {
+		attempt          relay.Attempt
+		expect, deadline string
+	}{
+		"a request":            {attempt: relay.Attempt{RequestID: "r1"}, expect: "s", deadline: "2000"},
+		"a request without id": {attempt: relay.Attempt{}, expect: "s", deadline: "2000"},
+		"a command":            {attempt: relay.Attempt{Command: true, Header: http.Header{platform.HeaderExpect: {"other"}}}, expect: "other"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var got http.Header
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				got = r.Header
+				w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+			}))
+			defer server.Close()
+			e := &Edge{clock: clock.System{}, backends: http1.NewClient(), reach: reach.NewDetector()}
+			a := test.attempt
+			a.Server, a.Address, a.Method, a.Target, a.Host, a.Timeout = "s", strings.TrimPrefix(server.URL, "http://"), http.MethodGet, "/", "a.example", 2*time.Second
+			if a.Header == nil {
+				a.Header = http.Header{}
+			}
+			r := e.attemptDirectly(t.Context(), a)
+			is.Equal(r.Failure, nil)
+			is.Equal(got.Get(platform.HeaderExpect), test.expect)
+			is.Equal(got.Get(platform.HeaderDeadline), test.deadline)
+		})
+	}
+}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -50,8 +50,10 @@
 	Host    string          `cbor:"6,keyasint"`
 	Header  http.Header     `cbor:"7,keyasint"`
 	Body    []byte          `cbor:"8,keyasint"`
-	// RequestID identifies the response; it is empty for a command, which any response answers.
+	// RequestID identifies the response to a caller's request.
 	RequestID string `cbor:"9,keyasint"`
+	// Command says that this is a grant or release, whose header is complete and which any response answers.
+	Command bool `cbor:"14,keyasint,omitempty"`
 	// Timeout is the time left for the attempt.
 	Timeout        time.Duration `cbor:"10,keyasint"`
 	MaxConnections int           `cbor:"11,keyasint"`
