End a cut when the only backend server left is reached

A VM that was cut off while a service's other backend servers went away would have sent through other VMs until a second backend server was usable. Cause: probes of fewer than two backend servers were ignored, also those that succeed. Change: they can't begin a cut, but end one. Evidence: the case 'the last one is reached again' of TestDetector fails before, passes now.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -127,11 +127,10 @@
 	defer d.mu.Unlock()
 	before := d.cutOff
 	switch {
-	case probed < minSuspects:
 	case d.cutOff:
-		d.cutOff = 2*reached < probed
+		d.cutOff = 2*reached < probed || probed == 0
 	default:
-		d.cutOff = reached == 0
+		d.cutOff = reached == 0 && probed >= minSuspects
 	}
 	if reached > 0 && !d.cutOff {
 		clear(d.failed)
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -97,6 +97,7 @@
 		"one probe succeeds":            {play: func(_ *manualClock, d *reach.Detector) { fail(d, "a", "b"); d.RecordProbes(1, 4) }},
 		"only one server can be probed": {play: func(_ *manualClock, d *reach.Detector) { fail(d, "a", "b"); d.RecordProbes(0, 1) }, probe: true},
 		"one of four is reached again":  {play: func(_ *manualClock, d *reach.Detector) { d.RecordProbes(0, 4); d.RecordProbes(1, 4) }, probe: true, cutOff: true},
+		"the last one is reached again": {play: func(_ *manualClock, d *reach.Detector) { d.RecordProbes(0, 4); d.RecordProbes(1, 1) }},
 		"two of four are reached again": {play: func(_ *manualClock, d *reach.Detector) { d.RecordProbes(0, 4); d.RecordProbes(2, 4) }},
 	}
 	for name, test := range tests {
