--- a/coordination/forward/options.go
+++ b/coordination/forward/options.go
@@ -7,6 +7,7 @@
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // Send makes one attempt; failure is nil if an answer came.
@@ -20,6 +21,8 @@
 	Poison *poison.Tracker
 	// OnCrash is called for each request against which a crash of a backend server was counted, with the number of its crashes so far.
 	OnCrash func(f poison.Fingerprint, crashes int)
+	// OnSuspect is called for each request whose connection to a backend server broke, so that it may have crashed it.
+	OnSuspect func(server id.Server, f poison.Fingerprint)
 	// Observe is called after each attempt.
 	Observe func(r *Request, s *dispatch.Slot, took time.Duration, reply *Reply, failure *Failure)
 	// RetryShare is the number of retries that each request adds to the budget, and RetryBurst the maximum burst of retries.
@@ -48,6 +51,11 @@
 // WithOnCrash sets the function that is called for crashes.
 func WithOnCrash(f func(poison.Fingerprint, int)) Option { return func(o *Options) { o.OnCrash = f } }
 
+// WithOnSuspect sets the function that is called for requests that may have crashed a backend server.
+func WithOnSuspect(f func(id.Server, poison.Fingerprint)) Option {
+	return func(o *Options) { o.OnSuspect = f }
+}
+
 // WithObserve sets the function that is called after each attempt.
 func WithObserve(f func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure)) Option {
 	return func(o *Options) { o.Observe = f }
@@ -62,6 +70,7 @@
 	o := Options{
 		Clock: clock.System{}, Poison: poison.NewTracker(),
 		OnCrash:    func(poison.Fingerprint, int) {},
+		OnSuspect:  func(id.Server, poison.Fingerprint) {},
 		Observe:    func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure) {},
 		RetryShare: defaultRetryShare, RetryBurst: func() float64 { return defaultRetryBurst },
 	}
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -31,11 +31,12 @@
 	if f.options.Poison.IsEmpty() || f.options.Poison.Check(f.options.Clock.Boot(), f.fingerprint(r)) != poison.Blocked {
 		return nil
 	}
-	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it")
+	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d", f.fingerprint(r))
 }
 
 // addSuspect records a request whose connection broke.
 func (f *Forwarder) addSuspect(server id.Server, p poison.Fingerprint) {
+	f.options.OnSuspect(server, p)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock.Boot()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -142,7 +142,7 @@
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithPoison(e.poison),
-		forward.WithOnCrash(e.reportCrash), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
+		forward.WithOnCrash(e.reportCrash), forward.WithOnSuspect(e.observeSuspect), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.handler = entry.NewHandler(entry.Dependencies{
 		Clock: o.Clock,
 		Headers: entry.HeaderNames{
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/ownership"
+	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
@@ -99,6 +100,11 @@
 	}
 }
 
+// observeSuspect logs that the connection of a request broke, so that the request may have crashed the backend server.
+func (e *Edge) observeSuspect(server id.Server, f poison.Fingerprint) {
+	e.log.Info("a connection broke: its request may have crashed the backend server", "server", string(server), "fingerprint", uint64(f))
+}
+
 // observePanic counts and logs a panic in the handling of one message or in one task.
 func (e *Edge) observePanic(value any, stack []byte) {
 	e.metrics.panics.Add(1)
