Test that a crashing request is refused by all VMs, failing

Change: a fleet of forwarders in virtual time, 12 ways in which backend servers crash and VMs learn of it. TestRequestsBesideACrashingOneAreServed passes on this code and guards the fix.

--- /dev/null
+++ b/coordination/forward/crash_test.go
@@ -0,0 +1,313 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/forward"
+	"github.com/hickorylug/hickorylug/protocol/outcome"
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+const (
+	// maxLateCrashes is the number of attempts at a request that are allowed later than crashReactionTime after its third crash.
+	maxLateCrashes    = 3
+	crashReactionTime = 3 * time.Second
+	// crashRestartTime is the time from a crash to the start of the replacement, and crashRemovalTime the time to the removal of the entry.
+	crashRestartTime = 3 * time.Second
+	crashRemovalTime = 2600 * time.Millisecond
+	// crashTarget is the target of the request that crashes each backend server that runs it.
+	crashTarget = "/crash"
+)
+
+// crashCase is a way in which backend servers crash and VMs learn of it.
+type crashCase struct {
+	// silent backend servers refuse no connections after a crash.
+	silent bool
+	// sameName says that replacements register under the id of the crashed backend server.
+	sameName bool
+	// keepsEntry says that the entry of a crashed backend server stays until its replacement has registered.
+	keepsEntry bool
+	idempotent bool
+	// lostMessages is the number of messages of each VM, from the first one, that reach no other VM.
+	lostMessages int
+	// startsLate is the number of VMs that start after the second crash.
+	startsLate int
+	// bystanders is the number of other requests that are sent together with the crashing one, to the same backend server if possible.
+	bystanders int
+	// concurrent is the number of VMs to which the request is sent at the same time.
+	concurrent int
+	// staleAnswer makes another request's answer, written before the crash, arrive after the first connection broke.
+	staleAnswer bool
+}
+
+// crashFleet is a fleet of VMs in front of backend servers, one of whose requests crashes them.
+type crashFleet struct {
+	clock    clock.Clock
+	test     crashCase
+	servers  map[id.Server]*crashServer
+	vms      []*crashVM
+	crashes  []clock.Instant
+	sent     map[*crashVM]int
+	snapshot *fleet.Snapshot
+	started  int
+}
+
+type crashServer struct {
+	fleet.Server
+	crashed chan struct{}
+}
+
+type crashVM struct {
+	crashExchange
+	dispatcher *dispatch.Dispatcher
+	forwarder  *forward.Forwarder
+}
+
+func newCrashFleet(test crashCase) *crashFleet {
+	f := &crashFleet{clock: clock.Runtime{Origin: time.Now().Add(-time.Hour)}, test: test, servers: map[id.Server]*crashServer{}, sent: map[*crashVM]int{}}
+	for i := range 8 {
+		f.startServer(fmt.Sprintf("10.0.0.%d:80", i), "")
+	}
+	f.publish()
+	for range 4 - test.startsLate {
+		f.startVM()
+	}
+	return f
+}
+
+func (f *crashFleet) startServer(address string, name id.Server) {
+	f.started++
+	if name == "" {
+		name = id.Server(fmt.Sprint("i-", f.started))
+	}
+	f.servers[name] = &crashServer{crashed: make(chan struct{}), Server: fleet.Server{
+		Incarnation: fleet.Incarnation{Server: name, Born: fleet.StartTime(f.started)}, Service: service, Domain: "east", Slots: 4, Address: address,
+	}}
+}
+
+func (f *crashFleet) startVM() {
+	v := &crashVM{dispatcher: dispatch.NewDispatcher(id.VM(fmt.Sprint("vm", len(f.vms))), "east", dispatch.WithClock(f.clock))}
+	v.dispatcher.Update(f.snapshot)
+	options := append(v.options(f, v), forward.WithClock(f.clock), forward.WithSend(f.send), forward.WithRetries(0.2, func() float64 { return 10 }))
+	v.forwarder = forward.NewForwarder(v.dispatcher, options...)
+	f.vms = append(f.vms, v)
+}
+
+// publish makes the registered backend servers the snapshot of all VMs.
+func (f *crashFleet) publish() {
+	servers := map[id.Server]fleet.Server{}
+	for name, s := range f.servers {
+		servers[name] = s.Server
+	}
+	old := f.snapshot
+	f.snapshot = &fleet.Snapshot{
+		Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service}}, fleet.Limits{}),
+		Servers:       servers, ByService: fleet.ByService(servers),
+	}
+	for _, v := range f.vms {
+		v.dispatcher.Update(f.snapshot)
+		v.follow(v, old, f.snapshot)
+	}
+}
+
+// deliver hands a message of a VM to the others, unless it is lost.
+func (f *crashFleet) deliver(from *crashVM, receive func(to *crashVM)) {
+	if f.sent[from]++; f.sent[from] <= f.test.lostMessages {
+		return
+	}
+	for _, v := range f.vms {
+		if v != from {
+			time.AfterFunc(time.Millisecond, func() { receive(v) })
+		}
+	}
+}
+
+func (f *crashFleet) send(ctx context.Context, a forward.Attempt) (*forward.Reply, *forward.Failure) {
+	time.Sleep(time.Millisecond)
+	s := f.servers[a.Slot.Server.Server]
+	if s == nil || s.Incarnation != a.Slot.Server.Incarnation || s.isDown() {
+		if f.test.silent {
+			time.Sleep(300 * time.Millisecond)
+			return nil, &forward.Failure{Cause: errors.New("i/o timeout")}
+		}
+		return unreachable(ctx)
+	}
+	took := 100 * time.Millisecond
+	if a.Request.Target == crashTarget {
+		took = 30 * time.Millisecond
+	}
+	select {
+	case <-time.After(took):
+		if a.Request.Target != crashTarget {
+			return answers(200)(ctx)
+		}
+		f.crash(s)
+	case <-s.crashed:
+	}
+	if f.test.staleAnswer && strings.HasPrefix(a.Request.Target, "/before") {
+		time.Sleep(time.Millisecond)
+		return answers(200)(ctx)
+	}
+	if f.test.silent {
+		return hangs(ctx)
+	}
+	return breaks(ctx)
+}
+
+func (s *crashServer) isDown() bool {
+	select {
+	case <-s.crashed:
+		return true
+	default:
+		return false
+	}
+}
+
+// crash ends a backend server and starts its replacement later.
+func (f *crashFleet) crash(s *crashServer) {
+	if s.isDown() {
+		return
+	}
+	close(s.crashed)
+	f.crashes = append(f.crashes, f.clock.Boot())
+	if len(f.crashes) == 2 {
+		for range f.test.startsLate {
+			time.AfterFunc(100*time.Millisecond, f.startVM)
+		}
+	}
+	if !f.test.keepsEntry {
+		time.AfterFunc(crashRemovalTime, func() {
+			if f.servers[s.Incarnation.Server] == s {
+				delete(f.servers, s.Incarnation.Server)
+				f.publish()
+			}
+		})
+	}
+	time.AfterFunc(crashRestartTime, func() {
+		delete(f.servers, s.Incarnation.Server)
+		name := id.Server("")
+		if f.test.sameName {
+			name = s.Incarnation.Server
+		}
+		f.startServer(s.Address, name)
+		f.publish()
+	})
+}
+
+// request sends a request through a VM and returns its outcome.
+func (f *crashFleet) request(v *crashVM, target string) (served bool, refusal *outcome.Error) {
+	now := f.clock.Boot()
+	const timeout = time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	answer, err := v.forwarder.Forward(ctx, &forward.Request{
+		ID: "1", Method: "GET", Target: target, Service: service, Arrived: now, Deadline: now.Add(timeout), Objective: now.Add(timeout / 2),
+		Route: &fleet.Route{Name: "r", Idempotent: f.test.idempotent, MaxAttempts: 2, Objective: timeout / 2},
+	})
+	if err != nil {
+		return false, outcome.FromError(err)
+	}
+	return answer.Status == 200, nil
+}
+
+// lateCrashes returns the number of crashes later than crashReactionTime after the third one.
+func (f *crashFleet) lateCrashes() (n int) {
+	for _, at := range f.crashes[min(3, len(f.crashes)):] {
+		if at.Sub(f.crashes[2]) > crashReactionTime {
+			n++
+		}
+	}
+	return n
+}
+
+// A request that crashes each backend server that runs it must be refused by all VMs after few crashes.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	tests := map[string]crashCase{
+		"retries find the port closed":                     {idempotent: true},
+		"nobody finds the port closed":                     {keepsEntry: true},
+		"the same id registers again":                      {sameName: true, keepsEntry: true},
+		"backend servers fall silent":                      {silent: true},
+		"backend servers fall silent, retried":             {silent: true, idempotent: true},
+		"silent until replaced":                            {silent: true, keepsEntry: true},
+		"the first messages of each VM are lost":           {idempotent: true, lostMessages: 3},
+		"VMs start after the second crash":                 {idempotent: true, startsLate: 2},
+		"at three VMs at once":                             {idempotent: true, concurrent: 3},
+		"other requests beside it":                         {idempotent: true, bystanders: 6},
+		"other requests beside it, nobody retries":         {bystanders: 6},
+		"an answer from before the crash is read after it": {idempotent: true, bystanders: 6, staleAnswer: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f *crashFleet
+			synctest.Test(t, func(*testing.T) {
+				f = newCrashFleet(test)
+				for i := range 24 {
+					for n := range max(1, test.concurrent) {
+						go f.request(f.vms[(i+n)%len(f.vms)], crashTarget)
+					}
+					for n := range test.bystanders {
+						prefix := "/other"
+						if n%2 == 0 {
+							prefix = "/before"
+						}
+						go f.request(f.vms[(i+n)%len(f.vms)], fmt.Sprintf("%s%d-%d", prefix, i, n))
+					}
+					time.Sleep(3100 * time.Millisecond)
+				}
+				time.Sleep(10 * time.Second)
+			})
+			t.Logf("crashes: %d, late ones: %d", len(f.crashes), f.lateCrashes())
+			is.True(len(f.crashes) >= 2)
+			is.True(f.lateCrashes() <= maxLateCrashes)
+		})
+	}
+}
+
+// Requests that are only under way beside a crashing one must be served when their callers repeat them.
+func TestRequestsBesideACrashingOneAreServed(t *testing.T) {
+	tests := map[string]crashCase{
+		"retried":       {idempotent: true},
+		"not retried":   {},
+		"silent":        {silent: true},
+		"the same name": {idempotent: true, sameName: true, keepsEntry: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			refused := map[string]string{}
+			synctest.Test(t, func(*testing.T) {
+				f := newCrashFleet(test)
+				targets := []string{"/a", "/b", "/c", "/d", "/e", "/f"}
+				for i := range 12 {
+					go f.request(f.vms[i%len(f.vms)], crashTarget)
+					for n, target := range targets {
+						go f.request(f.vms[(i+n)%len(f.vms)], target)
+					}
+					time.Sleep(1500 * time.Millisecond)
+				}
+				time.Sleep(5 * time.Second)
+				for _, target := range targets {
+					for _, v := range f.vms {
+						if served, err := f.request(v, target); !served {
+							refused[target] = fmt.Sprint(err)
+						}
+					}
+				}
+			})
+			is.Equal(maps.Clone(refused), map[string]string{})
+		})
+	}
+}
