Refuse a request that crashes backend servers at all VMs, by the crashes that all of them saw

What callers saw: a request that ends each backend server that runs it went to seven of them, and with each one the requests beside it failed. Cause: a crash counted only if the same VM found the port closed within 1.5 s, or the same id registered again; VMs told each other a number of crashes, of which the highest counted, once; any answer dropped the suspects. Change: coordination/poison.Ledger keeps the suspects of each crashed process as a set that VMs merge. A closed port at any VM, a refused grant, a removed entry, or a later process under the id or at the address confirm a crash within 5 s; requests still in flight there are suspects as well, so silence needs no broken connection. Only answers to later requests refute it. Reports are repeated, by the leader to VMs that start later. A crash counts only against the suspects with the most crashes, so that requests beside the guilty one aren't refused for it.

--- a/coordination/forward/crashexchange_test.go
+++ b/coordination/forward/crashexchange_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"time"
+
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -8,21 +10,24 @@
 
 // crashExchange is what a VM of a crashFleet tells others of crashes.
 type crashExchange struct {
-	tracker *poison.Tracker
+	ledger *poison.Ledger
 }
 
 func (e *crashExchange) options(f *crashFleet, v *crashVM) []forward.Option {
-	e.tracker = poison.NewTracker()
-	return []forward.Option{forward.WithPoison(e.tracker), forward.WithOnCrash(func(p poison.Fingerprint, crashes int) {
-		f.deliver(v, func(to *crashVM) { to.tracker.MergeCrashes(f.clock.Boot(), p, crashes) })
-	})}
+	e.ledger = poison.NewLedger(func(r poison.Report) {
+		f.deliver(v, func(to *crashVM) { to.ledger.Merge(f.clock.Boot(), r) })
+	})
+	isLeader := len(f.vms) == 0
+	var repeat func()
+	repeat = func() {
+		e.ledger.Repeat(f.clock.Boot(), isLeader)
+		time.AfterFunc(100*time.Millisecond, repeat)
+	}
+	repeat()
+	return []forward.Option{forward.WithCrashes(e.ledger)}
 }
 
 // follow tells a VM of a change of the registered backend servers.
 func (e *crashExchange) follow(v *crashVM, old, next *fleet.Snapshot) {
-	for name, s := range next.Servers {
-		if before, ok := old.Servers[name]; ok && before.Born != s.Born {
-			v.forwarder.RecordRestart(name)
-		}
-	}
+	v.forwarder.FollowServers(old, next)
 }
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -119,19 +120,19 @@
 	options    Options
 	dispatcher *dispatch.Dispatcher
 
-	mu       sync.Mutex
-	budgets  map[id.Service]*budget
-	suspects map[id.Server]*suspects
+	mu      sync.Mutex
+	budgets map[id.Service]*budget
 }
 
 // NewForwarder returns a forwarder that gets its slots from a dispatcher.
 func NewForwarder(d *dispatch.Dispatcher, opts ...Option) *Forwarder {
-	return &Forwarder{options: newOptions(opts), dispatcher: d, budgets: map[id.Service]*budget{}, suspects: map[id.Server]*suspects{}}
+	return &Forwarder{options: newOptions(opts), dispatcher: d, budgets: map[id.Service]*budget{}}
 }
 
 // requestState is the state of a request across its attempts.
 type requestState struct {
-	request *Request
+	request     *Request
+	fingerprint poison.Fingerprint
 	// tried are the backend servers that the next attempt must avoid.
 	tried []id.Server
 	// possibleRuns counts the attempts that a backend server may have run.
@@ -152,10 +153,10 @@
 // Forward returns the answer of a backend server, or an *outcome.Error that says whether the request may have run.
 func (f *Forwarder) Forward(ctx context.Context, r *Request) (answer *Answer, err error) {
 	f.budget(r.Service).addRequest()
-	if refusal := f.refusePoisonous(r); refusal != nil {
+	s := &requestState{request: r, fingerprint: f.fingerprint(r)}
+	if refusal := f.refusePoisonous(s); refusal != nil {
 		return nil, refusal
 	}
-	s := &requestState{request: r}
 	answer, err = f.attemptUntilDone(ctx, s)
 	if err != nil && s.errorAnswer != nil {
 		// A server error tells the caller more than the reason why no further attempt gave an answer.
@@ -173,6 +174,11 @@
 		if err != nil {
 			return nil, s.finalError(translateRefusal(err))
 		}
+		if refusal := f.refusePoisonous(s); refusal != nil {
+			// Crashes may have become known during the wait in the queue.
+			slot.Done(dispatch.Cancelled, dispatch.Report{})
+			return nil, s.finalError(refusal)
+		}
 		if s.received > 0 && !f.budget(r.Service).trySpend() {
 			slot.Done(dispatch.Cancelled, dispatch.Report{})
 			return nil, s.finalError(outcome.NotRun(outcome.Overloaded, "the retry budget of service %s is used up", r.Service).WithRetryAfter(retryAfterShed))
@@ -203,7 +209,9 @@
 	}
 	s.attempts++
 	began := f.options.Clock.Boot()
+	f.options.Crashes.Begin(slot.Server.Incarnation, s.fingerprint)
 	reply, failure := f.options.Send(ctx, Attempt{Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1})
+	f.recordSigns(s, slot.Server.Incarnation, began, reply, failure)
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
 	if failure != nil {
 		return f.handleFailure(ctx, s, slot, failure)
@@ -213,7 +221,6 @@
 		return f.handleRejection(ctx, s, slot, reply)
 	}
 	s.possibleRuns++
-	f.clearSuspects(slot.Server.Server)
 	slot.Done(resultOf(reply.Answer.Status), reply.Report)
 	reply.Answer.Attempts = s.attempts
 	if reply.Answer.Status >= http.StatusInternalServerError && f.canRetry(ctx, s) {
@@ -257,7 +264,6 @@
 	server := slot.Server.Server
 	if !failure.Sent {
 		if failure.Refused {
-			f.recordCrash(server)
 			s.recordUnreachable(slot.Server.Domain)
 		}
 		result := dispatch.Unreachable
@@ -290,9 +296,6 @@
 		result = dispatch.ConnectionBroken
 	}
 	slot.Done(result, dispatch.Report{})
-	if result == dispatch.ConnectionBroken {
-		f.addSuspect(server, f.fingerprint(s.request))
-	}
 	if f.canRetry(ctx, s) {
 		s.tried = append(s.tried, server)
 		return nil, true, nil
@@ -307,7 +310,7 @@
 func (f *Forwarder) canRetry(ctx context.Context, s *requestState) bool {
 	r := s.request
 	return r.Route.Idempotent && s.possibleRuns < r.Route.MaxAttempts && ctx.Err() == nil &&
-		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.refusePoisonous(r) == nil
+		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.refusePoisonous(s) == nil
 }
 
 // recordUnreachable counts a backend server that refused the connection. After some of a failure domain, the next attempts avoid it:
--- a/coordination/forward/options.go
+++ b/coordination/forward/options.go
@@ -17,11 +17,9 @@
 type Options struct {
 	Clock clock.Clock
 	Send  Send
-	// Poison counts the crashes of backend servers by request.
-	Poison *poison.Tracker
-	// OnCrash is called for each request against which a crash of a backend server was counted, with the number of its crashes so far.
-	OnCrash func(f poison.Fingerprint, crashes int)
-	// OnSuspect is called for each request whose connection to a backend server broke, so that it may have crashed it.
+	// Crashes records which requests were in flight at crashed processes.
+	Crashes *poison.Ledger
+	// OnSuspect is called for each request that was sent to a backend server and got no answer, so that it may have crashed it.
 	OnSuspect func(server id.Server, f poison.Fingerprint)
 	// Observe is called after each attempt.
 	Observe func(r *Request, s *dispatch.Slot, took time.Duration, reply *Reply, failure *Failure)
@@ -45,11 +43,8 @@
 // WithSend sets the function that makes attempts.
 func WithSend(s Send) Option { return func(o *Options) { o.Send = s } }
 
-// WithPoison sets the tracker of requests that crash backend servers.
-func WithPoison(t *poison.Tracker) Option { return func(o *Options) { o.Poison = t } }
-
-// WithOnCrash sets the function that is called for crashes.
-func WithOnCrash(f func(poison.Fingerprint, int)) Option { return func(o *Options) { o.OnCrash = f } }
+// WithCrashes sets the ledger of requests that crash backend servers.
+func WithCrashes(l *poison.Ledger) Option { return func(o *Options) { o.Crashes = l } }
 
 // WithOnSuspect sets the function that is called for requests that may have crashed a backend server.
 func WithOnSuspect(f func(id.Server, poison.Fingerprint)) Option {
@@ -68,8 +63,7 @@
 
 func newOptions(opts []Option) Options {
 	o := Options{
-		Clock: clock.System{}, Poison: poison.NewTracker(),
-		OnCrash:    func(poison.Fingerprint, int) {},
+		Clock: clock.System{}, Crashes: poison.NewLedger(func(poison.Report) {}),
 		OnSuspect:  func(id.Server, poison.Fingerprint) {},
 		Observe:    func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure) {},
 		RetryShare: defaultRetryShare, RetryBurst: func() float64 { return defaultRetryBurst },
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -1,78 +1,63 @@
 package forward
 
 import (
-	"time"
+	"net/http"
 
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/clock"
-	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/fleet"
 )
 
-// crashConfirmWindow is the time after a broken connection within which a refused connection confirms that the backend server crashed.
-const crashConfirmWindow = 1500 * time.Millisecond
-
-// suspects are the requests that a backend server was running when its connections broke.
-type suspects struct {
-	startedAt    clock.Instant
-	fingerprints map[poison.Fingerprint]bool
-}
-
-// maxSuspects limits the suspects of one crash; a backend server runs few requests at once.
-const maxSuspects = 64
-
-// fingerprint returns the fingerprint of a request for the poison tracker.
+// fingerprint returns the fingerprint of a request for the ledger of crashes.
 func (f *Forwarder) fingerprint(r *Request) poison.Fingerprint {
 	return poison.FingerprintOf(string(r.Service), r.Method, r.Target, r.Body)
 }
 
 // refusePoisonous returns the refusal of a request that has crashed several backend servers, or nil.
-func (f *Forwarder) refusePoisonous(r *Request) *outcome.Error {
-	if f.options.Poison.IsEmpty() || f.options.Poison.Check(f.options.Clock.Boot(), f.fingerprint(r)) != poison.Blocked {
+func (f *Forwarder) refusePoisonous(s *requestState) *outcome.Error {
+	if f.options.Crashes.Check(f.options.Clock.Boot(), s.fingerprint) != poison.Blocked {
 		return nil
 	}
-	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d", f.fingerprint(r))
+	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d", s.fingerprint)
 }
 
-// addSuspect records a request whose connection broke.
-func (f *Forwarder) addSuspect(server id.Server, p poison.Fingerprint) {
-	f.options.OnSuspect(server, p)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.options.Clock.Boot()
-	s := f.suspects[server]
-	if s == nil || now.Sub(s.startedAt) > crashConfirmWindow {
-		s = &suspects{startedAt: now, fingerprints: map[poison.Fingerprint]bool{}}
-		f.suspects[server] = s
-	}
-	if len(s.fingerprints) < maxSuspects {
-		s.fingerprints[p] = true
+// recordSigns records what the result of an attempt says of a crash of the process.
+func (f *Forwarder) recordSigns(s *requestState, process fleet.Incarnation, began clock.Instant, reply *Reply, failure *Failure) {
+	ledger, now := f.options.Crashes, f.options.Clock.Boot()
+	switch {
+	case failure != nil && failure.Sent && !failure.Abandoned:
+		ledger.Unanswered(now, process, s.fingerprint)
+		f.options.OnSuspect(process.Server, s.fingerprint)
+	case failure != nil:
+		ledger.End(process, s.fingerprint)
+		if failure.Refused {
+			f.RecordCrash(process)
+		}
+	case reply.Misplaced:
+		ledger.End(process, s.fingerprint)
+	default:
+		ledger.Answered(now, process, s.fingerprint, began, !reply.NotRun && reply.Answer.Status < http.StatusInternalServerError)
 	}
 }
 
-// clearSuspects drops the suspects of a backend server that has answered since.
-func (f *Forwarder) clearSuspects(server id.Server) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.suspects) > 0 {
-		delete(f.suspects, server)
-	}
+// RecordCrash records that the port of a process is closed.
+func (f *Forwarder) RecordCrash(process fleet.Incarnation) {
+	f.options.Crashes.RecordCrash(f.options.Clock.Boot(), process, false)
 }
 
-// recordCrash counts a crash of a backend server against its suspects.
-func (f *Forwarder) recordCrash(server id.Server) {
-	f.mu.Lock()
-	s := f.suspects[server]
-	delete(f.suspects, server)
-	f.mu.Unlock()
-	now := f.options.Clock.Boot()
-	if s == nil || now.Sub(s.startedAt) > crashConfirmWindow {
-		return
+// FollowServers records the processes that have ended between two snapshots without having announced it: their entry is gone, or a
+// process that started later has registered under their id or at their address.
+func (f *Forwarder) FollowServers(old, next *fleet.Snapshot) {
+	latest := map[string]fleet.StartTime{}
+	for _, s := range next.Servers {
+		latest[s.Address] = max(latest[s.Address], s.Born)
 	}
-	for p := range s.fingerprints {
-		f.options.OnCrash(p, f.options.Poison.RecordCrash(now, p))
+	now := f.options.Clock.Boot()
+	for name, s := range old.Servers {
+		_, isPresent := next.Servers[name]
+		if !s.Draining && (!isPresent || latest[s.Address] > s.Born) {
+			f.options.Crashes.RecordCrash(now, s.Incarnation, true)
+		}
 	}
 }
-
-// RecordRestart counts the restart of a backend server as a crash against its suspects.
-func (f *Forwarder) RecordRestart(server id.Server) { f.recordCrash(server) }
--- /dev/null
+++ b/coordination/poison/ledger_test.go
@@ -0,0 +1,79 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/poison"
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+// crashReport returns the report of the crash of a process with a number.
+func crashReport(process int, suspects ...poison.Fingerprint) poison.Report {
+	return poison.Report{Process: fleet.Incarnation{Server: id.Server(fmt.Sprint("i-", process)), Born: 1}, Suspects: suspects}
+}
+
+func TestLedgerStatus(t *testing.T) {
+	const guilty, innocent poison.Fingerprint = 1, 2
+	at := func(d time.Duration) clock.Instant { return clock.Instant(time.Hour + d) }
+	tests := map[string]struct {
+		reports []poison.Report
+		// age is the time since the last report.
+		age              time.Duration
+		guilty, innocent poison.Status
+	}{
+		"one crash": {reports: []poison.Report{crashReport(1, guilty)}, guilty: poison.Suspect},
+		"one crash that several VMs report": {
+			reports: []poison.Report{crashReport(1, guilty), crashReport(1, guilty), crashReport(1, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect,
+		},
+		"alone at two crashes":              {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, guilty: poison.Blocked},
+		"a coincidence may have ended":      {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, age: time.Minute, guilty: poison.Suspect},
+		"alone at three crashes":            {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, guilty)}, age: 9 * time.Minute, guilty: poison.Blocked},
+		"another request beside it":         {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty)}, guilty: poison.Blocked},
+		"another request beside it twice":   {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect},
+		"the third crash tells them apart":  {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty)}, guilty: poison.Blocked},
+		"together at three crashes":         {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, guilty: poison.Blocked, innocent: poison.Blocked},
+		"together, after a time":            {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, age: 2 * time.Minute, guilty: poison.Suspect, innocent: poison.Suspect},
+		"has run since":                     {reports: []poison.Report{crashReport(1, innocent), {Cleared: []poison.Fingerprint{innocent}}, crashReport(1, innocent)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := poison.NewLedger(func(poison.Report) {})
+			for _, r := range test.reports {
+				l.Merge(at(0), r)
+			}
+			is.Equal(l.Check(at(test.age), guilty), test.guilty)
+			is.Equal(l.Check(at(test.age), innocent), test.innocent)
+		})
+	}
+}
+
+// An answer that was written before a crash must not refute it, and one to a later request must.
+func TestAnswersRefuteCrashes(t *testing.T) {
+	tests := map[string]struct {
+		began  time.Duration
+		status poison.Status
+	}{
+		"a request from before the connection broke": {began: -time.Second, status: poison.Suspect},
+		"a request sent after it":                    {began: time.Second, status: poison.Clear},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := poison.NewLedger(func(poison.Report) {})
+			process, now := fleet.Incarnation{Server: "a", Born: 1}, clock.Instant(time.Hour)
+			l.Begin(process, 1)
+			l.Begin(process, 2)
+			l.Unanswered(now, process, 1)
+			l.Answered(now.Add(2*time.Second), process, 2, now.Add(test.began), true)
+			l.RecordCrash(now.Add(3*time.Second), process, false)
+			is.Equal(l.Check(now.Add(3*time.Second), 1), test.status)
+		})
+	}
+}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -1,9 +1,14 @@
 // Package poison detects requests that crash each backend server that runs them.
 //
 // Every request in flight at a backend server that crashes is a suspect.
-// Suspects run one at a time, so that the next crash can be counted against one
-// request alone. After the second crash, requests with the same fingerprint are
-// refused for a time.
+//
+// A Tracker serves a fleet in which one VM sends all requests to a backend
+// server. Suspects run one at a time there, so that the next crash can be
+// counted against one request alone. After the second crash, requests with the
+// same fingerprint are refused for a time.
+//
+// A Ledger serves a fleet in which all VMs send to all backend servers. It
+// merges what each VM saw of each crash.
 //
 // # Usage
 //
@@ -14,6 +19,12 @@
 //	case poison.Suspect:
 //		// Run while no other suspect is running.
 //	}
+//
+//	l := poison.NewLedger(announce)
+//	l.Begin(process, fingerprint)
+//	l.Unanswered(now, process, fingerprint) // the connection broke
+//	l.RecordCrash(now, process, false)      // the port is closed: announces the suspects
+//	l.Merge(now, report)                    // at the other VMs
 package poison
 
 import (
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -68,6 +68,9 @@
 	})
 	switch {
 	case result.Failure != nil:
+		if result.Failure.Refused {
+			e.forwarder.RecordCrash(c.Incarnation)
+		}
 		k.recordOutcome(c, ownership.Unanswered, "", result.Failure.Refused)
 	case result.Status == http.StatusOK:
 		k.recordOutcome(c, ownership.Done, result.Header.Get(platform.HeaderHandover), false)
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -62,6 +62,7 @@
 				e.sendToVM(vm, e.heartbeatMessage())
 			}
 		}
+		e.crashes.Repeat(now, leading)
 		select {
 		case <-e.clock.After(coordinateTick):
 		case <-ctx.Done():
@@ -213,8 +214,8 @@
 	}
 	e.keys.addPaces(m.Paces)
 	e.applyRequestLimits(m.RequestLimits)
-	for _, d := range m.CrashReports {
-		e.poison.MergeCrashes(e.clock.Boot(), poison.Fingerprint(d.Fingerprint), d.Crashes)
+	for _, r := range m.Crashes {
+		e.crashes.Merge(e.clock.Boot(), r.ToReport())
 	}
 	if m.Heartbeat != nil {
 		e.handleHeartbeat(m)
@@ -302,8 +303,10 @@
 	})
 }
 
-// reportCrash warns the other VMs of a request that was in flight when backend servers crashed.
-func (e *Edge) reportCrash(f poison.Fingerprint, crashes int) {
-	e.log.Warn("a backend server crashed while it had this request", "fingerprint", uint64(f), "deaths", crashes)
-	e.announce(e.withSender(gossip.Message{CrashReports: []gossip.CrashReport{{Fingerprint: uint64(f), Crashes: crashes}}}))
+// reportCrash tells the other VMs which requests were in flight at a backend server that has crashed.
+func (e *Edge) reportCrash(r poison.Report) {
+	if r.Process.Server != "" {
+		e.log.Warn("a backend server crashed while it had these requests", "server", string(r.Process.Server), "born", int64(r.Process.Born), "ageMs", r.Age.Milliseconds(), "fingerprints", r.Suspects)
+	}
+	e.announce(e.withSender(gossip.Message{Crashes: []gossip.Crash{gossip.CrashOf(r)}}))
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -67,7 +67,7 @@
 	bodies     *http1.Quota
 	dispatcher *dispatch.Dispatcher
 	forwarder  *forward.Forwarder
-	poison     *poison.Tracker
+	crashes    *poison.Ledger
 	splitter   *trafficSplitter
 	handler    *entry.Handler
 	metrics    *metrics
@@ -125,7 +125,6 @@
 		reach:           reach.NewDetector(reach.WithClock(o.Clock)),
 		relays:          reach.NewRelays(reach.WithClock(o.Clock)),
 		bodies:          http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
-		poison:          poison.NewTracker(),
 		splitter:        newTrafficSplitter(),
 		elector:         leader.NewElector(s.VM, o.Clock.Boot()),
 		retainedServers: map[id.Server]fleet.Server{},
@@ -135,14 +134,15 @@
 	}
 	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
 	e.relayClient, e.relayHandler = relay.NewClient(e.bodies), relay.NewHandler(e.bodies, e.attemptForOther)
+	e.crashes = poison.NewLedger(e.reportCrash)
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
 	e.store.Observe = e.metrics.observeStore
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit))
-	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithPoison(e.poison),
-		forward.WithOnCrash(e.reportCrash), forward.WithOnSuspect(e.observeSuspect), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
+	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
+		forward.WithOnSuspect(e.observeSuspect), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.handler = entry.NewHandler(entry.Dependencies{
 		Clock: o.Clock,
 		Headers: entry.HeaderNames{
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -154,7 +154,7 @@
 		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
-		"CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
+		"BlockedRequests": e.crashes.Blocked(e.clock.Boot()), "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/edge/store.go
+++ b/edge/store.go
@@ -225,6 +225,7 @@
 	s := e.withRetainedServers(old, e.mirror.Snapshot())
 	e.snapshot.Store(s)
 	e.dispatcher.Update(s)
+	e.forwarder.FollowServers(old, s)
 	if len(s.Servers) != len(old.Servers) {
 		e.options.OnScale(len(s.Servers))
 	}
@@ -263,8 +264,7 @@
 // maxLoggedServers is the number of backend servers that may appear at once with a log line each.
 const maxLoggedServers = 10
 
-// logChanges logs the differences between two snapshots, reports restarted backend servers to the forwarder, and closes the
-// idle connections to removed ones. If many backend servers appear at once, it logs only their number.
+// logChanges logs the differences between two snapshots, and closes the idle connections to removed backend servers. If many backend servers appear at once, it logs only their number.
 func (e *Edge) logChanges(old, next *fleet.Snapshot) {
 	position := uint64(next.Position)
 	if appeared := len(next.Servers) - len(old.Servers); appeared > maxLoggedServers {
@@ -281,7 +281,6 @@
 			e.log.Info("backend server appeared", "server", string(name), "service", string(s.Service), "born", int64(s.Born), "warmLeft", s.WarmupLeft.String(), "position", position)
 		case previous.Born != s.Born:
 			e.log.Info("backend server restarted", "server", string(name), "born", int64(s.Born), "position", position)
-			e.forwarder.RecordRestart(name)
 		case s.Draining && !previous.Draining:
 			e.log.Info("backend server drains", "server", string(name), "position", position)
 		}
--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -16,8 +17,8 @@
 	Update      *fleet.Update  `cbor:"5,keyasint,omitempty"`
 	Load        *Load          `cbor:"6,keyasint,omitempty"`
 	Keys        []KeyCount     `cbor:"7,keyasint,omitempty"`
-	// CrashReports are requests that were in flight when backend servers crashed.
-	CrashReports []CrashReport `cbor:"8,keyasint,omitempty"`
+	// Crashes are crashes of backend servers with the requests that they had. Number 8 was a count of crashes by request.
+	Crashes []Crash `cbor:"13,keyasint,omitempty"`
 	// Relay asks the receiver to forward the message within its failure domain.
 	Relay bool `cbor:"9,keyasint,omitempty"`
 	// Paces are the paces of owners of keys, for the leader.
@@ -112,8 +113,25 @@
 	Age int `cbor:"4,keyasint"`
 }
 
-// CrashReport reports a request that was in flight when backend servers crashed, and how many crashes there were.
-type CrashReport struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	Crashes     int    `cbor:"2,keyasint"`
+// Crash reports the crash of a backend server's process and the requests that were in flight there, by fingerprint.
+type Crash struct {
+	Server id.Server       `cbor:"1,keyasint,omitempty"`
+	Born   fleet.StartTime `cbor:"2,keyasint,omitempty"`
+	// Age is the time since the crash, in milliseconds.
+	Age      int                  `cbor:"3,keyasint,omitempty"`
+	Suspects []poison.Fingerprint `cbor:"4,keyasint,omitempty"`
+	// Cleared are requests that have run without a crash since they were reported.
+	Cleared []poison.Fingerprint `cbor:"5,keyasint,omitempty"`
+}
+
+// CrashOf returns a report as it is sent.
+func CrashOf(r poison.Report) Crash {
+	return Crash{Server: r.Process.Server, Born: r.Process.Born, Age: int(r.Age.Milliseconds()), Suspects: r.Suspects, Cleared: r.Cleared}
+}
+
+// ToReport returns a received report.
+func (c Crash) ToReport() poison.Report {
+	return poison.Report{
+		Process: fleet.Incarnation{Server: c.Server, Born: c.Born}, Age: time.Duration(max(0, c.Age)) * time.Millisecond, Suspects: c.Suspects, Cleared: c.Cleared,
+	}
 }
