Log and publish the era of the store

Cause: no line told a restoration from an outage, and a position doesn't say to which history it belongs. Change: the client reads Store-Era; a log line at each new era, StoreEra among the metrics. No logic changed.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,7 +138,7 @@
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
-	e.store.Observe = e.metrics.observeStore
+	e.store.Observe, e.store.OnEra = e.metrics.observeStore, e.observeEra
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -52,6 +52,9 @@
 // Revision counts the writes to a store key; it never decreases.
 type Revision uint64
 
+// Era counts how often a store came back from an older copy, which takes back the changes since.
+type Era uint64
+
 // Planner is the group whose lease holder computes the slice tables of a site.
 const Planner Group = "planner"
 
