--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -42,6 +42,8 @@
 	grace            time.Duration
 	log              slog.Handler
 	billing          []worker.Option
+	// initial is a copy of the store from before the first VM started.
+	initial kv.Copy
 	// links holds the fault proxy between each VM and the store, by the index of the VM.
 	links []*faultproxy.Proxy
 	// serverLinks holds the links between each VM and all backend servers, by the index of the VM.
@@ -66,6 +68,7 @@
 		s.addServer(fmt.Sprintf("k-%d", i), "plans", worker.WithKeys())
 		s.addServer(fmt.Sprintf("p-%d", i), "billing", s.billing...)
 	}
+	s.initial = s.store.Copy()
 	for i := range vms {
 		s.startVM(i)
 	}
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -1,8 +1,9 @@
 // Package kv is a stand-in for the users' key-value store, for tests and the soak test.
 //
 // It implements the documented API: items with revisions, conditional
-// transactions, leases and watches. A test can make it unavailable or slow, and
-// make it drop the responses to writes that it has applied.
+// transactions, leases and watches. A test can make it unavailable or slow,
+// make it drop the responses to writes that it has applied, and restore it from
+// an older copy.
 //
 // # Usage
 //
@@ -14,6 +15,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -62,11 +64,47 @@
 	changed  chan struct{}
 	fault    Fault
 	random   func() float64
+	// era rises each time the store is restored from a copy.
+	era uint64
+}
+
+// Copy is the state of a store at one moment.
+type Copy struct {
+	items    map[string]Item
+	leases   map[int64]lease
+	events   []Item
+	revision int64
+	nextID   int64
 }
 
 // NewStore returns an empty store. random returns a number from 0 to 1 and decides which responses are dropped.
 func NewStore(random func() float64) *Store {
-	return &Store{items: map[string]Item{}, leases: map[int64]*lease{}, revision: 1, changed: make(chan struct{}), random: random}
+	return &Store{items: map[string]Item{}, leases: map[int64]*lease{}, revision: 1, changed: make(chan struct{}), random: random, era: 1}
+}
+
+// Copy returns a copy of the store's state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{items: maps.Clone(s.items), leases: map[int64]lease{}, events: slices.Clone(s.events), revision: s.revision, nextID: s.nextID}
+	for n, l := range s.leases {
+		c.leases[n] = *l
+	}
+	return c
+}
+
+// Restore returns the store to a copy of its state and begins a new era: later changes are gone, and their revisions and lease ids are
+// given out again. Leases of the copy run for their whole TTL.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.items, s.events, s.revision, s.nextID = maps.Clone(c.items), slices.Clone(c.events), c.revision, c.nextID
+	s.leases = map[int64]*lease{}
+	for n, l := range c.leases {
+		s.leases[n] = &lease{ttl: l.ttl, expiry: time.Now().Add(l.ttl)}
+	}
+	s.wake()
 }
 
 // SetFault replaces the injected faults.
@@ -170,8 +208,9 @@
 // ServeHTTP handles one API call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	fault := s.fault
+	fault, era := s.fault, s.era
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	if fault.Delay > 0 {
 		time.Sleep(fault.Delay)
 	}
@@ -234,6 +273,12 @@
 	for {
 		s.mu.Lock()
 		changed, revision := s.changed, s.revision
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+		if after > revision {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		// The first event has revision 2, so a later one at the front means that older events were dropped.
 		compacted := len(s.events) > 0 && s.events[0].Revision > after+1 && s.events[0].Revision > 2
 		var events []Item
