Order by the era of the store first, and carry key tables over a restoration

What callers saw: after the store came back from an older copy, an added route got 404 and a server that was leaving got requests, until the store's counter had passed its former value. Cause: revisions were compared by number alone, in the mirror, its tombstones, updates between VMs, the leader's term and conditions. Watches, conditions and leases of an earlier era end locally, as their numbers may mean something else now. A leader ends with its era and may replace its own record at once.

--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -140,6 +140,13 @@
 	}
 }
 
+// EraEnded records that the store came back from an older copy, so that the lease may be gone. A VM that led campaigns again at once.
+func (e *Elector) EraEnded(now clock.Instant) {
+	if e.leading {
+		e.leading, e.waitStart = false, now.Add(-LeaderTimeout-time.Duration(maxRank)*campaignDelayPerRank)
+	}
+}
+
 // MarkUncertain records that the lease may end without notice: a call to end it got no answer and may still be executed.
 //
 // The VM then leads only while the store is unreachable for most VMs; a renewal
--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -38,6 +38,9 @@
 // maxHoldTime is the longest time for which a backend server may hold keys after a grant was sent.
 const maxHoldTime = GrantTTL*(100+clockDriftPercent)/100 + deliverySlack
 
+// FormerGrantTime is the time after the election of a leader from which no backend server holds keys that a former leader has granted.
+const FormerGrantTime = failoverSlack + maxHoldTime
+
 // Command is a grant or release call to a backend server.
 type Command struct {
 	Service     id.Service
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -401,3 +401,22 @@
 	}
 	return next, changed
 }
+
+// lostFences is more than the number of fences that are issued in the time that an older copy of the store may lack.
+const lostFences = 1 << 20
+
+// Refence returns the table with fences above all that backend servers may have seen, given that the latest tables are lost and all grants
+// under them have expired. t may be nil.
+func Refence(service id.Service, t *fleet.Table) *fleet.Table {
+	next := &fleet.Table{Service: service}
+	if t != nil {
+		next = t.Clone()
+	}
+	next.Fence += lostFences
+	for i := range next.Ranges {
+		next.Fence++
+		r := &next.Ranges[i]
+		r.Fence, r.PreviousOwner, r.PreviousFence = next.Fence, nil, 0
+	}
+	return next
+}
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -181,3 +181,19 @@
 	is.Equal(len(next.Ranges), 1)
 	is.True(next.Ranges[0].Fence > 20)
 }
+
+// Fences must be above all that backend servers may have seen under a table that is lost.
+func TestRefence(t *testing.T) {
+	is := is.New(t)
+	is.True(ownership.Refence("s", nil).Fence > 0)
+	a, b := fleet.Incarnation{Server: "a", Born: 1}, fleet.Incarnation{Server: "b", Born: 1}
+	next := ownership.Refence("s", &fleet.Table{Service: "s", Fence: 9, Ranges: []fleet.Range{
+		{From: 0, To: 9, Owner: a, Fence: 3}, {From: 10, To: 65535, Owner: b, Fence: 9, PreviousOwner: &a, PreviousFence: 4},
+	}})
+	is.True(next.IsValid())
+	for i, r := range next.Ranges {
+		is.True(r.Fence > 100_000)
+		is.True(!r.Moving())
+		is.True(i == 0 || r.Fence > next.Ranges[i-1].Fence)
+	}
+}
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -31,15 +31,15 @@
 		"one crash that several VMs report": {
 			reports: []poison.Report{crashReport(1, guilty), crashReport(1, guilty), crashReport(1, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect,
 		},
-		"alone at two crashes":              {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, guilty: poison.Blocked},
-		"a coincidence may have ended":      {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, age: time.Minute, guilty: poison.Suspect},
-		"alone at three crashes":            {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, guilty)}, age: 9 * time.Minute, guilty: poison.Blocked},
-		"another request beside it":         {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty)}, guilty: poison.Blocked},
-		"another request beside it twice":   {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect},
-		"the third crash tells them apart":  {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty)}, guilty: poison.Blocked},
-		"together at three crashes":         {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, guilty: poison.Blocked, innocent: poison.Blocked},
-		"together, after a time":            {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, age: 2 * time.Minute, guilty: poison.Suspect, innocent: poison.Suspect},
-		"has run since":                     {reports: []poison.Report{crashReport(1, innocent), {Cleared: []poison.Fingerprint{innocent}}, crashReport(1, innocent)}},
+		"alone at two crashes":             {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, guilty: poison.Blocked},
+		"a coincidence may have ended":     {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, age: time.Minute, guilty: poison.Suspect},
+		"alone at three crashes":           {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, guilty)}, age: 9 * time.Minute, guilty: poison.Blocked},
+		"another request beside it":        {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty)}, guilty: poison.Blocked},
+		"another request beside it twice":  {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect},
+		"the third crash tells them apart": {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty)}, guilty: poison.Blocked},
+		"together at three crashes":        {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, guilty: poison.Blocked, innocent: poison.Blocked},
+		"together, after a time":           {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, age: 2 * time.Minute, guilty: poison.Suspect, innocent: poison.Suspect},
+		"has run since":                    {reports: []poison.Report{crashReport(1, innocent), {Cleared: []poison.Fingerprint{innocent}}, crashReport(1, innocent)}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -37,6 +37,7 @@
 	var renewedAt, heartbeatAt clock.Instant
 	for {
 		now := e.clock.Boot()
+		e.endEarlierEra(now)
 		e.mu.Lock()
 		vm, term, fresh := e.elector.Leader(now)
 		campaign := !fresh && !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
@@ -261,10 +262,10 @@
 	vm, term, fresh := e.elector.Leader(now)
 	e.mu.Unlock()
 	if fresh && (vm != oldLeader || term != oldTerm || !wasFresh) {
-		e.log.Info("leader is heard", "leader", string(vm), "term", uint64(term), "position", uint64(heartbeat.Position))
+		e.log.Info("leader is heard", "leader", string(vm), "term", term.Number(), "position", heartbeat.Position.Number())
 	}
 	if oldLeader == e.settings.VM && vm != oldLeader {
-		e.log.Warn("this VM no longer leads: another one does", "leader", string(vm), "term", uint64(term))
+		e.log.Warn("this VM no longer leads: another one does", "leader", string(vm), "term", term.Number())
 	}
 	return fresh && vm == m.From
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,6 +33,7 @@
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/coordination/reach"
+	"github.com/hickorylug/hickorylug/coordination/retention"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -79,6 +80,9 @@
 	lease   platform.Lease
 	// campaigning is set while this VM campaigns for the leadership.
 	campaigning bool
+	// ledAt is when this VM could last act as the leader, and continuesIn the era of the store in which it may lead on with its key tables.
+	ledAt       clock.Instant
+	continuesIn id.Era
 	// registeredAt is the store's revision of this VM's registration, or 0 before it.
 	registeredAt id.Revision
 	// registerTriedAt is when this VM last tried to register.
@@ -92,8 +96,8 @@
 	leaderSyncedAt clock.Instant
 	// storeAnsweredAt is when the store last answered this VM, and storeFailedAt when a synchronization of this VM with the store last failed.
 	storeAnsweredAt, storeFailedAt clock.Instant
-	// retainedServers holds the backend servers whose entries were removed during an outage of the store.
-	retainedServers map[id.Server]fleet.Server
+	// keeper keeps what an outage of the store or an older copy of it would take back.
+	keeper *retention.Keeper
 
 	snapshot atomic.Pointer[fleet.Snapshot]
 	// pacesSentAt is when the paces of owners of keys were last sent to the leader; only the component "load" uses it.
@@ -119,18 +123,18 @@
 	u := uuid.New()
 	e = &Edge{
 		settings: s, options: o, log: o.Log.With("vm", string(s.VM)), clock: o.Clock,
-		incarnation:     id.Incarnation(u.String()[:8]),
-		store:           platform.NewClient(s.Store),
-		mirror:          fleet.NewMirror(platform.Decode),
-		reach:           reach.NewDetector(reach.WithClock(o.Clock)),
-		relays:          reach.NewRelays(reach.WithClock(o.Clock)),
-		bodies:          http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
-		splitter:        newTrafficSplitter(),
-		elector:         leader.NewElector(s.VM, o.Clock.Boot()),
-		retainedServers: map[id.Server]fleet.Server{},
-		resync:          make(chan struct{}, 1),
-		replan:          make(chan struct{}, 1),
-		updatesPending:  make(chan struct{}, 1),
+		incarnation:    id.Incarnation(u.String()[:8]),
+		store:          platform.NewClient(s.Store),
+		mirror:         fleet.NewMirror(platform.Decode),
+		reach:          reach.NewDetector(reach.WithClock(o.Clock)),
+		relays:         reach.NewRelays(reach.WithClock(o.Clock)),
+		bodies:         http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
+		splitter:       newTrafficSplitter(),
+		elector:        leader.NewElector(s.VM, o.Clock.Boot()),
+		keeper:         retention.NewKeeper(),
+		resync:         make(chan struct{}, 1),
+		replan:         make(chan struct{}, 1),
+		updatesPending: make(chan struct{}, 1),
 	}
 	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
 	e.relayClient, e.relayHandler = relay.NewClient(e.bodies), relay.NewHandler(e.bodies, e.attemptForOther)
--- a/edge/incarnations_test.go
+++ b/edge/incarnations_test.go
@@ -15,7 +15,7 @@
 func TestOnlyLaterStartEndsIncarnation(t *testing.T) {
 	is := is.New(t)
 	k := &keyManager{edge: &Edge{clock: clock.System{}}}
-	k.reset(0)
+	k.reset(0, false)
 	for _, born := range []fleet.StartTime{5, 9, 5, 9} {
 		inc := fleet.Incarnation{Server: "a", Born: born}
 		k.recordIncarnations(&fleet.Snapshot{Servers: map[id.Server]fleet.Server{"a": {Incarnation: inc}}})
@@ -41,7 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			k := &keyManager{edge: &Edge{clock: clock.System{}}, lastEntries: map[id.Server]fleet.Server{"a": former}}
-			k.reset(0)
+			k.reset(0, false)
 			s := &fleet.Snapshot{Servers: map[id.Server]fleet.Server{test.next.Server: test.next}}
 			k.recordIncarnations(s)
 			k.recordCallOutcome(1, former.Incarnation, ownership.Unanswered, false)
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -43,9 +43,17 @@
 type keyManager struct {
 	edge *Edge
 
-	mu             sync.Mutex
-	granter        *ownership.Granter
-	leadingSince   clock.Instant
+	mu           sync.Mutex
+	granter      *ownership.Granter
+	leadingSince clock.Instant
+	// continues is set if this VM led in the era of the store before this one, so that it knows the latest tables.
+	continues bool
+	// settled is set once the store has the latest tables in this leadership.
+	settled bool
+	// refenced holds the services whose tables got new fences in this leadership, since the latest ones may be lost.
+	refenced map[id.Service]bool
+	// settleTriedAt is when settle last wrote to the store.
+	settleTriedAt  clock.Instant
 	rebalancedAt   map[id.Service]clock.Instant
 	tableChangedAt map[id.Service]clock.Instant
 	load           map[id.Service]*keyload.Meter
@@ -71,14 +79,16 @@
 
 func newKeyManager(e *Edge) *keyManager {
 	k := &keyManager{edge: e, lastEntries: map[id.Server]fleet.Server{}}
-	k.reset(e.clock.Boot())
+	k.reset(e.clock.Boot(), false)
 	return k
 }
 
-// reset drops the state of an earlier leadership of this VM, except the load and the last known entries.
-func (k *keyManager) reset(now clock.Instant) {
+// reset drops the state of an earlier leadership of this VM, except the load and the last known entries. continues says that this VM led in
+// the era of the store before this one.
+func (k *keyManager) reset(now clock.Instant, continues bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.continues, k.settled, k.refenced, k.settleTriedAt = continues, false, map[id.Service]bool{}, 0
 	k.granter, k.leadingSince, k.newGrants = ownership.NewGranter(now), now, nil
 	k.rebalancedAt, k.tableChangedAt = map[id.Service]clock.Instant{}, map[id.Service]clock.Instant{}
 	if k.paces == nil {
@@ -148,7 +158,8 @@
 
 func (k *keyManager) tick(ctx context.Context) {
 	s := k.edge.snapshot.Load()
-	if s.Configuration == nil || s.Leader == nil {
+	if s.Configuration == nil || s.Leader == nil || s.Leader.Term != k.edge.ownTerm() {
+		// A record of another term is in the copy from which the store came back: this VM has yet to be elected in the new era.
 		return
 	}
 	now := k.edge.clock.Boot()
@@ -158,6 +169,9 @@
 	}
 	k.recordIncarnations(s)
 	k.mu.Unlock()
+	if !k.settle(ctx, now, s) {
+		return
+	}
 	for name, service := range s.Configuration.Services {
 		if !service.Keyed {
 			continue
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -35,6 +35,13 @@
 	return e.elector.Leads(e.clock.Boot(), members)
 }
 
+// ownTerm returns the term of this VM's last leadership.
+func (e *Edge) ownTerm() id.Revision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.elector.Term()
+}
+
 // isIsolated reports whether this VM has recent heartbeats from too few VMs for a majority.
 func (e *Edge) isIsolated(now clock.Instant) bool {
 	members := e.members()
@@ -46,8 +53,11 @@
 // campaign tries to become the leader.
 func (e *Edge) campaign(ctx context.Context) {
 	won, leaseStart, term, lease := e.acquireLeadership(ctx)
+	e.mu.Lock()
+	isSuccessorOfItself := won && e.continuesIn == term.Era() && term.Era() > 0
+	e.mu.Unlock()
 	if won {
-		e.keys.reset(e.clock.Boot())
+		e.keys.reset(e.clock.Boot(), isSuccessorOfItself)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -59,10 +69,51 @@
 	}
 	e.lease = lease
 	e.elector.Won(leaseStart, term)
-	e.log.Info("this VM leads", "term", uint64(term))
+	e.log.Info("this VM leads", "term", term.Number())
 	e.notify(e.resync)
 }
 
+// endEarlierEra ends the leadership of this VM if the store came back from an older copy since. It may campaign again at once.
+//
+// The leader's record and lease may be gone, so another VM may have written its
+// own. The key tables of this VM are known to be the latest if it led until now,
+// and most VMs have heard it.
+func (e *Edge) endEarlierEra(now clock.Instant) {
+	members, knowsTables := e.members(), e.keys.knowsTables()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	vm, term, _ := e.elector.Leader(now)
+	if vm != e.settings.VM {
+		return
+	}
+	if e.elector.Leads(now, members) {
+		e.ledAt = now
+	}
+	era := e.store.Era()
+	if term.Era() >= era {
+		return
+	}
+	if knowsTables && now.Sub(e.ledAt) < leader.LeaseTTL && e.elector.HasMajority(now, members) {
+		e.continuesIn = era
+	}
+	e.elector.EraEnded(now)
+	e.log.Warn("this VM no longer leads: the store came back from an older copy", "term", term.Number(), "era", uint64(era), "campaigns", e.continuesIn == era)
+	e.notify(e.resync)
+}
+
+// leaderCondition returns the condition under which this VM may write the leader's record: there is none, or the copy from which the store
+// came back has the one of this VM.
+func (e *Edge) leaderCondition(era id.Era) platform.Condition {
+	c := platform.Condition{Key: platform.KeyLeader()}
+	record := e.snapshot.Load().Leader
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if record != nil && record.VM == e.settings.VM && record.Incarnation == e.incarnation && record.Term.Era() == era && e.elector.Term().Era() < era {
+		c.Revision = record.Term
+	}
+	return c
+}
+
 // acquireLeadership writes the leader record if there is none, and then reads the whole store.
 func (e *Edge) acquireLeadership(ctx context.Context) (won bool, leaseStart clock.Instant, term id.Revision, lease platform.Lease) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -70,26 +121,37 @@
 	leaseStart = e.clock.Boot()
 	lease, err := e.store.GrantLease(ctx, leader.LeaseTTL)
 	if err != nil {
-		return false, leaseStart, 0, 0
+		return false, leaseStart, 0, platform.Lease{}
 	}
-	value, err := json.Marshal(fleet.Leader{VM: e.settings.VM, Incarnation: e.incarnation})
-	if err == nil {
-		term, err = e.store.Write(ctx, []platform.Condition{{Key: platform.KeyLeader()}}, platform.Put{Key: platform.KeyLeader(), Value: value, Lease: lease})
+	if e.mirror.Position().Era() < lease.Era {
+		err = e.readAll(ctx)
+	}
+	value, marshalErr := json.Marshal(fleet.Leader{VM: e.settings.VM, Incarnation: e.incarnation})
+	if err = errors.CombineErrors(err, marshalErr); err == nil {
+		term, err = e.store.Write(ctx, []platform.Condition{e.leaderCondition(lease.Era)}, platform.Put{Key: platform.KeyLeader(), Value: value, Lease: lease})
 	}
-	var u fleet.Update
 	if err == nil {
-		u, err = e.store.ReadAll(ctx)
+		err = e.readAll(ctx)
 	}
 	if err != nil {
 		if revokeErr := e.revokeLease(lease); revokeErr != nil {
 			e.log.Debug("a lease could not be revoked; it will expire", "error", revokeErr)
 		}
-		return false, leaseStart, 0, 0
+		return false, leaseStart, 0, platform.Lease{}
 	}
 	e.recordStoreSuccess()
+	return true, leaseStart, term, lease
+}
+
+// readAll reads the whole store and publishes what it holds.
+func (e *Edge) readAll(ctx context.Context) error {
+	u, err := e.store.ReadAll(ctx)
+	if err != nil {
+		return err
+	}
 	e.mirror.Apply(u)
 	e.publishSnapshot()
-	return true, leaseStart, term, lease
+	return nil
 }
 
 // revokeLease revokes a lease, so that an unanswered write can't take effect under it later.
@@ -119,8 +181,10 @@
 	switch {
 	case err == nil:
 		e.elector.Renewed(sentAt)
+	case errors.Is(err, platform.ErrLeaseNotFound) && e.store.Era() > term.Era():
+		// The component "coordination" ends the leadership of an earlier era.
 	case errors.Is(err, platform.ErrLeaseNotFound):
-		e.log.Warn("this VM no longer leads: its lease has ended", "term", uint64(term))
+		e.log.Warn("this VM no longer leads: its lease has ended", "term", term.Number())
 		e.elector.LeaseEnded(e.clock.Boot())
 	default:
 		e.log.Warn("the leader's lease could not be renewed", "error", err)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -107,7 +107,7 @@
 
 // observeEra logs that the store came back from an older copy, or its era at the first call.
 func (e *Edge) observeEra(before, now id.Era) {
-	e.log.Warn("the store is in a new era", "before", uint64(before), "era", uint64(now), "position", uint64(e.mirror.Position()))
+	e.log.Warn("the store is in a new era", "before", uint64(before), "era", uint64(now), "position", e.mirror.Position().Number())
 }
 
 // observePanic counts and logs a panic in the handling of one message or in one task.
@@ -155,7 +155,7 @@
 	}
 	out := map[string]any{
 		"Requests": json.RawMessage(m.requests.String()), "Sendings": json.RawMessage(m.attempts.String()), "Store": json.RawMessage(m.store.String()),
-		"InFlight": e.handler.InFlight(), "Position": s.Position, "StoreEra": e.store.Era(), "Configuration": version, "NewsAgeMs": e.storeStaleness().Milliseconds(),
+		"InFlight": e.handler.InFlight(), "Position": s.Position.Number(), "StoreEra": e.store.Era(), "Configuration": version, "NewsAgeMs": e.storeStaleness().Milliseconds(),
 		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
--- a/edge/store.go
+++ b/edge/store.go
@@ -170,7 +170,7 @@
 		if e.storeSyncedAt > 0 {
 			e.removalsHeldUntil = max(e.removalsHeldUntil, now.Add(reappearanceTime))
 		}
-		e.log.Info("the store answers", "awayFor", outage.String(), "position", uint64(e.mirror.Position()))
+		e.log.Info("the store answers", "awayFor", outage.String(), "position", e.mirror.Position().Number())
 	}
 	e.storeSyncedAt, e.storeAnsweredAt = now, now
 }
@@ -195,7 +195,7 @@
 	}
 }
 
-// publishSnapshots publishes a snapshot after each change of the mirror, and when retained servers expire.
+// publishSnapshots publishes a snapshot after each change of the mirror, and when what is retained expires.
 func (e *Edge) publishSnapshots(ctx context.Context) error {
 	for {
 		changed := e.mirror.Changed()
@@ -209,11 +209,11 @@
 	}
 }
 
-// retentionLeft returns the time until the retained servers must be checked again.
+// retentionLeft returns the time until what is retained must be checked again.
 func (e *Edge) retentionLeft() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.retainedServers) == 0 {
+	if e.keeper.IsEmpty() {
 		return time.Hour
 	}
 	return max(time.Millisecond, e.removalsHeldUntil.Sub(e.clock.Boot()))
@@ -222,7 +222,7 @@
 // publishSnapshot makes the latest state of the mirror the current snapshot.
 func (e *Edge) publishSnapshot() {
 	old := e.snapshot.Load()
-	s := e.withRetainedServers(old, e.mirror.Snapshot())
+	s := e.withRetained(old, e.mirror.Snapshot())
 	e.snapshot.Store(s)
 	e.dispatcher.Update(s)
 	e.forwarder.FollowServers(old, s)
@@ -236,29 +236,16 @@
 	}
 }
 
-// withRetainedServers adds the backend servers whose entries were removed during an outage of the store.
-//
-// Entries expire during an outage although their backend servers are running; those
-// that don't reappear within reappearanceTime after it are removed.
-func (e *Edge) withRetainedServers(old, next *fleet.Snapshot) *fleet.Snapshot {
+// withRetained returns the next snapshot with what an outage of the store, or an older copy of it, would take back for a moment.
+func (e *Edge) withRetained(old, next *fleet.Snapshot) *fleet.Snapshot {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Boot()
-	holdRemovals := now < e.removalsHeldUntil || e.storeSyncedAt > 0 && now.Sub(e.storeSyncedAt) > outageThreshold
-	for name, server := range old.Servers {
-		if _, ok := next.Servers[name]; !ok && holdRemovals && !server.Draining {
-			e.retainedServers[name] = server
-		}
-	}
-	for name := range e.retainedServers {
-		if _, reappeared := next.Servers[name]; reappeared || !holdRemovals {
-			delete(e.retainedServers, name)
-		}
-	}
-	if len(e.retainedServers) == 0 {
-		return next
+	if old.Position > 0 && next.Position.Era() > old.Position.Era() {
+		// Backend servers and the operator write again what an older copy lacks.
+		e.removalsHeldUntil = max(e.removalsHeldUntil, now.Add(reappearanceTime))
 	}
-	return next.WithServers(e.retainedServers)
+	return e.keeper.Keep(now, old, next, now < e.removalsHeldUntil || e.storeSyncedAt > 0 && now.Sub(e.storeSyncedAt) > outageThreshold)
 }
 
 // maxLoggedServers is the number of backend servers that may appear at once with a log line each.
@@ -266,7 +253,7 @@
 
 // logChanges logs the differences between two snapshots, and closes the idle connections to removed backend servers. If many backend servers appear at once, it logs only their number.
 func (e *Edge) logChanges(old, next *fleet.Snapshot) {
-	position := uint64(next.Position)
+	position := next.Position.Number()
 	if appeared := len(next.Servers) - len(old.Servers); appeared > maxLoggedServers {
 		e.log.Info("backend servers appeared", "count", appeared, "servers", len(next.Servers), "position", position)
 		return
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -34,6 +34,78 @@
 	k.edge.tasks.Go(ctx, func(ctx context.Context) { k.writeTable(ctx, s.Leader.Term, t, next) })
 }
 
+// settleRetryPeriod is the time between two writes of settle; each call is priced.
+const settleRetryPeriod = 300 * time.Millisecond
+
+// knowsTables reports whether this VM, as the leader, knows the latest key tables.
+func (k *keyManager) knowsTables() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.continues || k.settled
+}
+
+// settle brings the key tables of the store up to date after it came back from an older copy; ready is false while no keys may be granted.
+//
+// A leader that led on knows the latest tables and stores them again. Any other
+// one can't know which grants were made under tables that are lost. It waits
+// until they have expired, and begins with fences above theirs.
+func (k *keyManager) settle(ctx context.Context, now clock.Instant, s *fleet.Snapshot) (ready bool) {
+	isolated := k.edge.isIsolated(now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s.SettledEra >= s.Leader.Term.Era() {
+		k.settled = true
+		return true
+	}
+	if !k.continues && (now.Sub(k.leadingSince) < ownership.FormerGrantTime || isolated) {
+		return false
+	}
+	if k.writeInFlight || now.Sub(k.settleTriedAt) < settleRetryPeriod {
+		return k.continues
+	}
+	k.settleTriedAt, k.writeInFlight = now, true
+	for name, service := range s.Configuration.Services {
+		if t := s.Tables[name]; service.Keyed && (t != nil && t.Unsaved || !k.continues && !k.refenced[name]) {
+			k.edge.tasks.Go(ctx, func(ctx context.Context) { k.restoreTable(ctx, s.Leader.Term, name, t) })
+			return k.continues
+		}
+	}
+	k.edge.tasks.Go(ctx, func(ctx context.Context) { k.writeSettledEra(ctx, s.Leader.Term) })
+	return k.continues
+}
+
+// restoreTable stores a key table that an older copy of the store lacks, with new fences if it may not be the latest one.
+func (k *keyManager) restoreTable(ctx context.Context, term id.Revision, name id.Service, t *fleet.Table) {
+	next := t
+	k.mu.Lock()
+	if !k.continues && !k.refenced[name] {
+		next = ownership.Refence(name, t)
+	}
+	k.mu.Unlock()
+	if k.writeTable(ctx, term, t, next) {
+		k.mu.Lock()
+		k.refenced[name] = true
+		k.mu.Unlock()
+	}
+}
+
+// writeSettledEra records in the store that the key tables of this era are up to date.
+func (k *keyManager) writeSettledEra(ctx context.Context, term id.Revision) {
+	e := k.edge
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := e.store.Write(ctx, []platform.Condition{{Key: platform.KeyLeader(), Revision: term}}, platform.Put{Key: platform.KeySettledEra(), Value: platform.EncodeEra(term.Era())})
+	k.mu.Lock()
+	k.writeInFlight = false
+	k.mu.Unlock()
+	if err != nil {
+		e.log.Warn("recording that the key tables are up to date failed", "era", uint64(term.Era()), "error", err)
+		return
+	}
+	e.log.Info("the key tables are up to date after a restoration of the store", "era", uint64(term.Era()))
+	e.notify(e.resync)
+}
+
 // limitRequests computes the limits of the requests for keys whose owners are overloaded.
 func (k *keyManager) limitRequests(now clock.Instant, s *fleet.Snapshot, name id.Service) {
 	k.mu.Lock()
@@ -121,7 +193,7 @@
 }
 
 // writeTable writes a table to the store, on condition that this VM's term is still current and the table is unchanged.
-func (k *keyManager) writeTable(ctx context.Context, term id.Revision, old, next *fleet.Table) {
+func (k *keyManager) writeTable(ctx context.Context, term id.Revision, old, next *fleet.Table) (done bool) {
 	e := k.edge
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -134,7 +206,7 @@
 	value, err := fleet.EncodeTable(next)
 	if err != nil {
 		e.log.Error("a key table could not be encoded", "service", string(next.Service), "error", err)
-		return
+		return false
 	}
 	revision := id.Revision(0)
 	if old != nil {
@@ -145,7 +217,7 @@
 	if err != nil {
 		e.log.Warn("writing a key table failed", "service", string(next.Service), "fence", int64(next.Fence), "error", err)
 		<-e.clock.After(minRetryPause)
-		return
+		return false
 	}
 	e.recordStoreSuccess()
 	item := fleet.Item{Key: key, Value: bytes.Clone(value), Revision: written}
@@ -153,5 +225,6 @@
 	e.mirror.Apply(u)
 	e.publishSnapshot()
 	e.notify(e.updatesPending)
-	e.log.Info("key table written", "service", string(next.Service), "ranges", len(next.Ranges), "fence", int64(next.Fence), "revision", uint64(written))
+	e.log.Info("key table written", "service", string(next.Service), "ranges", len(next.Ranges), "fence", int64(next.Fence), "revision", written.Number(), "era", uint64(written.Era()))
+	return true
 }
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -66,6 +66,8 @@
 	Peers map[id.VM]Peer
 	// Leader is the current leader record, or nil if there is none.
 	Leader *Leader
+	// SettledEra is the latest era of the store for which a leader has stored all key tables that were in force before.
+	SettledEra id.Era
 }
 
 // Peer is the registration of an entry VM.
--- a/state/fleet/mirror_test.go
+++ b/state/fleet/mirror_test.go
@@ -26,6 +26,9 @@
 	return fleet.Item{Key: key, Revision: revision, Deleted: true}
 }
 
+// later returns a revision of a store that came back from an older copy.
+func later(number uint64) id.Revision { return id.Era(1).Revision(number) }
+
 func whole(to id.Revision, items ...fleet.Item) fleet.Update {
 	return fleet.Update{To: to, Whole: true, Items: items}
 }
@@ -44,10 +47,16 @@
 		"older change is ignored":                                      {updates: []fleet.Update{whole(3, item("a", 3)), change(1, 2, item("a", 2))}, want: map[string]id.Revision{"a": 3}, position: 3},
 		"items after a gap are applied but don't advance the position": {updates: []fleet.Update{whole(3, item("a", 2)), change(5, 6, item("b", 6))}, want: map[string]id.Revision{"a": 2, "b": 6}, position: 3},
 		"deletion": {updates: []fleet.Update{whole(3, item("a", 2)), change(3, 4, removal("a", 4))}, want: map[string]id.Revision{}, position: 4},
-		"older change doesn't restore a deleted key": {updates: []fleet.Update{whole(3, item("a", 2)), change(3, 4, removal("a", 4)), change(1, 2, item("a", 2))}, want: map[string]id.Revision{}, position: 4},
-		"deletion arrives before the creation":       {updates: []fleet.Update{whole(3), change(4, 5, removal("a", 5)), change(3, 4, item("a", 4))}, want: map[string]id.Revision{}, position: 4},
-		"full copy removes absent keys":              {updates: []fleet.Update{whole(3, item("a", 2), item("b", 3)), whole(5, item("b", 3))}, want: map[string]id.Revision{"b": 3}, position: 5},
-		"older full copy keeps newer keys":           {updates: []fleet.Update{whole(3, item("a", 2)), change(3, 6, item("b", 6)), whole(4, item("a", 2))}, want: map[string]id.Revision{"a": 2, "b": 6}, position: 6},
+		"older change doesn't restore a deleted key":    {updates: []fleet.Update{whole(3, item("a", 2)), change(3, 4, removal("a", 4)), change(1, 2, item("a", 2))}, want: map[string]id.Revision{}, position: 4},
+		"deletion arrives before the creation":          {updates: []fleet.Update{whole(3), change(4, 5, removal("a", 5)), change(3, 4, item("a", 4))}, want: map[string]id.Revision{}, position: 4},
+		"full copy removes absent keys":                 {updates: []fleet.Update{whole(3, item("a", 2), item("b", 3)), whole(5, item("b", 3))}, want: map[string]id.Revision{"b": 3}, position: 5},
+		"full copy of a later era with lower numbers":   {updates: []fleet.Update{whole(9, item("a", 8), item("b", 9)), whole(later(3), item("a", later(2)))}, want: map[string]id.Revision{"a": later(2)}, position: later(3)},
+		"change of a later era with a lower number":     {updates: []fleet.Update{whole(9, item("a", 8)), whole(later(3), item("a", later(2))), change(later(3), later(4), item("a", later(4)))}, want: map[string]id.Revision{"a": later(4)}, position: later(4)},
+		"change of the era before is ignored":           {updates: []fleet.Update{whole(later(3), item("a", later(2))), change(8, 9, item("a", 9), item("b", 9))}, want: map[string]id.Revision{"a": later(2)}, position: later(3)},
+		"full copy of the era before is ignored":        {updates: []fleet.Update{whole(later(3), item("a", later(2))), whole(9, item("b", 9))}, want: map[string]id.Revision{"a": later(2)}, position: later(3)},
+		"change of a later era before its full copy":    {updates: []fleet.Update{whole(9, item("a", 8)), change(later(3), later(4), item("a", later(4)))}, want: map[string]id.Revision{"a": later(4)}, position: 9},
+		"deletion of the era before doesn't hide a key": {updates: []fleet.Update{whole(3, item("a", 2)), change(3, 9, removal("a", 9)), whole(later(3), item("a", later(2)))}, want: map[string]id.Revision{"a": later(2)}, position: later(3)},
+		"older full copy keeps newer keys":              {updates: []fleet.Update{whole(3, item("a", 2)), change(3, 6, item("b", 6)), whole(4, item("a", 2))}, want: map[string]id.Revision{"a": 2, "b": 6}, position: 6},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -42,8 +42,27 @@
 	Fence Fence
 	// Ranges are sorted and don't overlap; keys between them have no owner.
 	Ranges []Range
-	// Revision is the store revision of the table; it isn't part of the encoded table.
+	// Revision is the store revision of the stored table, or 0 if there is none; it isn't part of the encoded table.
 	Revision id.Revision
+	// Unsaved is set if the stored table is older than this one, or missing: the store came back from an older copy.
+	Unsaved bool
+}
+
+// NewerTable returns the table that is in force where the store holds stored, which may be nil, and known was in force before.
+//
+// Backend servers refuse fences below those that they have seen. So an older copy
+// of the store doesn't take back a table: the known one stays in force until it
+// is stored again.
+func NewerTable(known, stored *Table) *Table {
+	if known == nil || stored != nil && stored.Fence >= known.Fence {
+		return stored
+	}
+	t := *known
+	t.Revision, t.Unsaved = 0, true
+	if stored != nil {
+		t.Revision = stored.Revision
+	}
+	return &t
 }
 
 // Find returns the range that contains a key.
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -49,10 +49,26 @@
 // Version counts the changes of a slice table; it never decreases.
 type Version uint64
 
-// Revision counts the writes to a store key; it never decreases.
+// Revision counts the writes to a store; it never decreases.
+//
+// A store that comes back from an older copy gives its own numbers out again. The
+// upper bits of a revision hold the era, so that each revision of a later era is
+// above all of the eras before.
 type Revision uint64
 
-// Era counts how often a store came back from an older copy, which takes back the changes since.
+// eraShift is the number of bits for a store's own number of a revision.
+const eraShift = 48
+
+// Era returns the era of the revision.
+func (r Revision) Era() Era { return Era(r >> eraShift) }
+
+// Number returns the store's own number of the revision.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<eraShift - 1) }
+
+// Revision returns the revision with the store's own number in the era.
+func (e Era) Revision(number uint64) Revision { return Revision(e)<<eraShift | Revision(number) }
+
+// Era counts how often a store came back from an older copy, which takes back the changes since; it is 0 before the first time.
 type Era uint64
 
 // Planner is the group whose lease holder computes the slice tables of a site.
