Restore the stand-in of the store in the soak; log each report of a crash once

Cause: the soak played no restoration, and repeated reports were logged as if they were new. Change: the fault "store restored"; the stand-in writes again what others than the system had written; repeats are marked.

--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -214,6 +214,7 @@
 	}},
 	{"server restarts", func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, false) }},
 	{"server drains", func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, true) }},
+	{"store restored", func(e *environment, _ *rand.Rand, d time.Duration) { e.restoreStore(d) }},
 	{"configuration", func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -279,6 +280,16 @@
 	e.store.SetFault(kv.Fault{})
 }
 
+// restoreStore brings the store back from a copy that is d old, after an outage of a quarter of d.
+func (e *environment) restoreStore(d time.Duration) {
+	copied := e.store.Copy()
+	time.Sleep(d)
+	e.store.SetFault(kv.Fault{Down: true})
+	time.Sleep(d / 4)
+	e.store.Restore(copied)
+	e.store.SetFault(kv.Fault{})
+}
+
 // disturb sets a random fault mode of a proxy for the duration d.
 func disturb(p *faultproxy.Proxy, random *rand.Rand, d time.Duration) {
 	p.SetMode([]faultproxy.Mode{faultproxy.Delay, faultproxy.Stall, faultproxy.StallResponses, faultproxy.Reset}[random.IntN(4)])
--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -40,6 +40,8 @@
 	Suspects []Fingerprint
 	// Cleared are requests that have run without a crash, although they were suspects.
 	Cleared []Fingerprint
+	// IsRepeated says that this VM has already sent the report, or that it comes from others.
+	IsRepeated bool
 }
 
 // crash is the crash of one process.
@@ -383,9 +385,9 @@
 		switch {
 		case c.isOwn && (c.repeated == 0 && age >= firstRepeat || c.repeated == 1 && age >= secondRepeat):
 			c.repeated++
-			due = append(due, Report{Process: p, Age: now.Sub(c.at), Suspects: slices.Clone(c.own)})
+			due = append(due, Report{Process: p, Age: now.Sub(c.at), Suspects: slices.Clone(c.own), IsRepeated: true})
 		case repeatAll && len(due) < maxRepeated && l.hasRepeatedSuspect(c):
-			r := Report{Process: p, Age: now.Sub(c.at)}
+			r := Report{Process: p, Age: now.Sub(c.at), IsRepeated: true}
 			for f := range c.suspects {
 				r.Suspects = append(r.Suspects, f)
 			}
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -306,7 +306,7 @@
 
 // reportCrash tells the other VMs which requests were in flight at a backend server that has crashed.
 func (e *Edge) reportCrash(r poison.Report) {
-	if r.Process.Server != "" {
+	if r.Process.Server != "" && !r.IsRepeated {
 		e.log.Warn("a backend server crashed while it had these requests", "server", string(r.Process.Server), "born", int64(r.Process.Born), "ageMs", r.Age.Milliseconds(), "fingerprints", r.Suspects)
 	}
 	e.announce(e.withSender(gossip.Message{Crashes: []gossip.Crash{gossip.CrashOf(r)}}))
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -100,9 +100,9 @@
 	}
 }
 
-// observeSuspect logs that the connection of a request broke, so that the request may have crashed the backend server.
+// observeSuspect logs that a request got no answer, so that it may have crashed the backend server.
 func (e *Edge) observeSuspect(server id.Server, f poison.Fingerprint) {
-	e.log.Info("a connection broke: its request may have crashed the backend server", "server", string(server), "fingerprint", uint64(f))
+	e.log.Info("a request got no answer: it may have crashed the backend server", "server", string(server), "fingerprint", uint64(f))
 }
 
 // observeEra logs that the store came back from an older copy, or its era at the first call.
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -14,6 +14,7 @@
 package kv
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -93,20 +94,42 @@
 	return c
 }
 
+// othersPrefixes are the prefixes of the keys that others than the system write.
+var othersPrefixes = []string{"op/", "servers/"}
+
 // Restore returns the store to a copy of its state and begins a new era: later changes are gone, and their revisions and lease ids are
-// given out again. Leases of the copy run for their whole TTL.
+// given out again. Leases of the copy run for their whole TTL. What others than the system wrote since is written again.
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
+	before := s.items
 	s.items, s.events, s.revision, s.nextID = maps.Clone(c.items), slices.Clone(c.events), c.revision, c.nextID
 	s.leases = map[int64]*lease{}
 	for n, l := range c.leases {
 		s.leases[n] = &lease{ttl: l.ttl, expiry: time.Now().Add(l.ttl)}
 	}
+	s.writeOthersAgain(before)
 	s.wake()
 }
 
+// writeOthersAgain makes the changes of others than the system again that a restoration took back.
+func (s *Store) writeOthersAgain(before map[string]Item) {
+	isOthers := func(key string) bool {
+		return slices.ContainsFunc(othersPrefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+	}
+	for key, i := range before {
+		if isOthers(key) && !bytes.Equal(s.items[key].Value, i.Value) {
+			s.putLocked(key, i.Value, 0)
+		}
+	}
+	for _, key := range slices.Collect(maps.Keys(s.items)) {
+		if _, present := before[key]; isOthers(key) && !present {
+			s.removeLocked(key)
+		}
+	}
+}
+
 // SetFault replaces the injected faults.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
