Confirm a crash by a restart under the same id at another address

Change: a later start under the same id confirms the crash as well; cases for another address, another name and address, and a VM that hears of all crashes 5 s late.

--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -48,6 +48,10 @@
 	bystanders int
 	// concurrent is the number of VMs to which the request is sent at the same time.
 	concurrent int
+	// newAddress says that replacements listen at another address.
+	newAddress bool
+	// messageDelay is how late the messages of others reach the last VM, as if it were paused.
+	messageDelay time.Duration
 	// staleAnswer makes another request's answer, written before the crash, arrive after the first connection broke.
 	staleAnswer bool
 }
@@ -127,9 +131,13 @@
 	if f.sent[from]++; f.sent[from] <= f.test.lostMessages {
 		return
 	}
-	for _, v := range f.vms {
+	for i, v := range f.vms {
+		delay := time.Millisecond
+		if i == len(f.vms)-1 {
+			delay += f.test.messageDelay
+		}
 		if v != from {
-			time.AfterFunc(time.Millisecond, func() { receive(v) })
+			time.AfterFunc(delay, func() { receive(v) })
 		}
 	}
 }
@@ -201,7 +209,11 @@
 		if f.test.sameName {
 			name = s.Incarnation.Server
 		}
-		f.startServer(s.Address, name)
+		address := s.Address
+		if f.test.newAddress {
+			address += "1"
+		}
+		f.startServer(address, name)
 		f.publish()
 	})
 }
@@ -238,6 +250,9 @@
 		"retries find the port closed":                     {idempotent: true},
 		"nobody finds the port closed":                     {keepsEntry: true},
 		"the same id registers again":                      {sameName: true, keepsEntry: true},
+		"back at another address":                          {sameName: true, keepsEntry: true, newAddress: true},
+		"back under another name and address":              {newAddress: true, silent: true},
+		"a VM hears of all crashes late":                   {idempotent: true, messageDelay: 5 * time.Second},
 		"backend servers fall silent":                      {silent: true},
 		"backend servers fall silent, retried":             {silent: true, idempotent: true},
 		"silent until replaced":                            {silent: true, keepsEntry: true},
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -55,8 +55,8 @@
 	}
 	now := f.options.Clock.Boot()
 	for name, s := range old.Servers {
-		_, isPresent := next.Servers[name]
-		if !s.Draining && (!isPresent || latest[s.Address] > s.Born) {
+		present, isPresent := next.Servers[name]
+		if !s.Draining && (!isPresent || present.Born > s.Born || latest[s.Address] > s.Born) {
 			f.options.Crashes.RecordCrash(now, s.Incarnation, true)
 		}
 	}
