Let followers wait for the leader's copy after a restoration of the store

Cause: by reading: after an outage all VMs ask the store themselves, hear of the new era at the same time and would each read all of it, which hundreds of VMs can't within its rate, while the leader needs it for its election.

--- a/edge/store.go
+++ b/edge/store.go
@@ -94,6 +94,10 @@
 			e.pause(ctx, startedAt.Add(e.syncPeriod()).Sub(e.clock.Boot()))
 		case errors.Is(err, platform.ErrCompacted):
 			full = true
+			if e.followsLeader() {
+				// The leader reads the store as well, and hundreds of VMs that read all of it at once would exceed its rate.
+				e.pause(ctx, leader.LeaderTimeout/2+rand.N(leader.LeaderTimeout/2))
+			}
 		default:
 			failures++
 			e.recordStoreFailure()
