--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -218,7 +218,7 @@
 	})
 }
 
-// request sends a request through a VM and returns its outcome.
+// request sends a request through a VM and returns its outcome; refusal is nil if it was answered.
 func (f *crashFleet) request(v *crashVM, target string) (served bool, refusal *outcome.Error) {
 	now := f.clock.Boot()
 	const timeout = time.Second
@@ -234,6 +234,9 @@
 	return answer.Status == 200, nil
 }
 
+// start sends a request whose outcome doesn't matter.
+func (f *crashFleet) start(v *crashVM, target string) { _, _ = f.request(v, target) }
+
 // lateCrashes returns the number of crashes later than crashReactionTime after the third one.
 func (f *crashFleet) lateCrashes() (n int) {
 	for _, at := range f.crashes[min(3, len(f.crashes)):] {
@@ -271,14 +274,14 @@
 				f = newCrashFleet(test)
 				for i := range 24 {
 					for n := range max(1, test.concurrent) {
-						go f.request(f.vms[(i+n)%len(f.vms)], crashTarget)
+						go f.start(f.vms[(i+n)%len(f.vms)], crashTarget)
 					}
 					for n := range test.bystanders {
 						prefix := "/other"
 						if n%2 == 0 {
 							prefix = "/before"
 						}
-						go f.request(f.vms[(i+n)%len(f.vms)], fmt.Sprintf("%s%d-%d", prefix, i, n))
+						go f.start(f.vms[(i+n)%len(f.vms)], fmt.Sprintf("%s%d-%d", prefix, i, n))
 					}
 					time.Sleep(3100 * time.Millisecond)
 				}
@@ -307,9 +310,9 @@
 				f := newCrashFleet(test)
 				targets := []string{"/a", "/b", "/c", "/d", "/e", "/f"}
 				for i := range 12 {
-					go f.request(f.vms[i%len(f.vms)], crashTarget)
+					go f.start(f.vms[i%len(f.vms)], crashTarget)
 					for n, target := range targets {
-						go f.request(f.vms[(i+n)%len(f.vms)], target)
+						go f.start(f.vms[(i+n)%len(f.vms)], target)
 					}
 					time.Sleep(1500 * time.Millisecond)
 				}
