--- a/cmd/hickorysoak/main.go
+++ b/cmd/hickorysoak/main.go
@@ -10,6 +10,7 @@
 //
 //	hickorysoak --program bin/hickorylug --seeds 50
 //	hickorysoak --program bin/hickorylug --first 17 --seeds 1 --logs soak-logs
+//	hickorysoak --program bin/hickorylug --seeds 1 --time 5m --faults terminate,reload,configuration
 //
 // Exit codes: 0 if all guarantees held, 1 if one was violated or a run failed, 80 for invalid arguments.
 package main
@@ -30,6 +31,7 @@
 	Time    time.Duration `help:"Time for which faults are injected, per seed." default:"12s"`
 	VMs     int           `help:"Number of entry VMs." default:"4" name:"vms"`
 	Logs    string        `help:"Folder for the logs of failed seeds." default:"soak-logs"`
+	Faults  []string      `help:"Names of the faults to draw from, separated by commas; all if empty. With planned work alone, no request that was run may be cut off."`
 }
 
 // errViolated means that at least one seed violated a guarantee.
@@ -37,10 +39,14 @@
 
 // Run runs all seeds and prints a summary line, and a line per violation, for each.
 func (c *command) Run() error {
+	selected, err := selectFaults(c.Faults)
+	if err != nil {
+		return err
+	}
 	violated := false
 	for i := range c.Seeds {
 		seed := c.First + uint64(i)
-		r, err := runSeed(seed, *c)
+		r, err := runSeed(seed, *c, selected)
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -8,12 +8,15 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickorylug/hickorylug/standin/faultproxy"
 	"github.com/hickorylug/hickorylug/standin/kv"
 	"github.com/hickorylug/hickorylug/standin/worker"
@@ -37,6 +40,8 @@
 	faults                             string
 	violations                         []string
 	refusedNotRun                      []string
+	// cutOff are the requests whose connection ended without an answer before their time was up.
+	cutOff []string
 }
 
 // addViolation records a violated guarantee.
@@ -46,8 +51,8 @@
 	r.violations = append(r.violations, fmt.Sprintf(format, args...))
 }
 
-// runSeed runs one seed: it starts the environment, injects faults under load, and checks the guarantees.
-func runSeed(seed uint64, c command) (r *result, err error) {
+// runSeed runs one seed: it starts the environment, injects the selected faults under load, and checks the guarantees.
+func runSeed(seed uint64, c command, selected []fault) (r *result, err error) {
 	e, err := newEnvironment(seed, c)
 	if err != nil {
 		return nil, err
@@ -62,7 +67,7 @@
 	for i := range callerCount {
 		wg.Go(func() { e.runCaller(ctx, r, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
-	r.faults = e.injectFaults(ctx, random)
+	r.faults = e.injectFaults(ctx, random, selected)
 	wg.Wait()
 	cancel()
 	e.clearFaults()
@@ -70,7 +75,7 @@
 		r.addViolation("the VMs don't serve requests again %s after the last fault", serveTimeout)
 	}
 	time.Sleep(settleDelay)
-	e.checkGuarantees(r)
+	e.checkGuarantees(r, selected)
 	e.close()
 	if len(r.violations) > 0 {
 		err = os.Rename(e.folder, filepath.Join(makeLogFolder(c.Logs), fmt.Sprintf("seed-%d", seed)))
@@ -88,7 +93,13 @@
 }
 
 // checkGuarantees adds the violations that can only be detected after all requests have ended.
-func (e *environment) checkGuarantees(r *result) {
+func (e *environment) checkGuarantees(r *result, injected []fault) {
+	isPlannedWork := !slices.ContainsFunc(injected, func(f fault) bool { return !f.isPlanned })
+	for _, id := range r.cutOff {
+		if isPlannedWork && e.journal.Runs(id) > 0 {
+			r.addViolation("request %s has run, but its connection was cut off, although only planned work took place", id)
+		}
+	}
 	for _, id := range r.refusedNotRun {
 		if e.journal.Runs(id) > 0 {
 			r.addViolation("request %s was refused as not run, but has run", id)
@@ -163,6 +174,9 @@
 	switch {
 	case err != nil:
 		r.unknown++
+		if !errors.Is(err, context.DeadlineExceeded) {
+			r.cutOff = append(r.cutOff, id)
+		}
 		return 0
 	case resp.StatusCode == http.StatusOK:
 		r.served++
@@ -184,46 +198,63 @@
 type fault struct {
 	name string
 	run  func(e *environment, random *rand.Rand, d time.Duration)
+	// isPlanned says that it is planned work, during which no request may be cut off.
+	isPlanned bool
 }
 
 var faults = []fault{
-	{"kill", func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGKILL, d) }},
-	{"terminate", func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGTERM, d) }},
-	{"pause", func(e *environment, random *rand.Rand, d time.Duration) {
+	{name: "kill", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGKILL, d) }},
+	{name: "terminate", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGTERM, d) }, isPlanned: true},
+	{name: "pause", run: func(e *environment, random *rand.Rand, d time.Duration) {
 		v := e.vms[random.IntN(len(e.vms))]
 		v.signal(syscall.SIGSTOP)
 		time.Sleep(d)
 		v.signal(syscall.SIGCONT)
 	}},
-	{"reload", func(e *environment, random *rand.Rand, _ time.Duration) {
+	{name: "reload", run: func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.vms[random.IntN(len(e.vms))].signal(syscall.SIGHUP)
-	}},
-	{"store down", func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{Down: true}, d) }},
-	{"store slow", func(e *environment, _ *rand.Rand, d time.Duration) {
+	}, isPlanned: true},
+	{name: "store down", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{Down: true}, d) }},
+	{name: "store slow", run: func(e *environment, _ *rand.Rand, d time.Duration) {
 		e.injectStoreFault(kv.Fault{Delay: 200 * time.Millisecond}, d)
 	}},
-	{"store loses answers", func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{LostWrites: 0.5}, d) }},
-	{"store link", func(e *environment, random *rand.Rand, d time.Duration) {
+	{name: "store loses answers", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{LostWrites: 0.5}, d) }},
+	{name: "store link", run: func(e *environment, random *rand.Rand, d time.Duration) {
 		disturb(e.vms[random.IntN(len(e.vms))].storeProxy, random, d)
 	}},
-	{"server link", func(e *environment, random *rand.Rand, d time.Duration) {
+	{name: "server link", run: func(e *environment, random *rand.Rand, d time.Duration) {
 		e.mu.Lock()
 		p := e.backends[random.IntN(len(e.backends))].proxy
 		e.mu.Unlock()
 		disturb(p, random, d)
 	}},
-	{"server restarts", func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, false) }},
-	{"server drains", func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, true) }},
-	{"store restored", func(e *environment, _ *rand.Rand, d time.Duration) { e.restoreStore(d) }},
-	{"configuration", func(e *environment, random *rand.Rand, _ time.Duration) {
+	{name: "server restarts", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, false) }},
+	{name: "server drains", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, true) }},
+	{name: "store restored", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.restoreStore(d) }},
+	{name: "configuration", run: func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.writeConfiguration(time.Duration(800+random.IntN(800)) * time.Millisecond)
-	}},
+	}, isPlanned: true},
+}
+
+// selectFaults returns the faults with the given names, or all if there are none.
+func selectFaults(names []string) (selected []fault, err error) {
+	if len(names) == 0 {
+		return faults, nil
+	}
+	for _, name := range names {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, errors.Newf("--faults: there is no fault %q", name)
+		}
+		selected = append(selected, faults[i])
+	}
+	return selected, nil
 }
 
-// injectFaults injects overlapping random faults until the context ends, and returns the count of each fault.
-func (e *environment) injectFaults(ctx context.Context, random *rand.Rand) (summary string) {
+// injectFaults injects overlapping random faults out of the given ones until the context ends, and returns the count of each fault.
+func (e *environment) injectFaults(ctx context.Context, random *rand.Rand, faults []fault) (summary string) {
 	counts := map[string]int{}
 	var wg sync.WaitGroup
 	for ctx.Err() == nil {
