--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -19,7 +19,6 @@
 
 import (
 	"context"
-	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -141,7 +140,7 @@
 	defer d.mu.Unlock()
 	old := d.snapshot
 	d.snapshot = s
-	if !isSameMap(old.Servers, s.Servers) || !isSameMap(old.Peers, s.Peers) {
+	if !fleet.IsSameMap(old.Servers, s.Servers) || !fleet.IsSameMap(old.Peers, s.Peers) {
 		d.updateServers(s)
 		d.divide()
 	}
@@ -150,12 +149,6 @@
 	}
 }
 
-// isSameMap reports whether two maps are the same one. Snapshots share the maps that a change of the store doesn't affect, and most
-// changes in a large fleet are those of key tables.
-func isSameMap[K comparable, V any](a, b map[K]V) bool {
-	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
-}
-
 // updateServers follows the backend servers of a snapshot.
 func (d *Dispatcher) updateServers(s *fleet.Snapshot) {
 	now := d.options.Clock.Boot()
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -49,6 +49,9 @@
 // FollowServers records the processes that have ended between two snapshots without having announced it: their entry is gone, or a
 // process that started later has registered under their id or at their address.
 func (f *Forwarder) FollowServers(old, next *fleet.Snapshot) {
+	if fleet.IsSameMap(old.Servers, next.Servers) {
+		return
+	}
 	latest := map[string]fleet.StartTime{}
 	for _, s := range next.Servers {
 		latest[s.Address] = max(latest[s.Address], s.Born)
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -16,6 +16,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -113,3 +114,9 @@
 	}
 	return out
 }
+
+// IsSameMap reports whether two maps are the same one. Snapshots share the maps that a change of the store doesn't affect, and most
+// changes in a large fleet are those of key tables.
+func IsSameMap[K comparable, V any](a, b map[K]V) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
+}
