--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -17,6 +17,8 @@
 	// maxCrashes and maxSuspects limit the crashes that are recorded, and the suspects of each.
 	maxCrashes  = 1024
 	maxSuspects = 64
+	// maxCleared limits the requests that are remembered to have run without a crash.
+	maxCleared = 4096
 	// initialBlock is how long a request is refused that may still be innocent; it doubles with each further crash.
 	initialBlock = 30 * time.Second
 	// crashesToBlockAny is the number of crashes after which a request is refused although others share the suspicion.
@@ -284,7 +286,9 @@
 			l.acquit(p, f)
 		}
 	}
-	l.clearedAt[f] = max(l.clearedAt[f], at)
+	if _, known := l.clearedAt[f]; known || len(l.clearedAt) < maxCleared {
+		l.clearedAt[f] = max(l.clearedAt[f], at)
+	}
 }
 
 // expire drops what is too old to count.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -99,7 +99,9 @@
 	// keeper keeps what an outage of the store or an older copy of it would take back.
 	keeper *retention.Keeper
 
-	snapshot atomic.Pointer[fleet.Snapshot]
+	// publishing makes snapshots follow each other in the order of the mirror.
+	publishing sync.Mutex
+	snapshot   atomic.Pointer[fleet.Snapshot]
 	// pacesSentAt is when the paces of owners of keys were last sent to the leader; only the component "load" uses it.
 	pacesSentAt clock.Instant
 	// leaving is set when the graceful shutdown begins, and resigned once this VM has also given up the leadership.
--- a/edge/registration.go
+++ b/edge/registration.go
@@ -16,7 +16,8 @@
 	if e.registeredAt == 0 {
 		return false
 	}
-	_, listed := e.snapshot.Load().Peers[e.settings.VM]
+	// The snapshot also lists registrations that an older copy of the store lacks.
+	_, listed := e.mirror.Item(platform.KeyPeer(e.settings.VM))
 	return listed || e.mirror.Position() < e.registeredAt
 }
 
--- a/edge/store.go
+++ b/edge/store.go
@@ -225,6 +225,8 @@
 
 // publishSnapshot makes the latest state of the mirror the current snapshot.
 func (e *Edge) publishSnapshot() {
+	e.publishing.Lock()
+	defer e.publishing.Unlock()
 	old := e.snapshot.Load()
 	s := e.withRetained(old, e.mirror.Snapshot())
 	e.snapshot.Store(s)
@@ -255,7 +257,8 @@
 // maxLoggedServers is the number of backend servers that may appear at once with a log line each.
 const maxLoggedServers = 10
 
-// logChanges logs the differences between two snapshots, and closes the idle connections to removed backend servers. If many backend servers appear at once, it logs only their number.
+// logChanges logs the differences between two snapshots, and closes the idle connections to removed backend servers. If many backend
+// servers appear at once, it logs only their number.
 func (e *Edge) logChanges(old, next *fleet.Snapshot) {
 	position := next.Position.Number()
 	if appeared := len(next.Servers) - len(old.Servers); appeared > maxLoggedServers {
--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -124,6 +124,9 @@
 	Cleared []poison.Fingerprint `cbor:"5,keyasint,omitempty"`
 }
 
+// maxCrashAge is the age of a crash, in milliseconds, from which it no longer matters.
+const maxCrashAge = 3_600_000
+
 // CrashOf returns a report as it is sent.
 func CrashOf(r poison.Report) Crash {
 	return Crash{Server: r.Process.Server, Born: r.Process.Born, Age: int(r.Age.Milliseconds()), Suspects: r.Suspects, Cleared: r.Cleared}
@@ -132,6 +135,6 @@
 // ToReport returns a received report.
 func (c Crash) ToReport() poison.Report {
 	return poison.Report{
-		Process: fleet.Incarnation{Server: c.Server, Born: c.Born}, Age: time.Duration(max(0, c.Age)) * time.Millisecond, Suspects: c.Suspects, Cleared: c.Cleared,
+		Process: fleet.Incarnation{Server: c.Server, Born: c.Born}, Age: time.Duration(min(max(c.Age, 0), maxCrashAge)) * time.Millisecond, Suspects: c.Suspects, Cleared: c.Cleared,
 	}
 }
