--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -54,10 +54,10 @@
 func (e *Edge) campaign(ctx context.Context) {
 	won, leaseStart, term, lease := e.acquireLeadership(ctx)
 	e.mu.Lock()
-	isSuccessorOfItself := won && e.continuesIn == term.Era() && term.Era() > 0
+	continues := won && e.continuesIn == term.Era() && term.Era() > 0
 	e.mu.Unlock()
 	if won {
-		e.keys.reset(e.clock.Boot(), isSuccessorOfItself)
+		e.keys.reset(e.clock.Boot(), continues)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/edge/settle_test.go
@@ -0,0 +1,103 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/ownership"
+	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/standin/kv"
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/settings"
+	"github.com/hickorylug/hickorylug/state/unit"
+)
+
+// storeTable stores a table in which one backend server owns all keys under a fence.
+func storeTable(t *testing.T, e *Edge, owner id.Server, fence fleet.Fence) {
+	t.Helper()
+	data, err := fleet.EncodeTable(&fleet.Table{Service: "plans", Fence: fence, Ranges: []fleet.Range{
+		{From: 0, To: fleet.KeyCount - 1, Owner: fleet.Incarnation{Server: owner, Born: 1}, Fence: fence},
+	}})
+	if err == nil {
+		_, err = e.store.Write(t.Context(), nil, platform.Put{Key: platform.KeyTable("plans"), Value: data})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An older copy of the store lacks the latest table. Keys must not be granted by the one that it has while they may be held under another.
+func TestTablesAreSettledAfterARestoration(t *testing.T) {
+	const copied, lost fleet.Fence = 5, 9
+	tests := map[string]struct {
+		// knows says that this VM has the lost table, and continues that it led when the store came back.
+		knows, continues bool
+		owner            id.Server
+		minFence         fleet.Fence
+	}{
+		"the leader leads on":                  {knows: true, continues: true, owner: "s2", minFence: lost},
+		"another VM that knows the lost table": {knows: true, owner: "s2", minFence: 1000 * lost},
+		"another VM that doesn't know it":      {owner: "s1", minFence: 1000 * lost},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := kv.NewStore(rand.Float64)
+			server := httptest.NewServer(store)
+			defer server.Close()
+			c := &fixedClock{now: clock.Instant(time.Hour)}
+			e, err := New(settings.Edge{
+				VM: "a", FailureDomain: "east", CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3", MetricsAddress: "127.0.0.1:4",
+				Store: strings.TrimPrefix(server.URL, "http://"), LogLevel: "info", GraceTime: unit.Duration(time.Second), ServerHeartbeat: unit.Duration(time.Second),
+				RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
+				MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
+			}, WithClock(c))
+			is.NoErr(err)
+			ctx := context.Background()
+			store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
+			storeTable(t, e, "s1", copied)
+			before := store.Copy()
+			if test.knows {
+				storeTable(t, e, "s2", lost)
+				is.NoErr(e.readAll(ctx))
+			}
+			store.Restore(before)
+			if test.continues {
+				e.continuesIn = 1
+			}
+			e.campaign(ctx)
+			is.True(e.leads())
+			settle := func() bool {
+				ready := e.keys.settle(ctx, c.now, e.snapshot.Load())
+				e.tasks.Wait()
+				c.now = c.now.Add(settleRetryPeriod)
+				return ready
+			}
+			is.Equal(settle(), test.continues)
+			if !test.continues {
+				is.True(e.snapshot.Load().Tables["plans"].Fence < test.minFence)
+				c.now = c.now.Add(ownership.FormerGrantTime)
+				is.True(!settle())
+			}
+			for range 3 {
+				settle()
+			}
+			is.NoErr(e.readAll(ctx))
+			is.True(settle())
+			table := e.snapshot.Load().Tables["plans"]
+			is.True(!table.Unsaved)
+			is.True(table.Fence >= test.minFence)
+			r, _ := table.Find(0)
+			is.Equal(r.Owner.Server, test.owner)
+			is.True(r.Fence >= test.minFence)
+		})
+	}
+}
