Types, settings and seams for customers, allotments and draining headers

Cause: no part of the product knows customers, API keys or allotments; the parts that follow need common types. Nothing uses them yet.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -34,6 +34,10 @@
 	Service id.Service
 	// Priority orders the queue; 0 is the highest.
 	Priority int
+	// Customer is the customer that sent the request, or empty; customers of the same priority are served in turn.
+	Customer id.Customer
+	// Weight is the customer's share against other customers; 0 means 1.
+	Weight float64
 	// Keyed says that only the owner of Key may run the request.
 	Keyed bool
 	Key   fleet.Key
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -49,6 +49,15 @@
 	// Objective is the time by which the request should be answered, counted from the caller's first attempt; a later answer is worth
 	// little to the caller.
 	Objective clock.Instant
+	// Customer is the customer that sent the request, or empty if none is identified.
+	Customer id.Customer
+	// Weight is the customer's share against other customers of the same priority; 0 means 1.
+	Weight float64
+	// Priority orders the queue; 0 is the highest.
+	Priority int
+	// ChargeAttempt charges one more attempt to the customer's allotment, after one that may have run, and reports whether it is allowed.
+	// Nil means no limit.
+	ChargeAttempt func() bool
 }
 
 // Answer is the complete answer of a backend server.
@@ -194,7 +203,7 @@
 func (f *Forwarder) demand(s *requestState) dispatch.Demand {
 	r := s.request
 	return dispatch.Demand{
-		Service: r.Service, Priority: r.Route.Priority, Keyed: r.Keyed, Key: r.Key, Arrived: r.Arrived,
+		Service: r.Service, Priority: r.Priority, Customer: r.Customer, Weight: r.Weight, Keyed: r.Keyed, Key: r.Key, Arrived: r.Arrived,
 		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, AvoidDomain: s.avoidDomain, Retry: s.attempts > 0,
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -118,6 +118,7 @@
 // New returns an entry VM that is not running yet.
 func New(s settings.Edge, opts ...Option) (e *Edge, err error) {
 	defer func() { err = errors.Wrap(err, "create the entry VM") }()
+	s = s.WithDefaults()
 	if err := s.Check().Err(); err != nil {
 		return nil, err
 	}
--- a/state/fleet/configuration.go
+++ b/state/fleet/configuration.go
@@ -15,6 +15,8 @@
 	Version  uint64
 	Services map[id.Service]Service
 	Limits   Limits
+	// Customers are the customers whose callers identify themselves with API keys; nil means that no route asks for a key.
+	Customers *Customers
 
 	byHost map[string][]*Route
 }
@@ -56,7 +58,9 @@
 	MaxAttempts int
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
-	Targets  []Target
+	// Public is set if a request needs no API key although the configuration holds customers.
+	Public  bool
+	Targets []Target
 }
 
 // Target is a service with its weight among the targets of a route.
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -28,6 +28,9 @@
 // Server names one backend server of a service.
 type Server string
 
+// Customer names a customer, a party whose callers identify themselves with API keys.
+type Customer string
+
 // Route names a rule that maps requests to a service.
 type Route string
 
--- a/state/settings/edge.go
+++ b/state/settings/edge.go
@@ -1,6 +1,9 @@
 package settings
 
 import (
+	"cmp"
+	"time"
+
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/state/strict"
 	"github.com/hickorylug/hickorylug/state/unit"
@@ -40,6 +43,20 @@
 	WarmSlack float64
 	// MaxHold is the maximum TTL of a grant to a backend server.
 	MaxHold unit.Duration
+	// DrainTime is how long a backend server that leaves may still get requests; 0 means defaultDrainTime.
+	DrainTime unit.Duration
+	// StrictRevocation makes the VM refuse requests that need an API key while its configuration may be older than RevocationTime, since
+	// the key may have been revoked.
+	StrictRevocation bool
+	// RevocationTime is the age of the VM's latest information from the store from which StrictRevocation applies; 0 means
+	// defaultRevocationTime.
+	RevocationTime unit.Duration
+	// AllotmentWindow is the time over which the platform measures the requests of a customer; 0 means defaultAllotmentWindow.
+	AllotmentWindow unit.Duration
+	// AllotmentOverage is the fraction of an allotment, and AllotmentSlack the number of requests, by which a customer may exceed it in a
+	// window because the VMs know each other's use only late.
+	AllotmentOverage float64
+	AllotmentSlack   float64
 	// Processor is the VM's share of a CPU core.
 	Processor float64
 	// Link is the VM's network bandwidth in Mbit/s.
@@ -48,15 +65,31 @@
 	Memory unit.Size
 }
 
+// Defaults for platforms that don't set a value.
+const (
+	defaultDrainTime       = unit.Duration(2 * time.Second)
+	defaultRevocationTime  = unit.Duration(5 * time.Second)
+	defaultAllotmentWindow = unit.Duration(5 * time.Second)
+)
+
 // DecodeEdge decodes and validates the settings of an entry VM on the users' platform.
 func DecodeEdge(data []byte) (s Edge, problems strict.Problems) {
 	s = Edge{LogLevel: levelInfo}
 	if problems = strict.Decode(data, &s); len(problems) > 0 {
 		return s, problems
 	}
+	s = s.WithDefaults()
 	return s, s.Check()
 }
 
+// WithDefaults returns the settings with the defaults of the times that are not set.
+func (s Edge) WithDefaults() Edge {
+	s.DrainTime = cmp.Or(s.DrainTime, defaultDrainTime)
+	s.RevocationTime = cmp.Or(s.RevocationTime, defaultRevocationTime)
+	s.AllotmentWindow = cmp.Or(s.AllotmentWindow, defaultAllotmentWindow)
+	return s
+}
+
 // Check returns all problems of the settings.
 func (s Edge) Check() (problems strict.Problems) {
 	checkRequired(&problems, "VM", string(s.VM))
@@ -76,6 +109,12 @@
 	if s.RetrySlack < 0 {
 		problems.Add("RetrySlack", "%v is negative", s.RetrySlack)
 	}
+	if s.AllotmentOverage < 0 {
+		problems.Add("AllotmentOverage", "%v is negative", s.AllotmentOverage)
+	}
+	if s.AllotmentSlack < 0 {
+		problems.Add("AllotmentSlack", "%v is negative", s.AllotmentSlack)
+	}
 	if s.WarmOverage < 1 {
 		problems.Add("WarmOverage", "%v is below 1", s.WarmOverage)
 	}
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -48,18 +48,31 @@
 	View func() (s *fleet.Snapshot, current bool)
 	// PickService selects the service of a request from its route's targets.
 	PickService func(r *fleet.Route) id.Service
+	// Admit charges a request to its customer's allotment, after a wait of some milliseconds if needed. The error is an *outcome.Error that
+	// says not run. Nil means that there are no allotments.
+	Admit func(ctx context.Context, c *fleet.Customer, deadline clock.Instant) (t Ticket, err error)
 	// Forward sends a request to a backend server and returns the response.
 	Forward func(ctx context.Context, r *forward.Request) (*forward.Answer, error)
 	// Observe is called once for each request, after it was answered.
 	Observe func(e Event)
 }
 
+// Ticket is a request's charge against its customer's allotment.
+type Ticket interface {
+	// ChargeAttempt charges one more attempt that may run, and reports whether the allotment has room for it.
+	ChargeAttempt() bool
+	// Release gives the charge back, since the request was not run and never will be.
+	Release()
+}
+
 // Event describes an answered request and its result.
 type Event struct {
-	ID       string
-	Route    *fleet.Route
-	Service  id.Service
-	Server   id.Server
+	ID      string
+	Route   *fleet.Route
+	Service id.Service
+	Server  id.Server
+	// Customer is the customer that sent the request, or empty if none is identified.
+	Customer id.Customer
 	Version  uint64
 	Status   int
 	Attempts int
@@ -158,6 +171,7 @@
 	request = &forward.Request{
 		ID: e.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header), Body: body,
 		Route: route, Service: h.deps.PickService(route), Arrived: started, Deadline: started.Add(limit),
+		Priority: route.Priority,
 	}
 	request.Objective = started.Add(route.Objective - h.waitLimits.elapsed(route.Name, h.callerTimeout(r)))
 	e.Service = request.Service
