--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -59,6 +59,10 @@
 	CallerDisconnected Reason = "caller gone"
 	PeerFailed         Reason = "peer failed"
 	InternalError      Reason = "internal"
+	// Unauthenticated means that the request has no valid API key.
+	Unauthenticated Reason = "unauthenticated"
+	// AllotmentExhausted means that the customer has used up its allotment.
+	AllotmentExhausted Reason = "allotment exhausted"
 )
 
 // statusOf holds the HTTP status of each reason that doesn't use 503 Service Unavailable.
@@ -76,6 +80,9 @@
 	ServerFailed:      http.StatusBadGateway,
 	Interrupted:       http.StatusBadGateway,
 	PeerFailed:        http.StatusBadGateway,
+
+	Unauthenticated:    http.StatusUnauthorized,
+	AllotmentExhausted: http.StatusTooManyRequests,
 }
 
 // Error is the error of a request that has no response from a backend server.
