--- a/state/fleet/customers.go
+++ b/state/fleet/customers.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/strict"
 )
 
 // Allotment is the number of requests that a customer may send to all VMs together. The zero value means no limit.
@@ -41,8 +42,22 @@
 	list   []Customer
 	byKey  map[KeyDigest]int32
 	byName map[id.Customer]int32
+	// keyCounts holds the number of keys of each customer in list, and shared the keys that a later customer has in common with an earlier one.
+	keyCounts []int32
+	shared    []sharedKey
+	// positions holds the position of each customer of list in the document, which differs from its index after skipped entries.
+	positions []int32
+	// skipped is the number of entries of the document that can't be used, and skippedProblems says why, for the first maxSkippedProblems.
+	skipped         int
+	skippedProblems strict.Problems
 }
 
+// maxSkippedProblems is the number of skipped entries whose problem is kept; a document of 10 MB may have 100,000 entries.
+const maxSkippedProblems = 100
+
+// sharedKey is a key that two customers have, by their indexes in the list of customers. The first one holds it.
+type sharedKey struct{ first, second int32 }
+
 // NewCustomers returns an empty index with room for a number of keys.
 func NewCustomers(keys int) *Customers {
 	return &Customers{byKey: make(map[KeyDigest]int32, keys), byName: map[id.Customer]int32{}}
@@ -53,13 +68,27 @@
 	at := int32(len(c.list))
 	c.list = append(c.list, customer)
 	c.byName[customer.Name] = at
+	c.keyCounts = append(c.keyCounts, int32(len(keys)))
+	c.positions = append(c.positions, int32(int(at)+c.skipped))
 	for _, k := range keys {
-		if _, taken := c.byKey[k]; !taken {
+		holder, taken := c.byKey[k]
+		switch {
+		case !taken:
 			c.byKey[k] = at
+		case holder != at:
+			c.shared = append(c.shared, sharedKey{first: holder, second: at})
 		}
 	}
 }
 
+// Skip records that the next entry of the document can't be used, so that Check reports it. The problem must not contain an API key.
+func (c *Customers) Skip(name id.Customer, problem string) {
+	if len(c.skippedProblems) < maxSkippedProblems {
+		c.skippedProblems.Add(customerPath(len(c.list)+c.skipped, name), "the entry isn't used: %s", problem)
+	}
+	c.skipped++
+}
+
 // ByKey returns the customer that holds a key.
 func (c *Customers) ByKey(key KeyDigest) (customer *Customer, found bool) {
 	at, found := c.byKey[key]
