Figures of the heaviest customers, bounded lines about 401 and 429

The mistakes of a new configuration version are logged, each with its place.

Keys of the request metrics were bounded for unknown hosts (no service), but not for the statuses of backend servers: those that HTTP doesn't define now share the name of their class.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/coordination/ratelimit"
+	"github.com/hickorylug/hickorylug/protocol/customers"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
 )
@@ -28,6 +30,8 @@
 	store        *expvar.Map
 	requests     *expvar.Map
 	attempts     *expvar.Map
+	customers    *customerCounters
+	lines        *lineLimiter
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -42,7 +46,7 @@
 func newMetrics(e *Edge) *metrics {
 	return &metrics{
 		edge: e, store: new(expvar.Map).Init(), requests: new(expvar.Map).Init(), attempts: new(expvar.Map).Init(),
-		latencies: map[string]*hdrhistogram.Histogram{},
+		latencies: map[string]*hdrhistogram.Histogram{}, customers: newCustomerCounters(), lines: newLineLimiter(e.clock, e.log),
 	}
 }
 
@@ -64,19 +68,37 @@
 	_ = h.RecordValue(min(max(took.Milliseconds(), 1), maxLatencyMs))
 }
 
+// statusLabel returns the name of a status in the metrics. Statuses that HTTP doesn't define share the name of their class, so that a
+// backend server's choice of statuses doesn't add metrics without bound.
+func statusLabel(status int) string {
+	if http.StatusText(status) == "" {
+		return strconv.Itoa(status/100) + "xx"
+	}
+	return strconv.Itoa(status)
+}
+
 // observeRequest counts a request, and logs it if it was refused, failed or took more than one attempt.
 func (e *Edge) observeRequest(v entry.Event) {
-	e.metrics.requests.Add(fmt.Sprintf("%s.%d", v.Service, v.Status), 1)
+	e.metrics.requests.Add(string(v.Service)+"."+statusLabel(v.Status), 1)
 	e.metrics.observeLatency(string(v.Service), v.Duration)
+	e.metrics.customers.observe(&v)
 	if v.Refusal == nil && v.Status < http.StatusInternalServerError && v.Attempts <= 1 {
 		return
 	}
+	if v.Refusal != nil {
+		e.metrics.requests.Add("refused."+string(v.Refusal.Reason), 1)
+		if e.metrics.lines.isLimited(v.Refusal.Reason) && !e.metrics.lines.allow(v.Refusal.Reason, v.Customer) {
+			return
+		}
+	}
 	args := []any{"request", v.ID, "service", string(v.Service), "status", v.Status, "tookMs", v.Duration.Milliseconds(), "version", v.Version, "attempts", v.Attempts, "server", string(v.Server), "newsAgeMs", e.storeStaleness().Milliseconds()}
 	if v.Route != nil {
 		args = append(args, "route", string(v.Route.Name))
 	}
+	if v.Customer != "" {
+		args = append(args, "customer", string(v.Customer))
+	}
 	if v.Refusal != nil {
-		e.metrics.requests.Add("refused."+string(v.Refusal.Reason), 1)
 		args = append(args, "outcome", string(v.Refusal.Outcome), "reason", string(v.Refusal.Reason), "detail", v.Refusal.Detail, "retryAfterMs", v.Refusal.RetryAfter.Milliseconds())
 	}
 	e.log.Info("request ended", args...)
@@ -160,6 +182,7 @@
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
 		"BlockedRequests": e.crashes.Blocked(e.clock.Boot()), "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
+		"Customers": m.customerValues(),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -170,3 +193,10 @@
 	out["Latencies"] = latencies
 	return out
 }
+
+// customerValues returns the figures about customers.
+func (m *metrics) customerValues() customers.Metrics {
+	v := m.customers.values()
+	v.SuppressedLines = m.lines.suppressed.Load()
+	return v
+}
--- a/edge/store.go
+++ b/edge/store.go
@@ -236,6 +236,7 @@
 		e.options.OnScale(len(s.Servers))
 	}
 	e.logChanges(old, s)
+	e.logFindings(old.Configuration, s.Configuration)
 	select {
 	case e.replan <- struct{}{}:
 	default:
--- a/state/fleet/check.go
+++ b/state/fleet/check.go
@@ -96,31 +96,34 @@
 	if unnamed := c.skipped - len(c.skippedProblems); unnamed > 0 {
 		f.Problems.Add("Tenants", "%d more entries can't be used", unnamed)
 	}
-	first := make(map[id.Customer]string, len(c.list))
 	for i := range c.list {
-		customer := &c.list[i]
-		path := c.path(int32(i))
-		if problem := CheckCustomerName(customer.Name); problem != "" {
-			f.Problems.Add(path+".Name", "the name %s; it is sent to backend servers in a header", problem)
-		}
-		if earlier, taken := first[customer.Name]; taken {
-			f.Problems.Add(path+".Name", "%s has this name already", earlier)
-		} else {
-			first[customer.Name] = path
-		}
-		if c.keyCounts[i] == 0 {
-			f.Notes.Add(path+".ApiKeys", "the customer has no key, so none of its requests is accepted")
-		}
-		if customer.HasPriority && customer.Priority < 0 {
-			f.Problems.Add(path+".Priority", "%d is negative; 0 is the highest priority", customer.Priority)
-		}
-		customer.Allotment.check(f, path, window)
+		c.checkCustomer(f, int32(i), window)
 	}
 	for _, k := range c.shared {
 		f.Problems.Add(c.path(k.second)+".ApiKeys", "a key belongs to %s already, which keeps it", c.path(k.first))
 	}
 }
 
+func (c *Customers) checkCustomer(f *Findings, index int32, window time.Duration) {
+	customer := &c.list[index]
+	// Paths are made only for findings: a document may have 100,000 customers.
+	if problem := CheckCustomerName(customer.Name); problem != "" {
+		f.Problems.Add(c.path(index)+".Name", "the name %s; it is sent to backend servers in a header", problem)
+	}
+	if last := c.byName[customer.Name]; last != index {
+		f.Problems.Add(c.path(last)+".Name", "%s has this name already", c.path(index))
+	}
+	if c.keyCounts[index] == 0 {
+		f.Notes.Add(c.path(index)+".ApiKeys", "the customer has no key, so none of its requests is accepted")
+	}
+	if customer.HasPriority && customer.Priority < 0 {
+		f.Problems.Add(c.path(index)+".Priority", "%d is negative; 0 is the highest priority", customer.Priority)
+	}
+	if field, problem := customer.Allotment.check(window); problem != "" {
+		f.Problems.Add(c.path(index)+field, "%s", problem)
+	}
+}
+
 // path returns the place of a customer, by its index in the list, in the operators' document.
 func (c *Customers) path(index int32) string {
 	return customerPath(int(c.positions[index]), c.list[index].Name)
@@ -131,16 +134,19 @@
 	return fmt.Sprintf("Tenants[%d](%q)", position, name)
 }
 
-func (a Allotment) check(f *Findings, path string, window time.Duration) {
+// check returns what is wrong with an allotment and in which field, or "" if nothing is.
+func (a Allotment) check(window time.Duration) (field, problem string) {
 	switch {
 	case !isAmount(a.Rate):
-		f.Problems.Add(path+".RatePerS", "%v is not a number of requests per second; 0 means no limit", a.Rate)
+		return ".RatePerS", fmt.Sprintf("%v is not a number of requests per second; 0 means no limit", a.Rate)
 	case !isAmount(a.Burst):
-		f.Problems.Add(path+".Burst", "%v is not a number of requests", a.Burst)
+		return ".Burst", fmt.Sprintf("%v is not a number of requests", a.Burst)
 	case a.Rate == 0 && a.Burst > 0:
-		f.Problems.Add(path+".Burst", "a burst of %v without RatePerS limits nothing", a.Burst)
+		return ".Burst", fmt.Sprintf("a burst of %v without RatePerS limits nothing", a.Burst)
 	case a.IsLimited() && a.Rate*window.Seconds()+a.Burst < 1:
-		f.Problems.Add(path+".RatePerS", "%v per second with a burst of %v is less than one request in %s", a.Rate, a.Burst, window)
+		return ".RatePerS", fmt.Sprintf("%v per second with a burst of %v is less than one request in %s", a.Rate, a.Burst, window)
+	default:
+		return "", ""
 	}
 }
 
--- a/state/fleet/check_test.go
+++ b/state/fleet/check_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -166,3 +167,17 @@
 	is.Equal(len(problems), 101)
 	is.Equal(problems[100].Message, "901 more entries can't be used")
 }
+
+// A check runs at every VM when a version comes into force, also on the smallest VM with the largest document.
+func BenchmarkCheck(b *testing.B) {
+	c := fleet.NewConfiguration(1, nil, nil, fleet.Limits{})
+	c.Customers = fleet.NewCustomers(100_000)
+	for i := range 100_000 {
+		name := fmt.Sprint("customer", i)
+		c.Customers.Add(fleet.Customer{Name: id.Customer(name), Allotment: fleet.Allotment{Rate: 1}}, fleet.DigestKey(name))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Check(5 * time.Second)
+	}
+}
