--- a/cmd/hickoryctl/main.go
+++ b/cmd/hickoryctl/main.go
@@ -8,6 +8,7 @@
 //	hickoryctl status --operator 10.0.0.5:7300
 //	hickoryctl explain GET /plans/7 --operator 10.0.0.5:7300
 //	hickoryctl trace 9c41d07be2a35f68 vm1.log vm2.log
+//	hickoryctl customers --vm 10.0.0.5:7302,10.0.0.6:7302 shop
 //
 // Exit codes: 0 for success, 1 for other failures, 2 for an invalid
 // configuration, 3 for a conflict with another operator's change, 4 if the
@@ -40,6 +41,8 @@
 	Domain  domainCommands `cmd:"" help:"Take a failure domain out of service, or bring it back."`
 	Server  serverCommands `cmd:"" help:"Take a backend server out of service, or bring it back."`
 	VM      vmCommands     `cmd:"" name:"vm" help:"Declare that entry VMs have stopped permanently."`
+
+	Customers customersCommand `cmd:"" help:"Show customers' allotments, their use over entry VMs, and what each VM holds."`
 }
 
 func main() {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -197,6 +197,13 @@
 // customerValues returns the figures about customers.
 func (m *metrics) customerValues() customers.Metrics {
 	v := m.customers.values()
+	if c := m.edge.snapshot.Load().Configuration; c != nil && c.Customers != nil {
+		for i := range v.Rows {
+			if customer, found := c.Customers.ByName(v.Rows[i].Customer); found {
+				v.Rows[i].RatePerS, v.Rows[i].Burst = customer.Allotment.Rate, customer.Allotment.Burst
+			}
+		}
+	}
 	v.SuppressedLines = m.lines.suppressed.Load()
 	return v
 }
--- a/protocol/customers/customers.go
+++ b/protocol/customers/customers.go
@@ -35,6 +35,9 @@
 	Counts
 	// Missed is the largest number of its requests that are counted in the rest, since the customer had no row then.
 	Missed uint64 `json:",omitempty"`
+	// RatePerS and Burst are the customer's allotment over all VMs, in requests per second and requests; 0 means no limit.
+	RatePerS float64 `json:",omitempty"`
+	Burst    float64 `json:",omitempty"`
 }
 
 // Allotment is the part of a customer's allotment that a VM has.
