--- a/edge/edge.go
+++ b/edge/edge.go
@@ -154,8 +154,9 @@
 		Clock: o.Clock,
 		Headers: entry.HeaderNames{
 			RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Key: platform.HeaderKey, Reserved: platform.ReservedHeaders(),
+			APIKey: platform.HeaderAPIKey, Customer: platform.HeaderCustomer,
 		},
-		Bodies: e.bodies, View: e.view, PickService: e.splitter.pick, Forward: e.forwarder.Forward, Observe: e.observeRequest,
+		Bodies: e.bodies, View: e.view, MayHoldRevokedKeys: e.mayHoldRevokedKeys, PickService: e.splitter.pick, Forward: e.forwarder.Forward, Observe: e.observeRequest,
 	})
 	e.keys = newKeyManager(e)
 	return e, nil
--- a/edge/store.go
+++ b/edge/store.go
@@ -266,7 +266,7 @@
 		return
 	}
 	if next.Configuration != nil && (old.Configuration == nil || old.Configuration.Version != next.Configuration.Version) {
-		e.log.Info("configuration in force", "version", next.Configuration.Version, "routes", next.Configuration.RouteCount(), "position", position)
+		e.logConfiguration(next.Configuration, position)
 	}
 	for name, s := range next.Servers {
 		previous, known := old.Servers[name]
--- a/state/fleet/configuration.go
+++ b/state/fleet/configuration.go
@@ -17,6 +17,8 @@
 	Limits   Limits
 	// Customers are the customers whose callers identify themselves with API keys; nil means that no route asks for a key.
 	Customers *Customers
+	// SkippedCustomers is the number of customers in the document that can't be used, so that their keys are unknown.
+	SkippedCustomers int
 
 	byHost map[string][]*Route
 }
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorylug/hickorylug/coordination/apikey"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/clock"
@@ -34,6 +35,10 @@
 	// Deadline is the field with the time that the caller still waits, in whole milliseconds.
 	Deadline string
 	Key      string
+	// APIKey is the field with the caller's API key, and Customer the one that names the customer to backend servers. Both are ordinary
+	// fields where the configuration has no customers.
+	APIKey   string
+	Customer string
 	// Reserved are the fields that only this system may set; they are removed from callers' requests.
 	Reserved []string
 }
@@ -46,6 +51,9 @@
 	Bodies *http1.Quota
 	// View returns the latest snapshot of the deployment; current is false if it may be stale.
 	View func() (s *fleet.Snapshot, current bool)
+	// MayHoldRevokedKeys reports whether requests that need an API key must be refused, since the key may have been revoked meanwhile. Nil
+	// means never.
+	MayHoldRevokedKeys func() bool
 	// PickService selects the service of a request from its route's targets.
 	PickService func(r *fleet.Route) id.Service
 	// Admit charges a request to its customer's allotment, after a wait of some milliseconds if needed. The error is an *outcome.Error that
@@ -114,10 +122,10 @@
 	defer h.inFlight.Add(-1)
 	started := h.deps.Clock.Boot()
 	e := Event{ID: r.Header.Get(h.deps.Headers.RequestID)}
-	request, err := h.parseRequest(w, r, started, &e)
+	request, customer, err := h.parseRequest(w, r, started, &e)
 	var response *forward.Answer
 	if err == nil {
-		response, err = h.forward(r, request)
+		response, err = h.forward(r, request, customer)
 	}
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -134,7 +142,8 @@
 	h.deps.Observe(e)
 }
 
-func (h *Handler) forward(r *http.Request, request *forward.Request) (response *forward.Answer, err error) {
+// forward charges a request to its customer's allotment and sends it to a backend server.
+func (h *Handler) forward(r *http.Request, request *forward.Request, customer *fleet.Customer) (response *forward.Answer, err error) {
 	parent := r.Context()
 	if !request.Route.Idempotent {
 		// A request that isn't idempotent is completed even if its caller disconnects, since the caller may rely on its
@@ -143,46 +152,102 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, request.Deadline.Sub(h.deps.Clock.Boot()))
 	defer cancel()
-	return h.deps.Forward(ctx, request)
+	if h.deps.Admit == nil || customer == nil || !customer.Allotment.IsLimited() {
+		return h.deps.Forward(ctx, request)
+	}
+	ticket, err := h.deps.Admit(ctx, customer, request.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	request.ChargeAttempt = ticket.ChargeAttempt
+	response, err = h.deps.Forward(ctx, request)
+	if err != nil && outcome.FromError(err).Outcome == outcome.KindNotRun {
+		ticket.Release()
+	}
+	return response, err
 }
 
-// parseRequest matches a request to a route and returns the request to forward. It sets the version, route and service of
-// e, or those that are known when it returns an error.
-func (h *Handler) parseRequest(w http.ResponseWriter, r *http.Request, started clock.Instant, e *Event) (request *forward.Request, err error) {
+// parseRequest matches a request to a route, identifies its customer and returns the request to forward. The customer is nil if none is
+// identified. It sets the version, route, customer and service of e, or those that are known when it returns an error.
+func (h *Handler) parseRequest(w http.ResponseWriter, r *http.Request, started clock.Instant, e *Event) (request *forward.Request, customer *fleet.Customer, err error) {
 	s, current := h.deps.View()
 	c := s.Configuration
 	if c == nil {
-		return nil, outcome.NotRun(outcome.Stopping, "this VM has no configuration yet")
+		return nil, nil, outcome.NotRun(outcome.Stopping, "this VM has no configuration yet")
 	}
 	e.Version = c.Version
 	route, found := c.Match(r.Host, r.URL.Path)
 	if !found {
 		if !current {
-			return nil, outcome.NotRun(outcome.Stopping, "no route matches %s, but the configuration may be out of date", r.URL.Path)
+			return nil, nil, outcome.NotRun(outcome.Stopping, "no route matches %s, but the configuration may be out of date", r.URL.Path)
 		}
-		return nil, outcome.NotRun(outcome.NoRoute, "no route matches host %s and path %s", r.Host, r.URL.Path)
+		return nil, nil, outcome.NotRun(outcome.NoRoute, "no route matches host %s and path %s", r.Host, r.URL.Path)
 	}
 	e.Route = route
+	// A request without a valid key is refused before its body is read, so that a flood of them costs little.
+	if customer, err = h.identify(c, route, r.Header, current); err != nil {
+		return nil, nil, err
+	}
+	if customer != nil {
+		e.Customer = customer.Name
+	}
 	limit := h.timeLimit(r, route)
 	body, err := h.readBody(w, r, c.Limits, limit)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	request = &forward.Request{
 		ID: e.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header), Body: body,
 		Route: route, Service: h.deps.PickService(route), Arrived: started, Deadline: started.Add(limit),
 		Priority: route.Priority,
 	}
+	if c.Customers != nil {
+		h.setCustomer(request, customer)
+	}
 	request.Objective = started.Add(route.Objective - h.waitLimits.elapsed(route.Name, h.callerTimeout(r)))
 	e.Service = request.Service
 	if c.Services[request.Service].Keyed {
 		key, err := strconv.ParseUint(r.Header.Get(h.deps.Headers.Key), 10, 16)
 		if err != nil {
-			return nil, outcome.NotRun(outcome.NoKey, "header field %s: a number from 0 to 65535 is wanted", h.deps.Headers.Key)
+			return nil, nil, outcome.NotRun(outcome.NoKey, "header field %s: a number from 0 to 65535 is wanted", h.deps.Headers.Key)
 		}
 		request.Keyed, request.Key = true, fleet.Key(key)
 	}
-	return request, nil
+	return request, customer, nil
+}
+
+// identify returns the customer that sent a request, or nil if the request needs no API key.
+func (h *Handler) identify(c *fleet.Configuration, route *fleet.Route, header http.Header, current bool) (customer *fleet.Customer, err error) {
+	freshness := apikey.Current
+	switch {
+	case h.deps.MayHoldRevokedKeys != nil && h.deps.MayHoldRevokedKeys():
+		freshness = apikey.MayHoldRevokedKeys
+	case !current:
+		freshness = apikey.MayLackKeys
+	}
+	customer, rejection := apikey.Identify(c, route, header.Values(h.deps.Headers.APIKey), freshness)
+	switch {
+	case rejection == apikey.Accepted:
+		return customer, nil
+	case rejection.IsTemporary():
+		return nil, outcome.NotRun(outcome.Stopping, "header field %s: %s", h.deps.Headers.APIKey, rejection)
+	default:
+		return nil, outcome.NotRun(outcome.Unauthenticated, "header field %s: %s", h.deps.Headers.APIKey, rejection)
+	}
+}
+
+// setCustomer removes the caller's API key from a request and names the customer instead, or none if it is nil.
+func (h *Handler) setCustomer(request *forward.Request, customer *fleet.Customer) {
+	request.Header.Del(h.deps.Headers.APIKey)
+	request.Header.Del(h.deps.Headers.Customer)
+	if customer == nil {
+		return
+	}
+	request.Header.Set(h.deps.Headers.Customer, string(customer.Name))
+	request.Customer, request.Weight = customer.Name, customer.Allotment.Rate
+	if customer.HasPriority {
+		request.Priority = customer.Priority
+	}
 }
 
 // timeLimit returns the shorter of the caller's timeout and the route's.
