--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -26,6 +26,7 @@
 type Journal struct {
 	mu         sync.Mutex
 	runs       map[string]int
+	byCustomer map[string][]CustomerRun
 	grants     map[string][]grant
 	violations []string
 }
@@ -39,7 +40,9 @@
 }
 
 // NewJournal returns an empty journal.
-func NewJournal() *Journal { return &Journal{runs: map[string]int{}, grants: map[string][]grant{}} }
+func NewJournal() *Journal {
+	return &Journal{runs: map[string]int{}, byCustomer: map[string][]CustomerRun{}, grants: map[string][]grant{}}
+}
 
 // Runs returns how many times a request was started, over all workers.
 func (j *Journal) Runs(id string) int {
@@ -219,6 +222,7 @@
 
 // handleRequest runs a request if the queue has capacity and, for a keyed service, the worker owns the key.
 func (w *Worker) handleRequest(out http.ResponseWriter, r *http.Request) {
+	reachedAt := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -236,6 +240,7 @@
 		reject(out, http.StatusServiceUnavailable)
 		return
 	}
+	w.journal.recordCustomer(w, r, reachedAt)
 	w.slots <- struct{}{}
 	w.queued.Add(-1)
 	defer func() { <-w.slots }()
