Soak with customers: revoked keys and changed allotments under faults

Even seeds have four customers with keys, three of them with an allotment. Callers send valid, withdrawn and wrong keys, and forged fields on a public route. New faults replace a key and change an allotment. Checked are statuses against the time of each key's issue and revocation, what reaches backend servers, the runs of each customer in every window of 5 s against the highest limit that may be applied in it, and the logs for keys. Faults of the store wait until a change of customers must have taken effect everywhere.

--- a/cmd/hickorysoak/environment.go
+++ b/cmd/hickorysoak/environment.go
@@ -66,10 +66,18 @@
 	vms           []*vm
 	backends      []*backend
 	configVersion int
+	// configuration is the latest version of the configuration.
+	configuration []byte
 	// lastStartTime is the start time of the newest incarnation of any backend server, in Unix milliseconds.
 	lastStartTime int64
-	// mu guards configVersion, backends and lastStartTime while faults are injected.
+	// mu guards configVersion, configuration, backends and lastStartTime while faults are injected.
 	mu sync.Mutex
+	// customers is nil if the configuration has no customers.
+	customers *customerBook
+	// strictRevocation is the setting of the VMs.
+	strictRevocation bool
+	// storeUse is held for reading by faults of the store, and for writing while a change of customers must take effect.
+	storeUse sync.RWMutex
 }
 
 // newEnvironment starts the store, the backend servers and the entry VMs.
@@ -86,6 +94,9 @@
 		defer mu.Unlock()
 		return random.Float64()
 	})}
+	if seed%2 == 0 {
+		e.customers, e.strictRevocation = newCustomerBook(), seed%4 == 0
+	}
 	e.storeStopped = e.store.Run(e.stopStore)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -123,16 +134,26 @@
 	cluster := func(name string, sharded bool) map[string]any {
 		return map[string]any{"Name": name, "HealthPath": "/health", "MaxConnections": 100, "WarmupS": 1, "WarmupPerS": 50, "Sharded": sharded}
 	}
+	rules := []any{rule("r-view", "idempotent", "/view/", keyedService), rule("r-renew", "non_idempotent", "/renew/", unkeyedService)}
+	if e.customers != nil {
+		public := rule("r-open", "idempotent", "/open/", unkeyedService)
+		public["Public"] = true
+		rules = append(rules, public)
+	}
 	document := map[string]any{
 		"Version":   fmt.Sprintf("%08x", e.configVersion),
 		"Limits":    map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
-		"Listeners": []any{map[string]any{"Host": host, "Rules": []any{rule("r-view", "idempotent", "/view/", keyedService), rule("r-renew", "non_idempotent", "/renew/", unkeyedService)}}},
+		"Listeners": []any{map[string]any{"Host": host, "Rules": rules}},
 		"Clusters":  []any{cluster(keyedService, true), cluster(unkeyedService, false)},
 	}
+	if e.customers != nil {
+		document["Tenants"] = e.customers.tenants()
+	}
 	data, err := json.Marshal(document)
 	if err != nil {
 		panic(err)
 	}
+	e.configuration = data
 	e.store.Put("op/config", data)
 }
 
@@ -194,7 +215,8 @@
 	data, err := json.Marshal(map[string]any{
 		"VM": name, "FailureDomain": "east", "CallerAddress": v.callerAddress, "ReadyAddress": v.readyAddress, "PeerAddress": addresses[2], "MetricsAddress": addresses[3],
 		"Store": v.storeProxy.Address(), "LogLevel": "info", "GraceTime": graceTime.String(), "ServerHeartbeat": "1s", "RetryShare": 0.2, "RetrySlack": 60,
-		"RetryWindow": "10s", "WarmOverage": 1.5, "WarmSlack": 5, "MaxHold": "10s", "Processor": 1, "Link": 1000, "Memory": "200MB",
+		"RetryWindow": "10s", "WarmOverage": 1.5, "WarmSlack": 5, "MaxHold": "10s", "StrictRevocation": e.strictRevocation,
+		"AllotmentWindow": allotmentWindow.String(), "AllotmentOverage": allotmentExcess, "AllotmentSlack": allotmentSlack, "Processor": 1, "Link": 1000, "Memory": "200MB",
 	})
 	if err != nil {
 		return err
--- a/cmd/hickorysoak/main.go
+++ b/cmd/hickorysoak/main.go
@@ -3,6 +3,12 @@
 // It checks the guarantees to callers and backend servers: requests that are
 // not idempotent run at most once, a key has one owner at a time, a request
 // refused as "not run" has not run, and a response belongs to its request.
+// Seeds with an even number have customers with API keys and allotments: no
+// request is served with a key that is unknown or was revoked, no key is passed
+// on or logged, and no customer exceeds its allotment over all VMs. In every
+// fourth seed the VMs refuse requests that need a key while their configuration
+// may be too old.
+//
 // Faults are drawn from a seeded random generator. It ends only processes that
 // it has started.
 //
--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -33,6 +33,9 @@
 	requiredSuccesses = 20
 )
 
+// notRunStatuses are the statuses that promise that a request wasn't run.
+var notRunStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized}
+
 // result counts the requests of one seed and describes its faults and violations.
 type result struct {
 	mu                                 sync.Mutex
@@ -57,6 +60,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if e.customers == nil {
+		selected = slices.DeleteFunc(slices.Clone(selected), func(f fault) bool { return f.needsCustomers })
+		if len(selected) == 0 {
+			return nil, errors.New("--faults: all selected ones need customers, which only even seeds have")
+		}
+	}
 	r = &result{}
 	random := rand.New(rand.NewPCG(seed, 2))
 	if !e.waitUntilServing(r) {
@@ -65,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.Time)
 	var wg sync.WaitGroup
 	for i := range callerCount {
-		wg.Go(func() { e.runCaller(ctx, r, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
+		wg.Go(func() { e.runCaller(ctx, r, i, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
 	r.faults = e.injectFaults(ctx, random, selected)
 	wg.Wait()
@@ -106,6 +115,10 @@
 		}
 	}
 	r.violations = append(r.violations, e.journal.Violations()...)
+	if e.customers != nil {
+		r.faults += "; " + e.checkAllotments(r)
+		e.checkLogs(r)
+	}
 }
 
 // waitUntilServing sends requests of both kinds to the VMs in turn until requiredSuccesses consecutive ones are answered
@@ -115,7 +128,7 @@
 	deadline := time.Now().Add(serveTimeout)
 	for n, successes := 0, 0; time.Now().Before(deadline); n++ {
 		v := e.vms[n%len(e.vms)]
-		status := e.sendRequest(client, r, v, fmt.Sprintf("probe-%p-%d-%d", r, time.Now().UnixNano(), n), n%2 == 0, n*997%65536)
+		status := e.sendRequest(client, r, v, request{id: fmt.Sprintf("probe-%p-%d-%d", r, time.Now().UnixNano(), n), atMostOnce: n%2 == 0, key: n * 997 % 65536, identity: e.customers.probe()})
 		if successes++; status != http.StatusOK {
 			successes = 0
 			time.Sleep(50 * time.Millisecond)
@@ -129,12 +142,13 @@
 
 // runCaller sends requests until the context ends. It changes to another VM after a failed request, and reuses
 // connections until they break.
-func (e *environment) runCaller(ctx context.Context, r *result, random *rand.Rand) {
+func (e *environment) runCaller(ctx context.Context, r *result, caller int, random *rand.Rand) {
 	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	v := e.vms[random.IntN(len(e.vms))]
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", random.Uint64())
-		status := e.sendRequest(client, r, v, id, random.IntN(2) == 0, random.IntN(65536))
+		q := request{id: id, atMostOnce: random.IntN(2) == 0, key: random.IntN(65536), identity: e.customers.pick(random, caller)}
+		status := e.sendRequest(client, r, v, q)
 		if status != http.StatusOK {
 			v = e.vms[random.IntN(len(e.vms))]
 		}
@@ -142,14 +156,31 @@
 	}
 }
 
-// sendRequest sends one request and checks the response; it returns the status, or 0 if there was no response.
-//
-// The request is a POST if it must run at most once, and otherwise a GET with the key.
-func (e *environment) sendRequest(client *http.Client, r *result, v *vm, id string, atMostOnce bool, key int) (status int) {
-	method, path, body := http.MethodGet, "/view/"+id, ""
-	if atMostOnce {
-		method, path, body = http.MethodPost, "/renew/"+id, "renew "+id
+// request is a request of a caller.
+type request struct {
+	id string
+	// atMostOnce is set if it must run at most once. It has no effect on a public route, whose requests may be repeated.
+	atMostOnce bool
+	// key is the routing key of a request that may be repeated.
+	key int
+	identity
+}
+
+// target returns the method, path and body of the request: a POST if it must run at most once, and otherwise a GET.
+func (q *request) target() (method, path, body string) {
+	switch {
+	case q.isPublic:
+		return http.MethodGet, "/open/" + q.id, ""
+	case q.atMostOnce:
+		return http.MethodPost, "/renew/" + q.id, "renew " + q.id
+	default:
+		return http.MethodGet, "/view/" + q.id, ""
 	}
+}
+
+// sendRequest sends one request and checks the response; it returns the status, or 0 if there was no response.
+func (e *environment) sendRequest(client *http.Client, r *result, v *vm, q request) (status int) {
+	method, path, body := q.target()
 	req, err := http.NewRequest(method, "http://"+v.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
@@ -157,11 +188,12 @@
 	req.Host = host
 	// Without GetBody, net/http doesn't retry a request with a body after a connection failure.
 	req.GetBody = nil
-	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Attempt-Id", q.id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
-	if !atMostOnce {
-		req.Header.Set("Shard-Key", fmt.Sprint(key))
+	if method == http.MethodGet {
+		req.Header.Set("Shard-Key", fmt.Sprint(q.key))
 	}
+	q.sign(req.Header)
 	resp, err := client.Do(req)
 	var text []byte
 	if err == nil {
@@ -175,22 +207,25 @@
 	case err != nil:
 		r.unknown++
 		if !errors.Is(err, context.DeadlineExceeded) {
-			r.cutOff = append(r.cutOff, id)
+			r.cutOff = append(r.cutOff, q.id)
 		}
 		return 0
 	case resp.StatusCode == http.StatusOK:
 		r.served++
-		if want := worker.ResponseBody(id, path, []byte(body)); string(text) != want {
-			r.violations = append(r.violations, fmt.Sprintf("request %s got the response %q", id, text))
+		if want := worker.ResponseBody(q.id, path, []byte(body)); string(text) != want {
+			r.violations = append(r.violations, fmt.Sprintf("request %s got the response %q", q.id, text))
 		}
-	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+	case slices.Contains(notRunStatuses, resp.StatusCode):
 		r.refused++
-		if atMostOnce {
-			r.refusedNotRun = append(r.refusedNotRun, id)
+		if method == http.MethodPost {
+			r.refusedNotRun = append(r.refusedNotRun, q.id)
 		}
 	default:
 		r.unknown++
 	}
+	if violation := e.customers.violation(q.identity, resp.StatusCode); violation != "" {
+		r.violations = append(r.violations, fmt.Sprintf("request %s at %s %s", q.id, v.name, violation))
+	}
 	return resp.StatusCode
 }
 
@@ -200,6 +235,8 @@
 	run  func(e *environment, random *rand.Rand, d time.Duration)
 	// isPlanned says that it is planned work, during which no request may be cut off.
 	isPlanned bool
+	// needsCustomers says that it changes customers; it is left out where the configuration has none.
+	needsCustomers bool
 }
 
 var faults = []fault{
@@ -236,6 +273,8 @@
 		defer e.mu.Unlock()
 		e.writeConfiguration(time.Duration(800+random.IntN(800)) * time.Millisecond)
 	}, isPlanned: true},
+	{name: "revoke", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.revoke(random) }, isPlanned: true, needsCustomers: true},
+	{name: "allotment", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.changeAllotment(random) }, isPlanned: true, needsCustomers: true},
 }
 
 // selectFaults returns the faults with the given names, or all if there are none.
@@ -306,18 +345,28 @@
 
 // injectStoreFault injects a fault into the store for the duration d.
 func (e *environment) injectStoreFault(f kv.Fault, d time.Duration) {
+	e.storeUse.RLock()
+	defer e.storeUse.RUnlock()
 	e.store.SetFault(f)
 	time.Sleep(d)
 	e.store.SetFault(kv.Fault{})
 }
 
-// restoreStore brings the store back from a copy that is d old, after an outage of a quarter of d.
+// restoreStore brings the store back from a copy that is d old, after an outage of a quarter of d. With customers, the operator writes the
+// latest configuration again before the store is reachable; otherwise a VM without any other source would apply the older one.
 func (e *environment) restoreStore(d time.Duration) {
 	copied := e.store.Copy()
 	time.Sleep(d)
+	e.storeUse.RLock()
+	defer e.storeUse.RUnlock()
 	e.store.SetFault(kv.Fault{Down: true})
 	time.Sleep(d / 4)
 	e.store.Restore(copied)
+	if e.customers != nil {
+		e.mu.Lock()
+		e.store.Put("op/config", e.configuration)
+		e.mu.Unlock()
+	}
 	e.store.SetFault(kv.Fault{})
 }
 
