Charge requests to customers' allotments over all VMs (usable)

A customer's limit holds over all VMs, which know each other's use only late. The leader now keeps a token bucket for each customer and grants tokens to the VMs by datagram (message fields 14 and 15); a VM without contact to it sends at the rate of its share. entry's Admit charges each request, and forward charges further attempts of a request that may have run.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -157,12 +157,16 @@
 	misplaced int
 	// errorAnswer is the last server error that a backend server answered.
 	errorAnswer *Answer
+	// charges counts the attempts charged to the customer's allotment. The first one was charged before the request was forwarded.
+	charges int
+	// noAnswer is the error of the last attempt that may have run and got no answer.
+	noAnswer *outcome.Error
 }
 
 // Forward returns the answer of a backend server, or an *outcome.Error that says whether the request may have run.
 func (f *Forwarder) Forward(ctx context.Context, r *Request) (answer *Answer, err error) {
 	f.budget(r.Service).addRequest()
-	s := &requestState{request: r, fingerprint: f.fingerprint(r)}
+	s := &requestState{request: r, fingerprint: f.fingerprint(r), charges: 1}
 	if refusal := f.refusePoisonous(s); refusal != nil {
 		return nil, refusal
 	}
@@ -192,6 +196,10 @@
 			slot.Done(dispatch.Cancelled, dispatch.Report{})
 			return nil, s.finalError(outcome.NotRun(outcome.Overloaded, "the retry budget of service %s is used up", r.Service).WithRetryAfter(retryAfterShed))
 		}
+		if !s.chargeAttempt() {
+			slot.Done(dispatch.Cancelled, dispatch.Report{})
+			return nil, s.notRepeated()
+		}
 		answer, retry, err := f.attempt(ctx, s, slot)
 		if !retry {
 			return answer, err
@@ -199,6 +207,27 @@
 	}
 }
 
+// chargeAttempt charges the next attempt to the customer's allotment if all charges so far belong to attempts that may have run, and reports
+// whether the attempt is allowed.
+func (s *requestState) chargeAttempt() bool {
+	if s.request.ChargeAttempt == nil || s.possibleRuns < s.charges {
+		return true
+	}
+	if !s.request.ChargeAttempt() {
+		return false
+	}
+	s.charges++
+	return true
+}
+
+// notRepeated returns the result of a request whose further attempt the allotment doesn't allow: that of the attempt before.
+func (s *requestState) notRepeated() error {
+	if s.noAnswer != nil {
+		return s.noAnswer
+	}
+	return s.finalError(outcome.NotRun(outcome.AllotmentExhausted, "the allotment has no room for another sending"))
+}
+
 // demand returns the demand of the next attempt.
 func (f *Forwarder) demand(s *requestState) dispatch.Demand {
 	r := s.request
@@ -305,14 +334,15 @@
 		result = dispatch.ConnectionBroken
 	}
 	slot.Done(result, dispatch.Report{})
+	if ctx.Err() != nil {
+		return nil, false, outcome.Unknown(outcome.DeadlineExceeded, "backend server %s did not answer in time", server)
+	}
+	s.noAnswer = outcome.Unknown(outcome.ServerFailed, "backend server %s gave no answer: %v", server, failure.Cause)
 	if f.canRetry(ctx, s) {
 		s.tried = append(s.tried, server)
 		return nil, true, nil
 	}
-	if ctx.Err() != nil {
-		return nil, false, outcome.Unknown(outcome.DeadlineExceeded, "backend server %s did not answer in time", server)
-	}
-	return nil, false, outcome.Unknown(outcome.ServerFailed, "backend server %s gave no answer: %v", server, failure.Cause)
+	return nil, false, s.noAnswer
 }
 
 // canRetry reports whether a request that may have run may be sent to another backend server.
--- /dev/null
+++ b/edge/allotments_test.go
@@ -0,0 +1,133 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/leader"
+	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/protocol/outcome"
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/settings"
+	"github.com/hickorylug/hickorylug/state/task"
+	"github.com/hickorylug/hickorylug/state/unit"
+)
+
+// newAllotmentEdge returns an Edge that leads, with only what allotments need.
+func newAllotmentEdge(c clock.Clock, customers ...fleet.Customer) *Edge {
+	e := &Edge{
+		clock: c, log: slog.New(slog.DiscardHandler), mirror: fleet.NewMirror(platform.Decode), tasks: task.NewSet(), incarnation: "1",
+		elector: leader.NewElector("a", c.Boot()),
+		settings: settings.Edge{
+			VM: "a", AllotmentWindow: unit.Duration(5 * time.Second), AllotmentOverage: 0.1, AllotmentSlack: 20,
+		},
+	}
+	index := fleet.NewCustomers(len(customers))
+	for _, customer := range customers {
+		index.Add(customer)
+	}
+	configuration := fleet.NewConfiguration(1, nil, nil, fleet.Limits{})
+	configuration.Customers = index
+	e.snapshot.Store(&fleet.Snapshot{Configuration: configuration})
+	e.elector.Won(c.Boot(), 1)
+	e.allotments = newAllotments(e)
+	return e
+}
+
+// A customer must get its allotment and no more, a refusal must be safe to repeat and say when, and a request that wasn't run costs nothing.
+func TestAdmit(t *testing.T) {
+	limited := fleet.Customer{Name: "acme", Allotment: fleet.Allotment{Rate: 50, Burst: 10}}
+	tests := map[string]struct {
+		customer fleet.Customer
+		// perSecond is the rate of requests over 10 s.
+		perSecond int
+		released  bool
+		min, max  int
+	}{
+		"below the allotment": {customer: limited, perSecond: 40, min: 395, max: 400},
+		"above the allotment": {customer: limited, perSecond: 200, min: 495, max: 510},
+		"not run":             {customer: limited, perSecond: 200, released: true, min: 1900, max: 2000},
+		"no limit":            {customer: fleet.Customer{Name: "free"}, perSecond: 200, min: 2000, max: 2000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := clock.Runtime{Origin: time.Now().Add(-time.Hour)}
+				e := newAllotmentEdge(c, test.customer)
+				stop := make(chan struct{})
+				go keepLeading(e, stop)
+				type result struct {
+					admitted bool
+					refusal  *outcome.Error
+				}
+				results := make(chan result, 10*test.perSecond)
+				for range 10 * test.perSecond {
+					go func() {
+						ticket, err := e.allotments.admit(context.Background(), &test.customer, c.Boot().Add(time.Second))
+						if err == nil && test.released {
+							ticket.Release()
+						}
+						r := result{admitted: err == nil}
+						if err != nil {
+							r.refusal = outcome.FromError(err)
+						}
+						results <- r
+					}()
+					time.Sleep(time.Second / time.Duration(test.perSecond))
+				}
+				admitted := 0
+				for range 10 * test.perSecond {
+					r := <-results
+					if r.admitted {
+						admitted++
+						continue
+					}
+					is.Equal(r.refusal.Outcome, outcome.KindNotRun)
+					is.Equal(r.refusal.Reason, outcome.AllotmentExhausted)
+					is.True(r.refusal.RetryAfter > 0)
+					is.True(r.refusal.RetryAfter <= 5*time.Second)
+				}
+				t.Log(fmt.Sprint("admitted ", admitted, " of ", 10*test.perSecond))
+				is.True(admitted >= test.min)
+				is.True(admitted <= test.max)
+				close(stop)
+				e.allotments.stop()
+				e.tasks.Wait()
+			})
+		})
+	}
+}
+
+// keepLeading renews the lease of an Edge.
+func keepLeading(e *Edge, stop <-chan struct{}) {
+	for {
+		e.mu.Lock()
+		e.elector.Renewed(e.clock.Boot())
+		e.mu.Unlock()
+		select {
+		case <-stop:
+			return
+		case <-e.clock.After(leader.RenewPeriod):
+		}
+	}
+}
+
+// A configuration without limited customers must cost nothing.
+func TestNoAllotmentsCostNothing(t *testing.T) {
+	is := is.New(t)
+	e := newAllotmentEdge(clock.System{}, fleet.Customer{Name: "free"})
+	e.allotments.followLeader()
+	_, err := e.allotments.admit(context.Background(), &fleet.Customer{Name: id.Customer("free")}, e.clock.Boot().Add(time.Second))
+	is.NoErr(err)
+	is.True(e.allotments.stopTimer == nil)
+	is.Equal(len(e.Allotments(10).Held), 0)
+}
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -97,7 +97,7 @@
 		SettlingTime: max(0, e.removalsHeldUntil.Sub(now)), StoreUnreachable: e.storeFailedAt > e.storeAnsweredAt && now.Sub(e.storeFailedAt) < e.storeFailureTTL(),
 	}
 	if heartbeat.Leading {
-		heartbeat.Term = e.elector.Term()
+		heartbeat.Term, heartbeat.GivesTokens = e.elector.Term(), true
 	}
 	return e.withSender(gossip.Message{Heartbeat: heartbeat})
 }
@@ -112,6 +112,7 @@
 func (e *Edge) broadcastHeartbeat() {
 	m := e.heartbeatMessage()
 	if m.Heartbeat.Leading {
+		e.allotments.followLeader()
 		m.Heartbeat.Granted = e.keys.completedMoves()
 		m.Heartbeat.Admissions, m.Heartbeat.HasAdmissions = e.keys.currentAdmissions(), true
 		e.setAdmissions(m.Heartbeat.Admissions)
@@ -221,6 +222,7 @@
 	if m.Heartbeat != nil {
 		e.handleHeartbeat(m)
 	}
+	e.allotments.receive(m)
 }
 
 // handleHeartbeat handles a heartbeat and the store update that may come with it.
@@ -260,6 +262,9 @@
 		}
 	}
 	vm, term, fresh := e.elector.Leader(now)
+	if fresh && vm == m.From {
+		e.leaderGrants = heartbeat.GivesTokens
+	}
 	e.mu.Unlock()
 	if fresh && (vm != oldLeader || term != oldTerm || !wasFresh) {
 		e.log.Info("leader is heard", "leader", string(vm), "term", term.Number(), "position", heartbeat.Position.Number())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -73,6 +73,7 @@
 	handler    *entry.Handler
 	metrics    *metrics
 	keys       *keyManager
+	allotments *allotments
 	tasks      *task.Set
 
 	mu      sync.Mutex
@@ -94,6 +95,8 @@
 	removalsHeldUntil clock.Instant
 	// leaderSyncedAt is when the store last answered the leader, according to the leader's latest heartbeat.
 	leaderSyncedAt clock.Instant
+	// leaderGrants says that the other VM that leads grants tokens of allotments, according to its latest heartbeat.
+	leaderGrants bool
 	// storeAnsweredAt is when the store last answered this VM, and storeFailedAt when a synchronization of this VM with the store last failed.
 	storeAnsweredAt, storeFailedAt clock.Instant
 	// keeper keeps what an outage of the store or an older copy of it would take back.
@@ -150,12 +153,13 @@
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
 		forward.WithOnSuspect(e.observeSuspect), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
+	e.allotments = newAllotments(e)
 	e.handler = entry.NewHandler(entry.Dependencies{
 		Clock: o.Clock,
 		Headers: entry.HeaderNames{
 			RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Key: platform.HeaderKey, Reserved: platform.ReservedHeaders(),
 		},
-		Bodies: e.bodies, View: e.view, PickService: e.splitter.pick, Forward: e.forwarder.Forward, Observe: e.observeRequest,
+		Bodies: e.bodies, View: e.view, PickService: e.splitter.pick, Admit: e.allotments.admit, Forward: e.forwarder.Forward, Observe: e.observeRequest,
 	})
 	e.keys = newKeyManager(e)
 	return e, nil
@@ -251,6 +255,7 @@
 	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
 		e.log.Warn("a component ended with an error", "error", err)
 	}
+	e.allotments.stop()
 	e.log.Info("entry VM stopped", "inFlight", e.handler.InFlight())
 	return nil
 }
--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/allotment"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -25,6 +26,9 @@
 	Paces []Pace `cbor:"11,keyasint,omitempty"`
 	// RequestLimits are observations of the request limits that backend servers name.
 	RequestLimits []RequestLimit `cbor:"12,keyasint,omitempty"`
+	// Ask asks the leader for tokens of customers' allotments, and Answer is the leader's answer.
+	Ask    *allotment.Ask    `cbor:"14,keyasint,omitempty"`
+	Answer *allotment.Answer `cbor:"15,keyasint,omitempty"`
 	// Fragment is a part of a longer message; the other parts of this one are omitted.
 	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
 }
@@ -50,6 +54,8 @@
 	Admissions []Admission `cbor:"9,keyasint,omitempty"`
 	// HasAdmissions says that Admissions are all limits; other heartbeats leave them out.
 	HasAdmissions bool `cbor:"10,keyasint,omitempty"`
+	// GivesTokens is set if the VM leads and its build grants tokens of customers' allotments.
+	GivesTokens bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Admission limits the requests for a range of keys under a fence to a share, in thousandths.
