Metrics and hickoryctl show shares, tokens and contact with the granter

The metrics of a VM have its part of each allotment under Customers, and those of the leader what it has granted under Granted, both for 32 customers.

--- a/cmd/hickoryctl/customers.go
+++ b/cmd/hickoryctl/customers.go
@@ -45,6 +45,10 @@
 	SharePerS float64
 	Tokens    int
 	Waiting   int
+	// AnswerAgeMs is the age of the granter's latest answer to the VM, or -1 if there is none. InContact says that it is recent enough, so
+	// that the VM uses tokens and not its share.
+	AnswerAgeMs int64 `json:",omitempty"`
+	InContact   bool  `json:",omitempty"`
 }
 
 // customerReport holds the figures of one customer.
@@ -168,6 +172,7 @@
 			report := reportOf(a.Customer)
 			use := report.AtVMs[vm.Address]
 			use.SharePerS, use.Tokens, use.Waiting = a.SharePerS, a.Tokens, a.Waiting
+			use.AnswerAgeMs, use.InContact = vm.AnswerAgeMs, vm.InContact
 			report.AtVMs[vm.Address] = use
 			report.RatePerS, report.Burst = a.RatePerS, a.Burst
 		}
@@ -221,10 +226,11 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, c := range r.Customers {
 		fmt.Fprintf(w, "customer %s: rate %s/s, burst %g, use %.1f/s; up to %d requests more are counted with others\n", c.Customer, formatRate(c.RatePerS), c.Burst, c.Total.UsePerS, c.Missed)
-		fmt.Fprintln(w, "VM\tUSE/S\tREQUESTS\tADMITTED\tSERVED\t429\tOTHER REFUSALS\tSHARE/S\tTOKENS\tWAITING")
+		fmt.Fprintln(w, "VM\tUSE/S\tREQUESTS\tADMITTED\tSERVED\t429\tOTHER REFUSALS\tSHARE/S\tTOKENS\tWAITING\tGRANTER")
 		for _, vm := range slices.Sorted(maps.Keys(c.AtVMs)) {
 			u := c.AtVMs[vm]
-			fmt.Fprintf(w, "%s\t%.1f\t%d\t%d\t%d\t%d\t%s\t%.2f\t%d\t%d\n", vm, u.UsePerS, u.Requests, u.Admitted, u.Served, u.Limited, formatRefused(u.Counts), u.SharePerS, u.Tokens, u.Waiting)
+			fmt.Fprintf(w, "%s\t%.1f\t%d\t%d\t%d\t%d\t%s\t%.2f\t%d\t%d\t%s\n", vm, u.UsePerS, u.Requests, u.Admitted, u.Served, u.Limited,
+				formatRefused(u.Counts), u.SharePerS, u.Tokens, u.Waiting, formatContact(u))
 		}
 	}
 	return w.Flush()
@@ -238,6 +244,18 @@
 	return fmt.Sprintf("%g", rate)
 }
 
+// formatContact says whether a VM is in contact with the granter.
+func formatContact(u customerUse) string {
+	switch {
+	case u.InContact:
+		return fmt.Sprintf("answered %d ms ago", u.AnswerAgeMs)
+	case u.AnswerAgeMs > 0:
+		return fmt.Sprintf("no contact for %d ms", u.AnswerAgeMs)
+	default:
+		return "no contact"
+	}
+}
+
 // formatRefused formats the refusals by reason, in alphabetical order.
 func formatRefused(c customers.Counts) string {
 	var out []string
--- a/cmd/hickoryctl/customers_test.go
+++ b/cmd/hickoryctl/customers_test.go
@@ -38,9 +38,9 @@
 		return []customers.Allotment{{Customer: "shop", RatePerS: 20, Burst: 10, SharePerS: share, Tokens: tokens}}
 	}
 	a := startVM(t, customers.Metrics{Rows: []customers.Row{{Customer: "shop", Counts: admitted(100)}}},
-		customers.Metrics{Rows: []customers.Row{{Customer: "shop", Counts: admitted(120)}, {Customer: "bank", Counts: admitted(3)}}, Allotments: allotment(12, 3), Unauthenticated: 4})
+		customers.Metrics{Rows: []customers.Row{{Customer: "shop", Counts: admitted(120)}, {Customer: "bank", Counts: admitted(3)}}, Allotments: allotment(12, 3), InContact: true, AnswerAgeMs: 17, Unauthenticated: 4})
 	b := startVM(t, customers.Metrics{Rows: []customers.Row{{Customer: "shop", Counts: admitted(50)}}},
-		customers.Metrics{Rows: []customers.Row{{Customer: "shop", Counts: admitted(60), Missed: 7}}, Rest: admitted(9), Allotments: allotment(8, 1), Unauthenticated: 6})
+		customers.Metrics{Rows: []customers.Row{{Customer: "shop", Counts: admitted(60), Missed: 7}}, Rest: admitted(9), AnswerAgeMs: 420, Allotments: allotment(8, 1), Unauthenticated: 6})
 	gone := "127.0.0.1:1"
 	vms := []string{a, b, gone}
 	r := newFleetReport(readVMs(vms), readVMs(vms), 2*time.Second)
@@ -66,5 +66,6 @@
 	fields := strings.Fields(strings.Split(table.String(), "\n")[1])
 	is.Equal(fields, []string{"shop", "20", "10", "15.0", "190", "180", "178", "10", "overloaded", "2", "2", "20.0", "4"})
 	is.True(strings.Contains(perVM.String(), "rate 20/s, burst 10, use 15.0/s"))
+	is.True(strings.Contains(perVM.String(), "answered 17 ms ago") && strings.Contains(perVM.String(), "no contact for 420 ms"))
 	is.True(strings.Contains(perVM.String(), a) && strings.Contains(perVM.String(), b))
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/hickorylug/hickorylug/coordination/allotment"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/ownership"
@@ -182,7 +183,7 @@
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
 		"BlockedRequests": e.crashes.Blocked(e.clock.Boot()), "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
-		"Customers": m.customerValues(),
+		"Customers": m.customerValues(), "Granted": e.Allotments(customerRows).Granted,
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -197,13 +198,18 @@
 // customerValues returns the figures about customers.
 func (m *metrics) customerValues() customers.Metrics {
 	v := m.customers.values()
-	if c := m.edge.snapshot.Load().Configuration; c != nil && c.Customers != nil {
-		for i := range v.Rows {
-			if customer, found := c.Customers.ByName(v.Rows[i].Customer); found {
-				v.Rows[i].RatePerS, v.Rows[i].Burst = customer.Allotment.Rate, customer.Allotment.Burst
-			}
-		}
-	}
 	v.SuppressedLines = m.lines.suppressed.Load()
+	for i := range v.Rows {
+		a, _ := m.edge.allotments.lookup(v.Rows[i].Customer)
+		v.Rows[i].RatePerS, v.Rows[i].Burst = a.Rate, a.Burst
+	}
+	held := m.edge.Allotments(customerRows)
+	v.InContact, v.AnswerAgeMs = held.InContact, held.AnswerAgeMs
+	for _, h := range held.Held {
+		a, _ := m.edge.allotments.lookup(h.Customer)
+		v.Allotments = append(v.Allotments, customers.Allotment{
+			Customer: h.Customer, RatePerS: a.Rate, Burst: a.Burst, SharePerS: a.Rate * float64(h.Share) / float64(allotment.WholeShare), Tokens: h.Held, Waiting: h.Waiting,
+		})
+	}
 	return v
 }
--- a/protocol/customers/customers.go
+++ b/protocol/customers/customers.go
@@ -59,8 +59,12 @@
 	Rest Counts
 	// Unauthenticated is the number of requests refused with 401.
 	Unauthenticated uint64
-	// Allotments holds the customers of the VM that have a limit, the largest share first.
+	// Allotments holds the VM's customers with a limit, the one with the most demand first.
 	Allotments []Allotment
+	// InContact says that the VM is in contact with the granter, so that it uses tokens and not its shares. AnswerAgeMs is the age of the
+	// granter's latest answer in milliseconds, or -1 if there is none.
+	InContact   bool
+	AnswerAgeMs int64
 	// SuppressedLines is the number of log lines about 401 and 429 that were left out.
 	SuppressedLines uint64
 }
