--- a/cmd/hickorysoak/customers.go
+++ b/cmd/hickorysoak/customers.go
@@ -137,6 +137,22 @@
 	return identity{}
 }
 
+// waitUntilCustomersAreServed adds a violation for each customer of which no request is served within serveTimeout after the last fault.
+func (e *environment) waitUntilCustomersAreServed(r *result) {
+	client := &http.Client{Timeout: callerTimeout}
+	for _, c := range e.customers.list {
+		status, deadline := 0, time.Now().Add(serveTimeout)
+		for n := 0; status != http.StatusOK && time.Now().Before(deadline); n++ {
+			q := request{id: fmt.Sprintf("customer-%s-%d", c.name, n), key: n * 997 % 65536, identity: identity{key: c.keys[len(c.keys)-1]}}
+			status = e.sendRequest(client, r, e.vms[n%len(e.vms)], q)
+			time.Sleep(50 * time.Millisecond)
+		}
+		if status != http.StatusOK {
+			r.addViolation("customer %s isn't served %s after the last fault", c.name, serveTimeout)
+		}
+	}
+}
+
 // sign adds the identity to a request. A caller on a public route sends a key and a name that must not be passed on.
 func (i *identity) sign(h http.Header) {
 	i.sentAt = time.Now()
--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -83,6 +83,9 @@
 	if !e.waitUntilServing(r) {
 		r.addViolation("the VMs don't serve requests again %s after the last fault", serveTimeout)
 	}
+	if e.customers != nil {
+		e.waitUntilCustomersAreServed(r)
+	}
 	time.Sleep(settleDelay)
 	e.checkGuarantees(r, selected)
 	e.close()
--- a/edge/customers_test.go
+++ b/edge/customers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -138,3 +139,18 @@
 	is.Equal(lines[maxLoggedFindings]["count"], 5.0)
 	is.True(!bytes.Contains(log.Bytes(), []byte("secret")))
 }
+
+// A flood of unknown keys must cost no more than one of unknown routes, whose lines aren't limited by reason.
+func BenchmarkObserveRefusal(b *testing.B) {
+	for name, reason := range map[string]outcome.Reason{"unknown route": outcome.NoRoute, "unknown key": outcome.Unauthenticated} {
+		b.Run(name, func(b *testing.B) {
+			e := &Edge{clock: clock.System{}, log: slog.New(slog.NewJSONHandler(io.Discard, nil))}
+			e.metrics = newMetrics(e)
+			event := entry.Event{ID: "request", Status: 401, Refusal: outcome.NotRun(reason, "detail")}
+			b.ReportAllocs()
+			for b.Loop() {
+				e.observeRequest(event)
+			}
+		})
+	}
+}
