--- a/edge/bootstrap.go
+++ b/edge/bootstrap.go
@@ -53,6 +53,7 @@
 		case err != nil:
 			e.log.Info("another VM gave no copy of the store", "from", string(source.VM), "error", err)
 		case u.To >= first.To && (u.Whole || u.From == 0):
+			u = platform.WithoutKeys(u)
 			u.Whole = true
 			e.log.Info("the store was copied from another VM", "from", string(source.VM), "position", u.To.Number(), "wanted", first.To.Number())
 			return u, true
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -12,6 +12,7 @@
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/coordination/poison"
+	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -229,7 +230,10 @@
 	leads := e.recordHeartbeat(m)
 	complete := true
 	if m.Update != nil {
-		complete = e.mirror.Apply(*m.Update)
+		complete = e.mirror.Apply(platform.WithoutKeys(*m.Update))
+	}
+	if heartbeat.Leading {
+		e.recordNews(heartbeat.Position, heartbeat.StoreStaleness)
 	}
 	if heartbeat.Leading && (!complete || heartbeat.Position > e.mirror.Position() && m.Update == nil) {
 		e.fetchUpdate(m.From, heartbeat.Position)
@@ -300,7 +304,7 @@
 			e.log.Warn("fetching a store update from another VM failed", "from", string(from), "error", err)
 			return
 		}
-		e.mirror.Apply(u)
+		e.mirror.Apply(platform.WithoutKeys(u))
 	})
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,6 +92,8 @@
 	// storeSyncedAt is when the store last answered this VM or the leader; removalsHeldUntil is when removals of entries take effect again after an outage.
 	storeSyncedAt     clock.Instant
 	removalsHeldUntil clock.Instant
+	// newsAt is when this VM last knew all that the store held.
+	newsAt clock.Instant
 	// leaderSyncedAt is when the store last answered the leader, according to the leader's latest heartbeat.
 	leaderSyncedAt clock.Instant
 	// storeAnsweredAt is when the store last answered this VM, and storeFailedAt when a synchronization of this VM with the store last failed.
@@ -167,7 +169,7 @@
 	bodyMemoryDivisor = 8
 	// retryBudgetFraction is the fraction of the retry budget that is used, since the windows of the VMs are not aligned.
 	retryBudgetFraction = 0.8
-	// maxViewStaleness is the store staleness from which the snapshot may be out of date, so that a route missing from it may exist.
+	// maxViewStaleness is the age of the news from which the snapshot may be out of date, so that a route or API key missing from it may exist.
 	maxViewStaleness = 1500 * time.Millisecond
 )
 
@@ -181,7 +183,7 @@
 
 // view returns the latest snapshot; current is false if the snapshot may be out of date.
 func (e *Edge) view() (s *fleet.Snapshot, current bool) {
-	return e.snapshot.Load(), e.storeStaleness() < maxViewStaleness
+	return e.snapshot.Load(), e.newsAge() < maxViewStaleness
 }
 
 // isReady reports whether the VM can serve callers.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -36,12 +36,15 @@
 	callerAddresses  []string
 	readyAddresses   []string
 	metricsAddresses []string
+	peerAddresses    []string
 	cancels          []context.CancelFunc
 	ended            []chan error
 	version          int
 	grace            time.Duration
 	log              slog.Handler
 	billing          []worker.Option
+	// strictRevocation makes the VMs refuse keys that may have been revoked, after two seconds without news.
+	strictRevocation bool
 	// initial is a copy of the store from before the first VM started.
 	initial kv.Copy
 	// links holds the fault proxy between each VM and the store, by the index of the VM.
@@ -137,6 +140,7 @@
 		MetricsAddress: s.freeAddress(), Store: storeLink.Address(), LogLevel: "info", GraceTime: unit.Duration(s.grace), ServerHeartbeat: unit.Duration(time.Second),
 		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
 		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
+		StrictRevocation: s.strictRevocation, RevocationTime: unit.Duration(2 * time.Second),
 	}
 	serverLink := newServerLink(s.t)
 	s.serverLinks = append(s.serverLinks, serverLink)
@@ -148,6 +152,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
 	s.callerAddresses, s.readyAddresses, s.metricsAddresses = append(s.callerAddresses, cfg.CallerAddress), append(s.readyAddresses, cfg.ReadyAddress), append(s.metricsAddresses, cfg.MetricsAddress)
+	s.peerAddresses = append(s.peerAddresses, cfg.PeerAddress)
 	s.cancels, s.ended = append(s.cancels, cancel), append(s.ended, ended)
 }
 
--- a/edge/identity.go
+++ b/edge/identity.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // logConfiguration logs a configuration that comes into force.
@@ -16,8 +19,26 @@
 	}
 }
 
+// recordNews records that this VM knows all that the store held some time ago, if its items reach up to a position. The leader's contact
+// with the store alone doesn't tell that: a message with a withdrawn key may be lost.
+func (e *Edge) recordNews(position id.Revision, age time.Duration) {
+	if position > e.mirror.Position() {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.newsAt = max(e.newsAt, e.clock.Boot().Add(-age))
+}
+
+// newsAge returns how long ago this VM last knew all that the store held.
+func (e *Edge) newsAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock.Boot().Sub(e.newsAt)
+}
+
 // mayHoldRevokedKeys reports whether requests that need an API key must be refused, since the key may have been revoked without this VM's
 // knowledge.
 func (e *Edge) mayHoldRevokedKeys() bool {
-	return e.settings.StrictRevocation && e.storeStaleness() > e.settings.RevocationTime.Std()
+	return e.settings.StrictRevocation && e.newsAge() > e.settings.RevocationTime.Std()
 }
--- a/edge/store.go
+++ b/edge/store.go
@@ -83,6 +83,7 @@
 			full, failures = false, 0
 			e.recordStoreSuccess()
 			e.applyUpdate(u)
+			e.recordNews(0, 0)
 			if !e.isRegistered() {
 				e.register(ctx)
 			}
@@ -261,13 +262,13 @@
 // servers appear at once, it logs only their number.
 func (e *Edge) logChanges(old, next *fleet.Snapshot) {
 	position := next.Position.Number()
+	if next.Configuration != nil && (old.Configuration == nil || old.Configuration.Version != next.Configuration.Version) {
+		e.logConfiguration(next.Configuration, position)
+	}
 	if appeared := len(next.Servers) - len(old.Servers); appeared > maxLoggedServers {
 		e.log.Info("backend servers appeared", "count", appeared, "servers", len(next.Servers), "position", position)
 		return
 	}
-	if next.Configuration != nil && (old.Configuration == nil || old.Configuration.Version != next.Configuration.Version) {
-		e.logConfiguration(next.Configuration, position)
-	}
 	for name, s := range next.Servers {
 		previous, known := old.Servers[name]
 		switch {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -125,6 +125,7 @@
 	keyed           bool
 	abortsResponses bool
 	serviceTime     time.Duration
+	onRequest       func(r *http.Request)
 	slots           chan struct{}
 	journal         *Journal
 	stopped         atomic.Bool
@@ -153,6 +154,9 @@
 // WithAbortedResponses makes a worker close the connection without a response after it has run a request.
 func WithAbortedResponses() Option { return func(w *Worker) { w.abortsResponses = true } }
 
+// WithOnRequest sets a function that is called with each request before it is handled.
+func WithOnRequest(f func(r *http.Request)) Option { return func(w *Worker) { w.onRequest = f } }
+
 // New returns a worker with the given instance ID and service.
 func New(id, service string, j *Journal, opts ...Option) *Worker {
 	w := &Worker{ID: id, Service: service, journal: j, serviceTime: 20 * time.Millisecond, slots: make(chan struct{}, Slots)}
@@ -167,6 +171,9 @@
 
 // ServeHTTP handles a request, or a grant or release command.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if w.onRequest != nil {
+		w.onRequest(r)
+	}
 	head := out.Header()
 	head.Set("Instance-Id", w.ID)
 	head.Set("Attempt-Id", r.Header.Get("Attempt-Id"))
