--- a/coordination/allotment/allotment.go
+++ b/coordination/allotment/allotment.go
@@ -49,9 +49,9 @@
 	aheadOverage = 0.4
 	floorOverage = 0.2
 	// aheadSlack is the part of the slack for tokens ahead of need.
-	aheadSlack = 0.5
+	aheadSlack = 0.75
 	// slotPart is the part of the tokens ahead of need that is divided evenly, one for each VM with a share. The rest is divided by share.
-	slotPart = 2.0 / 3
+	slotPart = 0.5
 )
 
 // Times of the protocol between granter and holders.
--- a/coordination/allotment/ask.go
+++ b/coordination/allotment/ask.go
@@ -49,10 +49,14 @@
 
 // askForWaiting adds the customers whose requests wait.
 func (h *Holder) askForWaiting(now clock.Instant, ask *Ask, sent *sentAsk) {
-	for c, due := range h.wanting {
-		if due.After(now) || len(ask.Entries) >= MaxEntries {
-			continue
+	var due []id.Customer
+	for c, at := range h.wanting {
+		if !at.After(now) {
+			due = append(due, c)
 		}
+	}
+	slices.Sort(due)
+	for _, c := range due[:min(len(due), MaxEntries)] {
 		h.addEntry(now, h.accounts[c], ask, sent)
 	}
 	ask.Partial = true
@@ -87,6 +91,7 @@
 			delete(h.accounts, c)
 		}
 	}
+	slices.Sort(due)
 	h.addDue(now, due, ask, sent)
 }
 
@@ -94,7 +99,6 @@
 func (h *Holder) addDue(now clock.Instant, due []id.Customer, ask *Ask, sent *sentAsk) {
 	if len(due) > MaxEntries {
 		ask.Partial = true
-		slices.Sort(due)
 		left := slices.DeleteFunc(slices.Clone(h.pending), func(c id.Customer) bool { _, ok := slices.BinarySearch(due, c); return !ok })
 		first := map[id.Customer]bool{}
 		for _, c := range left {
--- a/coordination/allotment/granter.go
+++ b/coordination/allotment/granter.go
@@ -1,6 +1,8 @@
 package allotment
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/hickorylug/hickorylug/state/clock"
@@ -17,6 +19,7 @@
 	maxOpenAsks = 128
 	// sweepPeriod is the time between two removals of what is no longer needed.
 	sweepPeriod = time.Second
+	goldenRatio = 0.618
 	// vmTTL is how long a VM that asks for nothing is remembered; asks don't arrive that late.
 	vmTTL = time.Minute
 	// startWait is the Retry-After of requests for which a new granter has no tokens before it knows the shares of all VMs.
@@ -44,7 +47,10 @@
 	incarnation id.Incarnation
 	// former is the incarnation before; its asks may arrive late.
 	former id.Incarnation
-	last   uint64
+	// first and last are the numbers of the first and the latest ask.
+	first, last uint64
+	// deaf says that the VM has got no answers for long although it asks; tokens for it would be lost.
+	deaf bool
 	// arrived holds when the latest asks have arrived, by number modulo maxOpenAsks.
 	arrived [maxOpenAsks]clock.Instant
 	// contactAt is when the latest ask arrived whose answer is known to have reached the VM; 0 if none is.
@@ -73,9 +79,11 @@
 	at        clock.Instant
 	// pool is the part of the allotment that this granter may use: the shares that VMs have reported to it, or all.
 	pool     Share
-	holdings map[id.VM]*holding
+	holdings []*holding
 	// line is the number of denied requests whose time to return has not come yet.
 	line float64
+	// spread is the place of the latest denial beyond the end of the line, from 0 to 1 in the second half of maxLine.
+	spread float64
 	// denied and granted count requests and tokens since the granter's start.
 	denied, granted uint64
 	rates           rates
@@ -84,6 +92,7 @@
 
 // holding is the share of a VM in a bucket.
 type holding struct {
+	name   id.VM
 	vm     *vmState
 	demand float64
 	// confirmed is the share that the VM has, offered the one last offered to it under the number offer. They differ until the VM
@@ -99,6 +108,11 @@
 // counted returns the share that the VM may be using.
 func (h *holding) counted() Share { return max(h.confirmed, h.offered) }
 
+// remove removes a VM's holding.
+func (b *bucket) remove(vm id.VM) {
+	b.holdings = slices.DeleteFunc(b.holdings, func(h *holding) bool { return h.name == vm })
+}
+
 // NewGranter returns the granter of a term, with empty buckets.
 func NewGranter(s Settings, lookup Lookup, term id.Revision, now clock.Instant) *Granter {
 	return &Granter{settings: s, lookup: lookup, term: term, since: now, vms: map[id.VM]*vmState{}, buckets: map[id.Customer]*bucket{}}
@@ -175,19 +189,24 @@
 func (g *Granter) removeHoldings(now clock.Instant, vm id.VM, v *vmState) {
 	for c := range v.holdings {
 		g.advance(g.buckets[c], now)
-		delete(g.buckets[c].holdings, vm)
+		g.buckets[c].remove(vm)
 	}
 	clear(v.holdings)
 }
 
 // recordContact records an ask's arrival.
 func (g *Granter) recordContact(now clock.Instant, v *vmState, ask Ask) {
+	if v.last == 0 {
+		v.first = ask.Number
+	}
 	v.last, v.heardAt = ask.Number, now
 	contact := v.contactAt
 	if ask.Answered > 0 && ask.Answered < ask.Number && ask.Number-ask.Answered < maxOpenAsks {
 		contact = max(contact, v.arrived[ask.Answered%maxOpenAsks])
 	}
 	v.arrived[ask.Number%maxOpenAsks] = now
+	unanswered := max(ask.Answered+1, v.first)
+	v.deaf = unanswered < ask.Number && (ask.Number-unanswered >= maxOpenAsks || now.Sub(v.arrived[unanswered%maxOpenAsks]) >= silenceTimeout)
 	if now.After(v.silentFrom()) {
 		v.unsettled = true
 		for c := range v.holdings {
@@ -230,7 +249,7 @@
 func (g *Granter) bucketOf(now clock.Instant, c id.Customer, a fleet.Allotment) *bucket {
 	b, ok := g.buckets[c]
 	if !ok {
-		b = &bucket{customer: c, allotment: a, at: now, holdings: map[id.VM]*holding{}}
+		b = &bucket{customer: c, allotment: a, at: now}
 		if g.hasKnown {
 			b.pool = WholeShare
 			b.level = min(capacity(a), a.Rate*elapsed(g.known, now))
@@ -271,6 +290,13 @@
 	h := g.updateHolding(now, b, from, v, e)
 	g.returnTokens(b, e)
 	out = AnswerEntry{Customer: e.Customer}
+	if v.deaf {
+		if h != nil {
+			g.offer(now, b, h)
+			out.Share, out.Offer = h.offered, h.offer
+		}
+		return out
+	}
 	tokens := min(max(0, e.Waiting), int(max(0, b.level)))
 	b.level -= float64(tokens)
 	out.Tokens = tokens
@@ -316,14 +342,21 @@
 	if b.pool > 0 {
 		wait = time.Duration((b.line + 1 - b.level) / b.pool.of(b.allotment.Rate) * float64(time.Second))
 	}
+	if wait >= maxLine {
+		// Steps of the golden ratio spread any number of callers evenly.
+		_, b.spread = math.Modf(b.spread + goldenRatio)
+		wait = maxLine/2 + time.Duration(b.spread*float64(maxLine/2))
+	}
 	out.Wait = int(min(max(wait, time.Millisecond), maxLine).Milliseconds())
-	if count == 0 || wait <= shortWait {
-		return
+	// Those for whom a token comes soon go on waiting. They are in line, too, so that others don't count on the same tokens.
+	keep := 0
+	if b.pool > 0 {
+		keep = int(max(0, min(float64(count), b.pool.of(b.allotment.Rate)*shortWait.Seconds()-b.line+b.level)))
 	}
-	out.Denied = count
+	out.Denied = count - keep
 	b.line = min(b.line+float64(count), maxInLine)
-	b.denied += uint64(count)
-	b.rates.deny(float64(count))
+	b.denied += uint64(out.Denied)
+	b.rates.deny(float64(out.Denied))
 }
 
 // sweep removes what is no longer needed.
@@ -353,7 +386,7 @@
 		g.advance(b, now)
 		if gone || h.counted() == 0 && h.demand == 0 && h.reserved == 0 {
 			delete(v.holdings, c)
-			delete(b.holdings, name)
+			b.remove(name)
 		}
 	}
 }
--- a/coordination/allotment/holder.go
+++ b/coordination/allotment/holder.go
@@ -142,11 +142,14 @@
 	if h.takeNow(now, a, limit) {
 		return Verdict{Granted: true}
 	}
-	if !h.mayAnswer(now) {
-		a.refused++
-		return Verdict{RetryAfter: h.fallbackWait(now, a, limit), Reason: NoContact}
-	}
-	if now < a.deniedUntil {
+	switch {
+	case !h.mayAnswer(now):
+		// GiveUp takes what the share has yielded by then.
+		if wait := h.fallbackWait(a, limit); wait > MaxWait {
+			a.refused++
+			return Verdict{RetryAfter: wait, Reason: NoContact}
+		}
+	case now < a.deniedUntil:
 		a.refused++
 		a.denied++
 		return Verdict{RetryAfter: a.nextPlace(limit), Reason: Exhausted}
@@ -205,6 +208,12 @@
 		return Verdict{Granted: true}, true
 	}
 	a.refused++
+	if !h.mayAnswer(now) {
+		return Verdict{RetryAfter: h.fallbackWait(a, limit), Reason: NoContact}, true
+	}
+	if h.answeredAt.After(w.since) {
+		return Verdict{RetryAfter: a.nextPlace(limit), Reason: Exhausted}, true
+	}
 	return Verdict{RetryAfter: unansweredWait, Reason: Unanswered}, true
 }
 
@@ -252,15 +261,15 @@
 	a.level = min(max(0, float64(size-a.held)), a.level+rate*elapsed(from, now))
 }
 
-// fallbackWait returns the time until the VM's share yields a token.
-func (h *Holder) fallbackWait(_ clock.Instant, a *account, limit fleet.Allotment) time.Duration {
+// fallbackWait returns the time until the VM's share yields a token for a further request.
+func (h *Holder) fallbackWait(a *account, limit fleet.Allotment) time.Duration {
 	rate := max(a.share.of(limit.Rate), h.settings.floor(limit, h.vms))
 	if h.without {
 		rate = limit.Rate / float64(h.vms)
 	}
 	wait := maxLine
 	if rate > 0 {
-		wait = time.Duration(min(maxLine.Seconds(), (1-a.level)/rate) * float64(time.Second))
+		wait = time.Duration(min(maxLine.Seconds(), (1+float64(len(a.waiting))-a.level)/rate) * float64(time.Second))
 	}
 	return max(wait, time.Millisecond)
 }
--- a/coordination/allotment/share.go
+++ b/coordination/allotment/share.go
@@ -28,8 +28,9 @@
 		if demand < minDemand && e.Share <= 0 {
 			return nil
 		}
-		h = &holding{vm: v, spent: e.Spent, offer: e.Offer}
-		v.holdings[e.Customer], b.holdings[from] = h, h
+		h = &holding{name: from, vm: v, spent: e.Spent, offer: e.Offer}
+		v.holdings[e.Customer] = h
+		b.holdings = append(b.holdings, h)
 		h.confirmed = min(max(0, e.Share), WholeShare)
 		h.offered, h.target = h.confirmed, h.confirmed
 		if !g.hasKnown {
@@ -62,7 +63,7 @@
 	}
 	if slots := g.settings.slots(b.allotment); len(list) > slots {
 		slices.SortFunc(list, func(x, y *holding) int {
-			return cmp.Or(-cmp.Compare(x.demand, y.demand), -cmp.Compare(x.confirmed, y.confirmed))
+			return cmp.Or(-cmp.Compare(x.demand, y.demand), -cmp.Compare(x.confirmed, y.confirmed), cmp.Compare(x.name, y.name))
 		})
 		list = list[:slots]
 	}
--- a/coordination/allotment/view.go
+++ b/coordination/allotment/view.go
@@ -53,8 +53,8 @@
 			GivenPerS: b.rates.granted, DeniedPerS: b.rates.denied, SpentPerS: b.rates.spent,
 			Shares: map[id.VM]Share{}, Demand: map[id.VM]float64{},
 		}
-		for vm, h := range b.holdings {
-			v.Shares[vm], v.Demand[vm] = h.counted(), h.demand
+		for _, h := range b.holdings {
+			v.Shares[h.name], v.Demand[h.name] = h.counted(), h.demand
 		}
 		out = append(out, v)
 	}
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -51,6 +51,12 @@
 
 // forwardOnce forwards one request; the n-th attempt gets the n-th step, and further attempts get the last one.
 func forwardOnce(t *testing.T, idempotent bool, burst float64, steps ...step) (answer *forward.Answer, attempts int, err error) {
+	t.Helper()
+	return forwardCharged(t, idempotent, burst, nil, steps...)
+}
+
+// forwardCharged is forwardOnce for a customer with an allotment.
+func forwardCharged(t *testing.T, idempotent bool, burst float64, charge func() bool, steps ...step) (answer *forward.Answer, attempts int, err error) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		c := clock.Runtime{Origin: time.Now().Add(-time.Hour)}
@@ -73,7 +79,8 @@
 		defer cancel()
 		answer, err = f.Forward(ctx, &forward.Request{
 			ID: "1", Method: "GET", Service: service, Arrived: now, Deadline: now.Add(time.Second), Objective: now.Add(400 * time.Millisecond),
-			Route: &fleet.Route{Name: "r", Idempotent: idempotent, MaxAttempts: 2, Objective: 400 * time.Millisecond},
+			ChargeAttempt: charge,
+			Route:         &fleet.Route{Name: "r", Idempotent: idempotent, MaxAttempts: 2, Objective: 400 * time.Millisecond},
 		})
 	})
 	return answer, attempts, err
@@ -119,3 +126,38 @@
 		})
 	}
 }
+
+// A request that may have run several times must not go past its customer's allotment, and attempts that certainly didn't run cost nothing.
+func TestChargeAttempt(t *testing.T) {
+	tests := map[string]struct {
+		allowed  int
+		steps    []step
+		status   int
+		reason   outcome.Reason
+		attempts int
+		charges  int
+	}{
+		"one attempt is charged before":           {steps: []step{answers(200)}, status: 200, attempts: 1},
+		"a rejected attempt is not charged again": {steps: []step{rejects, rejects, answers(200)}, status: 200, attempts: 3},
+		"a further attempt is charged":            {allowed: 1, steps: []step{breaks, answers(200)}, status: 200, attempts: 2, charges: 1},
+		"no room after a broken connection":       {steps: []step{breaks, answers(200)}, reason: outcome.ServerFailed, attempts: 1, charges: 1},
+		"no room after a server error":            {steps: []step{answers(500), answers(200)}, status: 500, attempts: 1, charges: 1},
+		"a charge is kept for the next attempt":   {allowed: 1, steps: []step{breaks, rejects, answers(200)}, status: 200, attempts: 3, charges: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			charges := 0
+			answer, attempts, err := forwardCharged(t, true, 9, func() bool { charges++; return charges <= test.allowed }, test.steps...)
+			is.Equal(attempts, test.attempts)
+			is.Equal(charges, test.charges)
+			if test.status != 0 {
+				is.NoErr(err)
+				is.Equal(answer.Status, test.status)
+				return
+			}
+			is.Equal(outcome.FromError(err).Outcome, outcome.KindUnknown)
+			is.Equal(outcome.FromError(err).Reason, test.reason)
+		})
+	}
+}
