--- a/edge/customerlog_test.go
+++ b/edge/customerlog_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -16,8 +15,8 @@
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// configureCustomers writes a configuration with one route to billing and the given customers.
-func (s *site) configureCustomers(tenants ...any) {
+// configureAllotments writes a configuration with one route to billing and the given entries of customers.
+func (s *site) configureAllotments(tenants ...any) {
 	s.version++
 	data, err := json.Marshal(map[string]any{
 		"Version": fmt.Sprintf("%08x", s.version), "Limits": map[string]any{"MaxHeaderBytes": 4096, "MaxBodyBytes": 1000},
@@ -34,20 +33,6 @@
 	s.store.Put("op/config", data)
 }
 
-// metricsText returns the metrics of a VM as text.
-func (s *site) metricsText(vm int) string {
-	resp, err := http.Get("http://" + s.metricsAddresses[vm] + "/debug/vars")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return string(data)
-}
-
 // sendFlood sends a number of requests with a key and returns how many got each status.
 func (s *site) sendFlood(name, key string, count int) map[int]int {
 	statuses := map[int]int{}
@@ -66,7 +51,7 @@
 	log := &logBuffer{}
 	s := newSite(t, 1, func(s *site) { s.log = slog.NewJSONHandler(log, nil) })
 	s.awaitStatus(0, "/view/x", http.StatusOK)
-	s.configureCustomers(
+	s.configureAllotments(
 		map[string]any{"Name": "shop", "ApiKeys": []string{"shop-" + secret}, "RatePerS": 0.2, "Burst": 2},
 		map[string]any{"Name": "bank", "ApiKeys": []string{"bank-" + secret, "shop-" + secret}},
 	)
@@ -86,7 +71,7 @@
 	is.True(line["detail"] != "")
 	is.True(line["newsAgeMs"] != nil)
 
-	text := s.metricsText(0)
+	text := s.metricsOf(0)
 	var metrics struct {
 		Customers customers.Metrics
 		Requests  map[string]int
