--- a/edge/apikey_test.go
+++ b/edge/apikey_test.go
@@ -229,9 +229,12 @@
 			is.Equal(s.statusOf(vm, "kept-key"), http.StatusOK)
 		}
 	}
-	s.store.Put("op/config", newer)
 	s.stopVM(0)
 	s.startVM(2)
+	for start := time.Now(); time.Since(start) < 800*time.Millisecond; time.Sleep(pollPeriod) {
+		is.True(s.statusOf(2, "old-key") != http.StatusOK)
+	}
+	s.store.Put("op/config", newer)
 	s.awaitKey(2, "new-key", http.StatusOK)
 	for _, vm := range []int{1, 2} {
 		is.Equal(s.statusOf(vm, "old-key"), http.StatusUnauthorized)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,6 +94,9 @@
 	removalsHeldUntil clock.Instant
 	// newsAt is when this VM last knew all that the store held.
 	newsAt clock.Instant
+	// firstNewsAt is when this VM first knew all that the store held, and firstEra the era in which that was.
+	firstNewsAt clock.Instant
+	firstEra    id.Era
 	// leaderSyncedAt is when the store last answered the leader, according to the leader's latest heartbeat.
 	leaderSyncedAt clock.Instant
 	// storeAnsweredAt is when the store last answered this VM, and storeFailedAt when a synchronization of this VM with the store last failed.
@@ -189,7 +192,8 @@
 // isReady reports whether the VM can serve callers.
 func (e *Edge) isReady() bool {
 	s := e.snapshot.Load()
-	return !e.leaving.Load() && s.Configuration != nil && len(s.Servers) > 0
+	c := s.Configuration
+	return !e.leaving.Load() && c != nil && len(s.Servers) > 0 && (c.Customers == nil || !e.mayKnowOlderCopy())
 }
 
 // component is a long-running activity under supervision.
--- a/edge/identity.go
+++ b/edge/identity.go
@@ -22,12 +22,17 @@
 // recordNews records that this VM knows all that the store held some time ago, if its items reach up to a position. The leader's contact
 // with the store alone doesn't tell that: a message with a withdrawn key may be lost.
 func (e *Edge) recordNews(position id.Revision, age time.Duration) {
-	if position > e.mirror.Position() {
+	known := e.mirror.Position()
+	if position > known {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.newsAt = max(e.newsAt, e.clock.Boot().Add(-age))
+	now := e.clock.Boot()
+	if e.firstNewsAt == 0 {
+		e.firstNewsAt, e.firstEra = now, known.Era()
+	}
+	e.newsAt = max(e.newsAt, now.Add(-age))
 }
 
 // newsAge returns how long ago this VM last knew all that the store held.
@@ -40,5 +45,13 @@
 // mayHoldRevokedKeys reports whether requests that need an API key must be refused, since the key may have been revoked without this VM's
 // knowledge.
 func (e *Edge) mayHoldRevokedKeys() bool {
-	return e.settings.StrictRevocation && e.newsAge() > e.settings.RevocationTime.Std()
+	return e.mayKnowOlderCopy() || e.settings.StrictRevocation && e.newsAge() > e.settings.RevocationTime.Std()
+}
+
+// mayKnowOlderCopy reports whether this VM started so shortly after a restoration of the store that the operator may not yet have written
+// the configuration again. VMs that ran before keep the newer one.
+func (e *Edge) mayKnowOlderCopy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.firstEra > 0 && e.clock.Boot().Sub(e.firstNewsAt) < reappearanceTime
 }
--- a/edge/identity_test.go
+++ b/edge/identity_test.go
@@ -64,6 +64,35 @@
 	}
 }
 
+// A VM that starts right after a restoration of the store may read a configuration whose keys were withdrawn later. VMs that ran before, and
+// those at a store that was never restored, must serve at once.
+func TestStartAfterRestoration(t *testing.T) {
+	tests := map[string]struct {
+		first, now id.Era
+		wait       time.Duration
+		want       bool
+	}{
+		"a store never restored":         {wait: time.Millisecond},
+		"started after the restoration":  {first: 1, now: 1, wait: 2 * time.Second, want: true},
+		"started after it, some time":    {first: 1, now: 1, wait: 3 * time.Second},
+		"started before the restoration": {first: 0, now: 1, wait: time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := &Edge{clock: clock.Runtime{Origin: time.Now().Add(-time.Hour)}, mirror: fleet.NewMirror(platform.Decode)}
+				for _, era := range []id.Era{test.first, test.now} {
+					e.mirror.Apply(fleet.Update{Whole: true, To: era.Revision(5)})
+					e.recordNews(0, 0)
+				}
+				time.Sleep(test.wait)
+				is.Equal(e.mayHoldRevokedKeys(), test.want)
+			})
+		})
+	}
+}
+
 // A VM of an earlier build hands out plain keys. A VM that copies the items from it must not keep or pass on any.
 func TestCopyFromEarlierBuild(t *testing.T) {
 	is := is.New(t)
