Guard the state of the crash tests' fleet with a mutex

TestCrashingRequestIsRefused failed in about one of ten runs with "concurrent map writes" in crashFleet.deliver. The periodic reports of several VMs are due at the same virtual time and run in timer goroutines of their own, which all wrote the map of sent messages. All of them are in the fake; none is in coordination/poison, whose ledger calls back without its mutex.

What the tests check is unchanged.

go test -count=100 -run TestCrash ./coordination/forward: passed (the first run failed before); with -race -count=3: no report.

--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,9 +59,16 @@
 }
 
 // crashFleet is a fleet of VMs in front of backend servers, one of whose requests crashes them.
+//
+// Requests, crashes and the VMs' periodic reports run in goroutines of their own, several of them at the same virtual time.
 type crashFleet struct {
-	clock    clock.Clock
-	test     crashCase
+	clock clock.Clock
+	test  crashCase
+
+	// publishing orders the snapshots that the VMs get. It is taken before mu, and isn't needed by the reports that a VM sends meanwhile.
+	publishing sync.Mutex
+	// mu guards the fields below. The VMs are not called while it is held, since they report through deliver.
+	mu       sync.Mutex
 	servers  map[id.Server]*crashServer
 	vms      []*crashVM
 	crashes  []clock.Instant
@@ -91,6 +100,7 @@
 	return f
 }
 
+// startServer registers a new backend server; mu is held, except in newCrashFleet.
 func (f *crashFleet) startServer(address string, name id.Server) {
 	f.started++
 	if name == "" {
@@ -101,7 +111,10 @@
 	}}
 }
 
+// startVM starts a VM. Its ledger is empty, so that it reports nothing while mu is held.
 func (f *crashFleet) startVM() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	v := &crashVM{dispatcher: dispatch.NewDispatcher(id.VM(fmt.Sprint("vm", len(f.vms))), "east", dispatch.WithClock(f.clock))}
 	v.dispatcher.Update(f.snapshot)
 	options := append(v.options(f, v), forward.WithClock(f.clock), forward.WithSend(f.send), forward.WithRetries(0.2, func() float64 { return 10 }))
@@ -111,23 +124,42 @@
 
 // publish makes the registered backend servers the snapshot of all VMs.
 func (f *crashFleet) publish() {
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
+	old, next, vms := f.register()
+	for _, v := range vms {
+		v.dispatcher.Update(next)
+		v.follow(v, old, next)
+	}
+}
+
+// register replaces the snapshot and returns the old and the new one with the VMs that have the old one.
+func (f *crashFleet) register() (old, next *fleet.Snapshot, vms []*crashVM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	servers := map[id.Server]fleet.Server{}
 	for name, s := range f.servers {
 		servers[name] = s.Server
 	}
-	old := f.snapshot
+	old = f.snapshot
 	f.snapshot = &fleet.Snapshot{
 		Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service}}, fleet.Limits{}),
 		Servers:       servers, ByService: fleet.ByService(servers),
 	}
-	for _, v := range f.vms {
-		v.dispatcher.Update(f.snapshot)
-		v.follow(v, old, f.snapshot)
-	}
+	return old, f.snapshot, slices.Clone(f.vms)
+}
+
+// vm returns a VM by number; numbers beyond the last one begin again.
+func (f *crashFleet) vm(i int) *crashVM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[i%len(f.vms)]
 }
 
 // deliver hands a message of a VM to the others, unless it is lost.
 func (f *crashFleet) deliver(from *crashVM, receive func(to *crashVM)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.sent[from]++; f.sent[from] <= f.test.lostMessages {
 		return
 	}
@@ -144,7 +176,9 @@
 
 func (f *crashFleet) send(ctx context.Context, a forward.Attempt) (*forward.Reply, *forward.Failure) {
 	time.Sleep(time.Millisecond)
+	f.mu.Lock()
 	s := f.servers[a.Slot.Server.Server]
+	f.mu.Unlock()
 	if s == nil || s.Incarnation != a.Slot.Server.Incarnation || s.isDown() {
 		if f.test.silent {
 			time.Sleep(300 * time.Millisecond)
@@ -185,6 +219,8 @@
 
 // crash ends a backend server and starts its replacement later.
 func (f *crashFleet) crash(s *crashServer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if s.isDown() {
 		return
 	}
@@ -196,26 +232,39 @@
 		}
 	}
 	if !f.test.keepsEntry {
-		time.AfterFunc(crashRemovalTime, func() {
-			if f.servers[s.Incarnation.Server] == s {
-				delete(f.servers, s.Incarnation.Server)
-				f.publish()
-			}
-		})
+		time.AfterFunc(crashRemovalTime, func() { f.remove(s) })
 	}
-	time.AfterFunc(crashRestartTime, func() {
+	time.AfterFunc(crashRestartTime, func() { f.replace(s) })
+}
+
+// remove removes the entry of a crashed backend server, unless it is replaced already.
+func (f *crashFleet) remove(s *crashServer) {
+	f.mu.Lock()
+	found := f.servers[s.Incarnation.Server] == s
+	if found {
 		delete(f.servers, s.Incarnation.Server)
-		name := id.Server("")
-		if f.test.sameName {
-			name = s.Incarnation.Server
-		}
-		address := s.Address
-		if f.test.newAddress {
-			address += "1"
-		}
-		f.startServer(address, name)
+	}
+	f.mu.Unlock()
+	if found {
 		f.publish()
-	})
+	}
+}
+
+// replace starts the replacement of a crashed backend server.
+func (f *crashFleet) replace(s *crashServer) {
+	f.mu.Lock()
+	delete(f.servers, s.Incarnation.Server)
+	name := id.Server("")
+	if f.test.sameName {
+		name = s.Incarnation.Server
+	}
+	address := s.Address
+	if f.test.newAddress {
+		address += "1"
+	}
+	f.startServer(address, name)
+	f.mu.Unlock()
+	f.publish()
 }
 
 // request sends a request through a VM and returns its outcome; refusal is nil if it was answered.
@@ -274,14 +323,14 @@
 				f = newCrashFleet(test)
 				for i := range 24 {
 					for n := range max(1, test.concurrent) {
-						go f.start(f.vms[(i+n)%len(f.vms)], crashTarget)
+						go f.start(f.vm(i+n), crashTarget)
 					}
 					for n := range test.bystanders {
 						prefix := "/other"
 						if n%2 == 0 {
 							prefix = "/before"
 						}
-						go f.start(f.vms[(i+n)%len(f.vms)], fmt.Sprintf("%s%d-%d", prefix, i, n))
+						go f.start(f.vm(i+n), fmt.Sprintf("%s%d-%d", prefix, i, n))
 					}
 					time.Sleep(3100 * time.Millisecond)
 				}
@@ -310,9 +359,9 @@
 				f := newCrashFleet(test)
 				targets := []string{"/a", "/b", "/c", "/d", "/e", "/f"}
 				for i := range 12 {
-					go f.start(f.vms[i%len(f.vms)], crashTarget)
+					go f.start(f.vm(i), crashTarget)
 					for n, target := range targets {
-						go f.start(f.vms[(i+n)%len(f.vms)], target)
+						go f.start(f.vm(i+n), target)
 					}
 					time.Sleep(1500 * time.Millisecond)
 				}
--- a/coordination/forward/crashexchange_test.go
+++ b/coordination/forward/crashexchange_test.go
@@ -13,6 +13,7 @@
 	ledger *poison.Ledger
 }
 
+// options returns the options of a VM and starts its periodic reports. The fleet's mu is held.
 func (e *crashExchange) options(f *crashFleet, v *crashVM) []forward.Option {
 	e.ledger = poison.NewLedger(func(r poison.Report) {
 		f.deliver(v, func(to *crashVM) { to.ledger.Merge(f.clock.Boot(), r) })
