Order the requests of customers fairly and keep places free for those within their share

A customer with many requests took the slots of a service from the others: queued requests were ordered by arrival within a priority.

Package fairshare orders customers by recent use against weight. The weight is the usual rate at the VM, between the entitled rate divided by the VMs and the entitled rate, since the callers of a customer are bound to VMs. Dispatch orders its queues with it, and gives fewer places at backend servers to customers beyond their share while others find none. Requests without a customer are handled as before.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -36,12 +36,13 @@
 		return d.chooseOwner(now, s, demand)
 	}
 	p := d.preference(s.name)
+	extra := d.queuePlaces(now, s, demand, maxQueuedPerServer)
 	var chosen candidate
 	for i := range tierCount {
 		if i > preferredTier && !p.informed[i] && s.outside.value(now) >= d.maxOutsideLoad(now, p) {
 			continue
 		}
-		c := d.chooseFrom(now, s, tier{servers: d.eligible(now, p, i, demand), informed: p.informed[i]})
+		c := d.chooseFrom(now, s, tier{servers: d.eligible(now, p, i, demand, extra), informed: p.informed[i]})
 		switch {
 		case c.server == nil:
 			continue
@@ -56,6 +57,7 @@
 	if chosen.server == nil {
 		return nil, nil
 	}
+	s.order.Charge(now, demand.Customer)
 	slot = d.reserveSlot(now, chosen.server, s)
 	slot.outside = chosen.outside
 	return slot, nil
@@ -205,12 +207,8 @@
 	return d.division.Neighbours(d.vm)
 }
 
-// eligible returns the backend servers of a tier that a request may be sent to now.
-func (d *Dispatcher) eligible(now clock.Instant, p *preference, tier int, demand Demand) (out []*server) {
-	extra := maxQueuedPerServer
-	if demand.isLate(now) {
-		extra = -lateReservedSlots
-	}
+// eligible returns the backend servers of a tier that a request may be sent to now, with up to extra requests beyond their slots.
+func (d *Dispatcher) eligible(now clock.Instant, p *preference, tier int, demand Demand, extra int) (out []*server) {
 	skipEjected := hasFewEjected(now, p)
 	add := func(c *server) bool {
 		avoided := demand.AvoidDomain != "" && c.Domain == demand.AvoidDomain
@@ -251,20 +249,20 @@
 // chooseOwner reserves a slot at the owner of a key.
 func (d *Dispatcher) chooseOwner(now clock.Instant, s *service, demand Demand) (slot *Slot, refusal *Refusal) {
 	owner := d.owner(s.name, demand.Key)
-	extra := maxQueuedAtOwner
-	if demand.isLate(now) {
-		extra = -lateReservedSlots
-	}
-	if owner == nil || !d.hasCapacity(now, owner, extra) {
+	if owner == nil || !d.hasCapacity(now, owner, d.queuePlaces(now, s, demand, maxQueuedAtOwner)) {
 		return nil, nil
 	}
 	finish := now.Add(owner.expectedLatency(now, s.serviceTime))
+	if !demand.isLate(now) && d.leavesOwner(now, s, demand, owner, finish) {
+		return nil, nil
+	}
 	late := owner.load(now) >= owner.Slots && finish > demand.Objective && !demand.isLate(now)
 	if finish > demand.Deadline || late && owner.overload.observeLate(now) {
 		refusal := d.refuse(now, s, demand)
 		refusal.Final = true
 		return nil, refusal
 	}
+	s.order.Charge(now, demand.Customer)
 	return d.reserveSlot(now, owner, s), nil
 }
 
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/fairshare"
 	"github.com/hickorylug/hickorylug/coordination/subset"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -36,7 +37,7 @@
 	Priority int
 	// Customer is the customer that sent the request, or empty; customers of the same priority are served in turn.
 	Customer id.Customer
-	// Weight is the customer's share against other customers; 0 means 1.
+	// Weight is the rate that the customer is entitled to over all VMs, in requests per second; 0 means that its usual rate counts alone.
 	Weight float64
 	// Keyed says that only the owner of Key may run the request.
 	Keyed bool
@@ -78,6 +79,10 @@
 type service struct {
 	name    id.Service
 	waiting []*waiter
+	// order is the order of the customers of queued requests.
+	order *fairshare.Order
+	// tolerance is the level of use above which a customer exceeds its share.
+	tolerance tolerance
 	// serviceTime is the average service time of a request at a slowdown of normalSlowdown.
 	serviceTime time.Duration
 	// throughput measures the requests per second that were answered through this VM.
@@ -91,7 +96,9 @@
 // waiter is a queued request.
 type waiter struct {
 	demand Demand
-	ready  chan decision
+	// rank orders it among the requests of other customers.
+	rank  fairshare.Rank
+	ready chan decision
 }
 
 // decision ends the wait of a queued request: either a slot or a refusal.
@@ -132,7 +139,7 @@
 func (d *Dispatcher) service(name id.Service) *service {
 	s, ok := d.services[name]
 	if !ok {
-		s = &service{name: name, serviceTime: initialServiceTime}
+		s = &service{name: name, serviceTime: initialServiceTime, order: fairshare.NewOrder(d.options.Clock.Boot()), tolerance: maxTolerance}
 		d.services[name] = s
 	}
 	return s
@@ -216,6 +223,9 @@
 	d.mu.Lock()
 	s := d.service(demand.Service)
 	now := d.options.Clock.Boot()
+	if !demand.Retry {
+		s.order.Arrive(now, demand.Customer)
+	}
 	if demand.Keyed && !demand.Retry {
 		d.countKey(demand)
 		if !d.admits(now, demand) {
@@ -223,8 +233,10 @@
 			return nil, &Refusal{Reason: Overloaded, RetryAfter: throttledRetryAfter, ServiceTime: s.serviceTime, Final: true}
 		}
 	}
-	if len(s.waiting) == 0 || demand.Keyed || demand.Retry {
+	w := &waiter{demand: demand, rank: d.rank(now, s, demand), ready: make(chan decision, 1)}
+	if d.mayOvertake(now, s, w) {
 		slot, refusal := d.choose(now, s, demand)
+		d.observeTolerance(now, s, demand, slot != nil)
 		if !demand.Keyed && !demand.Retry {
 			s.saturation.observe(now, slot != nil)
 		}
@@ -232,17 +244,18 @@
 			d.mu.Unlock()
 			return slot, refusal.err()
 		}
+	} else {
+		d.observeTolerance(now, s, demand, false)
+		if !demand.Keyed && !demand.Retry {
+			s.saturation.observe(now, false)
+		}
 	}
-	if len(s.waiting) > 0 && !demand.Keyed && !demand.Retry {
-		s.saturation.observe(now, false)
-	}
-	until, refusal := d.waitLimit(now, s, demand)
+	until, refusal := d.waitLimit(now, s, w)
 	if refusal != nil {
 		d.mu.Unlock()
 		return nil, refusal
 	}
-	w := &waiter{demand: demand, ready: make(chan decision, 1)}
-	d.enqueue(s, w)
+	d.enqueue(now, s, w)
 	d.mu.Unlock()
 	return d.await(ctx, s, w, until)
 }
@@ -264,6 +277,7 @@
 	default:
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(other *waiter) bool { return other == w })
+	s.order.Dequeue(w.demand.Customer)
 	if ctx.Err() != nil {
 		return nil, &Refusal{Reason: CallerGone}
 	}
@@ -271,24 +285,28 @@
 }
 
 // enqueue inserts a waiter in front of those that it precedes, so that equals are served in order of arrival.
-func (d *Dispatcher) enqueue(s *service, w *waiter) {
+func (d *Dispatcher) enqueue(now clock.Instant, s *service, w *waiter) {
+	w.rank = s.order.Enqueue(now, w.demand.Customer, d.entitlement(w.demand))
 	at := len(s.waiting)
-	now := d.options.Clock.Boot()
-	for at > 0 && precedes(now, w.demand, s.waiting[at-1].demand) {
+	for at > 0 && w.precedes(now, s.waiting[at-1]) {
 		at--
 	}
 	s.waiting = slices.Insert(s.waiting, at, w)
 }
 
-// precedes reports whether a is served before b: retries first, requests past their objective last, otherwise by priority.
-func precedes(now clock.Instant, a, b Demand) bool {
+// precedes reports whether a waiter is served before another one: retries first, requests past their objective last, otherwise by
+// priority, and within a priority in the fair order of the customers.
+func (w *waiter) precedes(now clock.Instant, other *waiter) bool {
+	a, b := w.demand, other.demand
 	switch {
 	case a.Retry != b.Retry:
 		return a.Retry
 	case a.isLate(now) != b.isLate(now):
 		return b.isLate(now)
-	default:
+	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
+	default:
+		return a.Customer != b.Customer && w.rank < other.rank
 	}
 }
 
@@ -300,18 +318,23 @@
 	}
 	now := d.options.Clock.Boot()
 	kept := s.waiting[:0]
-	blocked := false
+	// blocked says that no request gets a slot, and exceedingBlocked that none of a customer beyond its share does.
+	blocked, exceedingBlocked := false, false
 	for _, w := range s.waiting {
-		if blocked && !w.demand.Keyed {
+		if !w.demand.Keyed && (blocked || exceedingBlocked && d.exceedsShare(now, s, w.demand)) {
 			kept = append(kept, w)
 			continue
 		}
 		slot, refusal := d.choose(now, s, w.demand)
 		if slot == nil && (refusal == nil || !refusal.Final) {
-			blocked = blocked || !w.demand.Keyed && len(w.demand.Avoid) == 0
+			if !w.demand.Keyed && len(w.demand.Avoid) == 0 {
+				exceedingBlocked = true
+				blocked = !d.exceedsShare(now, s, w.demand)
+			}
 			kept = append(kept, w)
 			continue
 		}
+		s.order.Dequeue(w.demand.Customer)
 		w.ready <- decision{slot, refusal}
 	}
 	clear(s.waiting[len(kept):])
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -71,7 +71,7 @@
 	case demand.Keyed && d.isAvailable(now, owner):
 		// The owner has capacity again when the requests beyond its slots are done.
 		r.RetryAfter = min(max(owner.expectedLatency(now, s.serviceTime)-owner.averageServiceTime(s.serviceTime), minRetryAfter), maxRetryAfter)
-		if wait := d.ownerLimitWait(now, s, owner); wait == ratelimit.Never {
+		if wait := d.ownerLimitWait(now, s, owner, nil); wait == ratelimit.Never {
 			r.RetryAfter = limitedRetryAfter
 		} else {
 			r.RetryAfter = min(max(r.RetryAfter, wait), maxRetryAfter)
@@ -86,7 +86,8 @@
 //
 // The wait in the queue is limited to the objective: a longer queue would make
 // every request late without increasing the throughput.
-func (d *Dispatcher) waitLimit(now clock.Instant, s *service, demand Demand) (until clock.Instant, refusal *Refusal) {
+func (d *Dispatcher) waitLimit(now clock.Instant, s *service, w *waiter) (until clock.Instant, refusal *Refusal) {
+	demand := w.demand
 	last := demand.Deadline.Add(-s.serviceTime)
 	if last <= now {
 		return 0, d.refuse(now, s, demand)
@@ -97,11 +98,11 @@
 		inTime = now.Add(time.Duration(lateWaitShare * float64(last.Sub(now))))
 	}
 	if demand.Keyed {
-		return d.keyedWaitLimit(now, s, demand, last, inTime)
+		return d.keyedWaitLimit(now, s, w, last, inTime)
 	}
 	ahead := 0
-	for _, w := range s.waiting {
-		if !precedes(now, demand, w.demand) {
+	for _, other := range s.waiting {
+		if !w.precedes(now, other) {
 			ahead++
 		}
 	}
@@ -109,10 +110,10 @@
 		// In a lasting queue each request waits as long as it may, so the limit is reduced.
 		left := float64(demand.Objective.Sub(now))
 		if ahead > 0 && s.overload.observeLate(now) {
-			inTime = min(inTime, now.Add(time.Duration(overloadWaitShare*left)))
+			inTime = min(inTime, now.Add(time.Duration(d.waitShare(now, s, demand, overloadWaitShare)*left)))
 		}
 		if s.saturation.isLasting(now) {
-			return min(last, inTime, now.Add(time.Duration(saturatedWaitShare*left))), nil
+			return min(last, inTime, now.Add(time.Duration(d.waitShare(now, s, demand, saturatedWaitShare)*left))), nil
 		}
 	}
 	wait := time.Duration(float64(ahead) / max(s.throughput.value(now), minThroughput) * float64(time.Second))
@@ -146,15 +147,15 @@
 )
 
 // keyedWaitLimit returns until when a request with a key may be queued for the key's owner, or a refusal.
-func (d *Dispatcher) keyedWaitLimit(now clock.Instant, s *service, demand Demand, last, inTime clock.Instant) (until clock.Instant, refusal *Refusal) {
-	owner := d.owner(s.name, demand.Key)
+func (d *Dispatcher) keyedWaitLimit(now clock.Instant, s *service, w *waiter, last, inTime clock.Instant) (until clock.Instant, refusal *Refusal) {
+	owner := d.owner(s.name, w.demand.Key)
 	switch {
 	case owner == nil:
 		return min(last, now.Add(handoverWait)), nil
 	case !d.isAvailable(now, owner):
 		return min(last, now.Add(unavailableOwnerWait)), nil
-	case inTime <= now || d.ownerLimitWait(now, s, owner) > inTime.Sub(now):
-		return 0, d.refuse(now, s, demand)
+	case inTime <= now || d.ownerLimitWait(now, s, owner, w) > inTime.Sub(now):
+		return 0, d.refuse(now, s, w.demand)
 	default:
 		return min(last, inTime), nil
 	}
--- a/coordination/dispatch/requestlimit.go
+++ b/coordination/dispatch/requestlimit.go
@@ -133,14 +133,15 @@
 	return c.limitBucket.Wait(now, n)
 }
 
-// ownerLimitWait returns how long the request limit of a key's owner keeps one more request waiting behind those in the queue.
-func (d *Dispatcher) ownerLimitWait(now clock.Instant, s *service, owner *server) time.Duration {
+// ownerLimitWait returns how long the request limit of a key's owner keeps one more request waiting behind those in the queue that it
+// doesn't precede; a nil waiter is behind all.
+func (d *Dispatcher) ownerLimitWait(now clock.Instant, s *service, owner *server, w *waiter) time.Duration {
 	if owner.limitBucket == nil {
 		return 0
 	}
 	ahead := 0
-	for _, w := range s.waiting {
-		if w.demand.Keyed && d.owner(s.name, w.demand.Key) == owner {
+	for _, other := range s.waiting {
+		if other.demand.Keyed && d.owner(s.name, other.demand.Key) == owner && (w == nil || !w.precedes(now, other)) {
 			ahead++
 		}
 	}
