--- a/coordination/fairshare/average.go
+++ b/coordination/fairshare/average.go
@@ -30,11 +30,15 @@
 	a.count, a.at = max(0, a.value(now)-count), now
 }
 
+// window returns the time in seconds by which the value has to be divided for a rate, given the time since which events are counted.
+func (a *average) window(now, began clock.Instant) float64 {
+	elapsed := max(now.Sub(began), time.Second)
+	return a.constant.Seconds() * (1 - math.Exp(-float64(elapsed)/float64(a.constant)))
+}
+
 // rate returns the events per second, given the time since which they are counted.
 func (a *average) rate(now, began clock.Instant) float64 {
-	elapsed := max(now.Sub(began), time.Second)
-	window := a.constant.Seconds() * (1 - math.Exp(-float64(elapsed)/float64(a.constant)))
-	return a.value(now) / window
+	return a.value(now) / a.window(now, began)
 }
 
 // logValue returns the logarithm of the value at time zero, whose order among averages of the same constant doesn't change with time.
--- a/coordination/fairshare/fairshare.go
+++ b/coordination/fairshare/fairshare.go
@@ -40,6 +40,9 @@
 	maxCustomers = 4096
 	// idleDemand is the decayed number of requests below which a customer is dropped.
 	idleDemand = 0.05
+	// priorTime is the time for which a customer counts as if it had sent the mean of all customers before. Without it, a customer that sends
+	// many requests just after the start of the VM would count as one that usually does.
+	priorTime = 10 * time.Second
 	// minWeightShare is the least weight as a share of the mean usual rate: customers with fewer requests than that are served first.
 	minWeightShare = 0.5
 	// minWeight is the least weight, in requests per second. It keeps quotients finite.
@@ -151,12 +154,15 @@
 
 // weight returns the weight of a customer, in requests per second; a nil customer is a new one.
 func (o *Order) weight(now clock.Instant, c *customer, e Entitlement) (w float64) {
+	mean := o.demand.rate(now, o.began) / float64(max(1, len(o.customers)))
+	w = mean
 	if c != nil {
-		w = c.demand.rate(now, o.began)
+		window := o.demand.window(now, o.began)
+		w = (c.demand.value(now) + mean*priorTime.Seconds()) / (window + priorTime.Seconds())
 	}
 	least := e.Min
-	if least == 0 && len(o.customers) > 0 {
-		least = minWeightShare * o.demand.rate(now, o.began) / float64(len(o.customers))
+	if least == 0 {
+		least = minWeightShare * mean
 	}
 	w = max(w, least, minWeight)
 	if e.Max > 0 {
