--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -25,6 +25,8 @@
 	Paces []Pace `cbor:"11,keyasint,omitempty"`
 	// RequestLimits are observations of the request limits that backend servers name.
 	RequestLimits []RequestLimit `cbor:"12,keyasint,omitempty"`
+	// Leaving are backend servers that have announced that they leave.
+	Leaving []Leaving `cbor:"16,keyasint,omitempty"`
 	// Fragment is a part of a longer message; the other parts of this one are omitted.
 	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
 }
@@ -113,6 +115,14 @@
 	Age int `cbor:"4,keyasint"`
 }
 
+// Leaving says that an incarnation of a backend server has announced that it leaves.
+type Leaving struct {
+	Server id.Server       `cbor:"1,keyasint"`
+	Born   fleet.StartTime `cbor:"2,keyasint"`
+	// Age is the time since the first response that announced it, in milliseconds.
+	Age int `cbor:"3,keyasint,omitempty"`
+}
+
 // Crash reports the crash of a backend server's process and the requests that were in flight there, by fingerprint.
 type Crash struct {
 	Server id.Server       `cbor:"1,keyasint,omitempty"`
--- /dev/null
+++ b/transport/gossip/message_test.go
@@ -0,0 +1,56 @@
+package gossip_test
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/gossip"
+)
+
+// formerMessage is a message as the build before number 16 knows it, as far as this test reads it.
+type formerMessage struct {
+	From          id.VM                 `cbor:"1,keyasint"`
+	Incarnation   id.Incarnation        `cbor:"2,keyasint"`
+	Domain        id.Domain             `cbor:"3,keyasint"`
+	Heartbeat     *gossip.Heartbeat     `cbor:"4,keyasint,omitempty"`
+	RequestLimits []gossip.RequestLimit `cbor:"12,keyasint,omitempty"`
+}
+
+// VMs of two builds run side by side during a rollout: each must read what the other one sends, without what it doesn't know.
+func TestMessagesOfOtherBuilds(t *testing.T) {
+	heartbeat := &gossip.Heartbeat{Position: 7, Leading: true}
+	limits := []gossip.RequestLimit{{Server: "s", Born: 2, Rate: 5}}
+	t.Run("an earlier build reads the present form", func(t *testing.T) {
+		is := is.New(t)
+		data, err := cbor.Marshal(gossip.Message{
+			From: "a", Incarnation: "i", Domain: "east", Heartbeat: heartbeat, RequestLimits: limits, Leaving: []gossip.Leaving{{Server: "s", Born: 2, Age: 30}},
+		})
+		is.NoErr(err)
+		var got formerMessage
+		is.NoErr(cbor.Unmarshal(data, &got))
+		is.Equal(got, formerMessage{From: "a", Incarnation: "i", Domain: "east", Heartbeat: heartbeat, RequestLimits: limits})
+	})
+	t.Run("the present build reads the earlier form", func(t *testing.T) {
+		is := is.New(t)
+		data, err := cbor.Marshal(formerMessage{From: "a", Incarnation: "i", Domain: "east", Heartbeat: heartbeat, RequestLimits: limits})
+		is.NoErr(err)
+		var got gossip.Message
+		is.NoErr(cbor.Unmarshal(data, &got))
+		is.Equal(got, gossip.Message{From: "a", Incarnation: "i", Domain: "east", Heartbeat: heartbeat, RequestLimits: limits})
+	})
+	t.Run("the number and the fields of a leaving backend server", func(t *testing.T) {
+		is := is.New(t)
+		// {1: "a", 2: "", 3: "", 16: [{1: "s", 2: 2, 3: 30}]}
+		data := []byte{0xa4, 0x01, 0x61, 'a', 0x02, 0x60, 0x03, 0x60, 0x10, 0x81, 0xa3, 0x01, 0x61, 's', 0x02, 0x02, 0x03, 0x18, 30}
+		var got gossip.Message
+		is.NoErr(cbor.Unmarshal(data, &got))
+		is.Equal(got, gossip.Message{From: "a", Leaving: []gossip.Leaving{{Server: "s", Born: fleet.StartTime(2), Age: 30}}})
+		encoded, err := cbor.Marshal(got)
+		is.NoErr(err)
+		is.Equal(encoded, data)
+	})
+}
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -198,6 +198,9 @@
 			}
 			continue
 		}
+		if r.OnHead != nil {
+			r.OnHead(got.StatusCode, got.Header)
+		}
 		match := Own
 		if r.Match != nil {
 			match = r.Match(got.StatusCode, got.Header)
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -39,6 +39,8 @@
 	Body   []byte
 	// Match says whether a response belongs to this request; nil accepts every response.
 	Match func(status int, h http.Header) Match
+	// OnHead is called with the head of each response that is read on the connection, also of those to other requests; nil means no call.
+	OnHead func(status int, h http.Header)
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
 	// NewConnection requires a new connection, since an idle one may have been dropped without notice.
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -219,3 +219,36 @@
 	is.True(http1.WasSent(<-done))
 	is.True(errors.Is(<-s.connectionErrors, syscall.ECONNRESET))
 }
+
+// The header of a late response to another request says as much of the backend server as any other one, so that it must be reported as well.
+func TestHeadsOfAllResponses(t *testing.T) {
+	tests := map[string]struct {
+		response string
+		want     []int
+		failed   bool
+	}{
+		"its own response":           {response: response("1", "one"), want: []int{200}},
+		"after a late response":      {response: late + response("1", "one"), want: []int{503, 200}},
+		"only a late response":       {response: late + bodyBeforeClose, want: []int{503}, failed: true},
+		"a response without an id":   {response: "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", want: []int{503}, failed: true},
+		"an informational response":  {response: "HTTP/1.1 103 Early Hints\r\n\r\n" + response("1", "one"), want: []int{200}},
+		"its own response truncated": {response: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 30\r\n\r\n" + bodyBeforeClose, want: []int{200}, failed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := request(serve(t, test.response), "1")
+			var got []int
+			r.OnHead = func(status int, _ http.Header) { got = append(got, status) }
+			resp, err := http1.NewClient().Do(context.Background(), r)
+			if err == nil {
+				_, err = read(t, resp, err)
+			}
+			is.Equal(err != nil, test.failed)
+			is.Equal(got, test.want)
+		})
+	}
+}
+
+// late is a response to an earlier request.
+const late = "HTTP/1.1 503 Busy\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n"
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -68,6 +68,8 @@
 	Header  http.Header `cbor:"2,keyasint"`
 	Body    []byte      `cbor:"3,keyasint"`
 	Failure *Failure    `cbor:"4,keyasint"`
+	// Relayed says that the attempt was made through another VM. The VM that asked for it sets it.
+	Relayed bool `cbor:"-"`
 }
 
 // Failure is why an attempt has no response.
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/hickorylug/hickorylug/transport/http1"
@@ -96,3 +97,15 @@
 		})
 	}
 }
+
+// What only the VM that asks knows must not be sent, so that the results of other builds stay the same.
+func TestRelayedIsNotSent(t *testing.T) {
+	is := is.New(t)
+	r := relay.Result{Status: http.StatusServiceUnavailable, Header: http.Header{"Server-Leaving": {"1"}, "Retry-After": {"2"}}}
+	before, err := cbor.Marshal(r)
+	is.NoErr(err)
+	r.Relayed = true
+	after, err := cbor.Marshal(r)
+	is.NoErr(err)
+	is.Equal(after, before)
+}
