Pauses that backend servers ask for, and no further keys for leaving ones

A 503 with Retry-After pauses its backend server for the VM that opened the connection. Requests go elsewhere, or are refused at once with the time until the first pause ends; a request for a key waits for a pause that ends within half of the time to its objective. A 503 with a pause no longer counts towards an ejection, which the other VMs would adopt.

Requests for keys follow fleet.Server.KeyedUntil, and the granter grants no moving keys to an incarnation that has announced that it leaves.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -54,7 +54,7 @@
 		}
 	}
 	if chosen.server == nil {
-		return nil, nil
+		return nil, d.refusePaused(now, s, demand)
 	}
 	slot = d.reserveSlot(now, chosen.server, s)
 	slot.outside = chosen.outside
@@ -255,7 +255,13 @@
 	if demand.isLate(now) {
 		extra = -lateReservedSlots
 	}
-	if owner == nil || !d.hasCapacity(now, owner, extra) {
+	if owner == nil {
+		return nil, nil
+	}
+	if left := d.pauses.left(now, owner.Incarnation); left > 0 && d.snapshot.UsableForKeys(now, owner.Server) {
+		return nil, d.refusePausedOwner(now, s, demand, left)
+	}
+	if !d.hasOwnerCapacity(now, owner, extra) {
 		return nil, nil
 	}
 	finish := now.Add(owner.expectedLatency(now, s.serviceTime))
@@ -288,13 +294,23 @@
 // hasCapacity reports whether a backend server may get one more request, with up to extra requests beyond its slots; a negative extra
 // leaves slots free.
 func (d *Dispatcher) hasCapacity(now clock.Instant, c *server, extra int) bool {
-	return d.isAvailable(now, c) && c.load(now) < c.Slots+extra && (!c.isCold(now) || d.allowsWarmup(now, c, c.Service)) &&
+	return d.snapshot.Usable(c.Server) && d.hasOwnerCapacity(now, c, extra)
+}
+
+// hasOwnerCapacity reports the same for requests for the keys that the backend server owns.
+func (d *Dispatcher) hasOwnerCapacity(now clock.Instant, c *server, extra int) bool {
+	return d.isOwnerAvailable(now, c) && c.load(now) < c.Slots+extra && (!c.isCold(now) || d.allowsWarmup(now, c, c.Service)) &&
 		d.requestLimitWait(now, c, 1) == 0
 }
 
 // isAvailable reports whether a backend server may get new requests.
 func (d *Dispatcher) isAvailable(now clock.Instant, c *server) bool {
-	return d.snapshot.Usable(c.Server) && now >= c.pausedUntil
+	return d.snapshot.Usable(c.Server) && d.isOwnerAvailable(now, c)
+}
+
+// isOwnerAvailable reports whether a backend server may get new requests for the keys that it owns.
+func (d *Dispatcher) isOwnerAvailable(now clock.Instant, c *server) bool {
+	return d.snapshot.UsableForKeys(now, c.Server) && now >= c.pausedUntil && d.pauses.left(now, c.Incarnation) == 0
 }
 
 // hasUsableServer reports whether the snapshot has a usable backend server of a service.
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 	movedFences map[id.Service]map[fleet.Fence]bool
 	keyCounts   map[id.Service]map[fleet.Key]int
 	admissions  admissions
+	pauses      pauses
 }
 
 // service is the queue and the measurements of one service.
@@ -125,7 +126,7 @@
 		options: newOptions(opts), vm: vm, domain: domain,
 		snapshot: &fleet.Snapshot{}, servers: map[id.Server]*server{}, services: map[id.Service]*service{},
 		division: subset.Divide([]id.VM{vm}), preferences: map[id.Service]*preference{},
-		peers: map[id.VM]*peer{}, movedFences: map[id.Service]map[fleet.Fence]bool{}, keyCounts: map[id.Service]map[fleet.Key]int{},
+		peers: map[id.VM]*peer{}, movedFences: map[id.Service]map[fleet.Fence]bool{}, keyCounts: map[id.Service]map[fleet.Key]int{}, pauses: pauses{},
 	}
 }
 
--- a/coordination/dispatch/options.go
+++ b/coordination/dispatch/options.go
@@ -25,6 +25,9 @@
 	// OnRequestLimit is called when this VM learns that a backend server's request limit began, changed or ended, with the limit or 0. It
 	// must not call the dispatcher.
 	OnRequestLimit func(server id.Server, rate ratelimit.Rate)
+	// OnPause is called when a backend server begins to want no requests of this VM, with the time of the pause. It must not call the
+	// dispatcher.
+	OnPause func(server id.Server, duration time.Duration)
 }
 
 // Option sets one of the Options.
@@ -54,10 +57,16 @@
 	return func(o *Options) { o.OnRequestLimit = f }
 }
 
+// WithOnPause sets the function that is called for each pause that a backend server asks of this VM.
+func WithOnPause(f func(server id.Server, duration time.Duration)) Option {
+	return func(o *Options) { o.OnPause = f }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{
 		Clock: clock.System{}, Random: rand.Float64, Peers: func() int { return 1 }, WarmOverage: 1, WarmSlack: 0,
 		OnEject: func(id.Server, float64, time.Duration) {}, OnRequestLimit: func(id.Server, ratelimit.Rate) {},
+		OnPause: func(id.Server, time.Duration) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/coordination/dispatch/peer.go
+++ b/coordination/dispatch/peer.go
@@ -220,7 +220,7 @@
 	for _, c := range d.servers {
 		out = append(out, ServerState{
 			Incarnation: c.Incarnation, Service: c.Service, InFlight: c.inFlight, PeersInFlight: c.peersInFlight, ServiceTime: c.averageServiceTime(d.service(c.Service).serviceTime),
-			Cold: c.isCold(now), Paused: now < c.pausedUntil, RefusesConnections: c.refusedAt > 0, FailureRate: c.failureRate,
+			Cold: c.isCold(now), Paused: now < c.pausedUntil || d.pauses.left(now, c.Incarnation) > 0, RefusesConnections: c.refusedAt > 0, FailureRate: c.failureRate,
 		})
 	}
 	return out
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -31,12 +31,17 @@
 	// Waiting and ServiceTime are the inputs of the decision: the queue length, and the average service time.
 	Waiting     int
 	ServiceTime time.Duration
+	// PausedFor is the time until the first of the backend servers that want no requests accepts them again; 0 means that this isn't the reason.
+	PausedFor time.Duration
 	// Final says that waiting in the queue can't help.
 	Final bool
 }
 
 // Error returns the reason with the inputs of the decision.
 func (r *Refusal) Error() string {
+	if r.PausedFor > 0 {
+		return fmt.Sprintf("%s: no backend server wants requests for another %s", r.Reason, r.PausedFor)
+	}
 	return fmt.Sprintf("%s: %d requests wait, one takes %s", r.Reason, r.Waiting, r.ServiceTime)
 }
 
@@ -68,7 +73,7 @@
 	switch {
 	case demand.Keyed && owner == nil:
 		r.Reason, r.RetryAfter = NoOwner, noOwnerRetryAfter
-	case demand.Keyed && d.isAvailable(now, owner):
+	case demand.Keyed && d.isOwnerAvailable(now, owner):
 		// The owner has capacity again when the requests beyond its slots are done.
 		r.RetryAfter = min(max(owner.expectedLatency(now, s.serviceTime)-owner.averageServiceTime(s.serviceTime), minRetryAfter), maxRetryAfter)
 		if wait := d.ownerLimitWait(now, s, owner); wait == ratelimit.Never {
@@ -151,7 +156,10 @@
 	switch {
 	case owner == nil:
 		return min(last, now.Add(handoverWait)), nil
-	case !d.isAvailable(now, owner):
+	case d.pauses.left(now, owner.Incarnation) > 0:
+		// The pause ends well within the objective; otherwise the request was refused.
+		return min(last, inTime), nil
+	case !d.isOwnerAvailable(now, owner):
 		return min(last, now.Add(unavailableOwnerWait)), nil
 	case inTime <= now || d.ownerLimitWait(now, s, owner) > inTime.Sub(now):
 		return 0, d.refuse(now, s, demand)
--- a/coordination/dispatch/slot.go
+++ b/coordination/dispatch/slot.go
@@ -40,6 +40,11 @@
 	// RequestLimit is the number of requests per second that the backend server accepts from all VMs together, also if Known isn't set; 0
 	// means that it named no limit.
 	RequestLimit ratelimit.Rate
+	// RetryAfter is the time for which a backend server that rejected the request wants no further ones of the VM that opened the connection,
+	// also if Known isn't set; 0 means that it names none.
+	RetryAfter time.Duration
+	// Relayed says that another VM opened the connection.
+	Relayed bool
 }
 
 // Done releases the slot and records the result of the attempt. Further calls have no effect.
@@ -61,6 +66,7 @@
 		c.inFlight--
 		c.recordReport(now, report)
 		s.recordRequestLimit(now, c, result, report)
+		s.recordPause(now, report)
 		before := c.ejections
 		c.recordResult(now, result, report, time.Duration(float64(now.Sub(s.acquiredAt))/s.queueFactor))
 		if c.ejections > before {
@@ -115,7 +121,8 @@
 		s.recordAnswer(now, latency)
 	case Shed:
 		s.failureRate += ewmaWeight * (1 - s.failureRate)
-		if !report.Known || report.Running+report.Waiting >= s.Slots {
+		namesPause := report.RetryAfter > 0 && !report.Relayed
+		if !namesPause && (!report.Known || report.Running+report.Waiting >= s.Slots) {
 			s.pausedUntil = max(s.pausedUntil, now.Add(shedPause))
 		}
 	case TimedOut:
@@ -128,7 +135,10 @@
 		s.refusedAt = now
 		s.pause(now)
 	case ServerError:
-		s.recordError(now)
+		// A pause is for one VM. Ejections, which the other VMs adopt, must not follow from it.
+		if report.RetryAfter == 0 {
+			s.recordError(now)
+		}
 	case Cancelled, Misplaced:
 	}
 }
--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -133,6 +133,8 @@
 	IsSuspended func(i fleet.Incarnation) bool
 	// IsLost reports whether an incarnation has left so many commands unanswered that its keys are reassigned.
 	IsLost func(i fleet.Incarnation) bool
+	// IsLeaving reports whether an incarnation has announced that it leaves, so that it gets no further keys; nil means that none has.
+	IsLeaving func(i fleet.Incarnation) bool
 	// Isolated says that this VM reaches too few others to know that no former leader still renews grants.
 	Isolated bool
 }
@@ -190,7 +192,7 @@
 			return c, false
 		}
 	case s.released || now > s.holdExpiry && !liveness.Isolated || liveness.IsDead(*r.PreviousOwner):
-		unavailable := liveness.IsDead(r.Owner) || liveness.IsSuspended(r.Owner)
+		unavailable := liveness.IsDead(r.Owner) || liveness.IsSuspended(r.Owner) || liveness.IsLeaving != nil && liveness.IsLeaving(r.Owner)
 		s.abandoned = unavailable || liveness.IsLost(r.Owner)
 		if unavailable {
 			return c, false
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -162,3 +162,34 @@
 		})
 	}
 }
+
+// Guards against keys that are granted to a backend server which has announced meanwhile that it leaves, and would have to move again. The
+// keys that it holds are renewed until they have moved.
+func TestLeavingOwnerGetsNoFurtherKeys(t *testing.T) {
+	const electedAt = clock.Instant(time.Hour)
+	a, b, c := incarnation("a"), incarnation("b"), incarnation("c")
+	never := func(fleet.Incarnation) bool { return false }
+	healthy := ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}
+	leaving := healthy
+	leaving.IsLeaving = func(i fleet.Incarnation) bool { return i == b }
+	is := is.New(t)
+	g := ownership.NewGranter(electedAt)
+	moving := fleet.Range{From: 0, To: 9, Owner: b, Fence: 2, PreviousOwner: &a, PreviousFence: 1}
+	held := fleet.Range{From: 10, To: fleet.KeyCount - 1, Owner: b, Fence: 1}
+	table := &fleet.Table{Service: service, Fence: 2, Ranges: []fleet.Range{moving, held}}
+	now := electedAt
+	for _, cmd := range g.Due(now, table, healthy) {
+		g.Report(now, cmd, ownership.Done, "")
+	}
+	now = now.Add(time.Second)
+	commands := g.Due(now, table, leaving)
+	is.Equal(len(commands), 1)
+	is.Equal(commands[0].From, held.From)
+	g.Report(now, commands[0], ownership.Done, "")
+	next, changed, _ := g.Revise(table, []ownership.Candidate{{Incarnation: b}, {Incarnation: c, Eligible: true, Warm: true, Capacity: 10}}, nil)
+	is.True(changed)
+	for _, key := range []fleet.Key{0, 10} {
+		r, _ := next.Find(key)
+		is.Equal(r.Owner, c)
+	}
+}
