--- a/edge/commands.go
+++ b/edge/commands.go
@@ -23,6 +23,7 @@
 		IsDead:      func(inc fleet.Incarnation) bool { return k.hasEnded(s, inc) },
 		IsSuspended: func(inc fleet.Incarnation) bool { return k.isSuspended(now, inc) },
 		IsLost:      func(inc fleet.Incarnation) bool { return k.isLost(now, inc) },
+		IsLeaving:   k.edge.departures.IsLeaving,
 		Isolated:    isolated,
 	})
 	k.mu.Unlock()
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -215,6 +215,7 @@
 	}
 	e.keys.addPaces(m.Paces)
 	e.applyRequestLimits(m.RequestLimits)
+	e.applyDepartures(m.From, m.Leaving)
 	for _, r := range m.Crashes {
 		e.crashes.Merge(e.clock.Boot(), r.ToReport())
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -27,7 +27,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/time/rate"
 
+	"github.com/hickorylug/hickorylug/coordination/departure"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/leader"
@@ -96,6 +98,10 @@
 	leaderSyncedAt clock.Instant
 	// storeAnsweredAt is when the store last answered this VM, and storeFailedAt when a synchronization of this VM with the store last failed.
 	storeAnsweredAt, storeFailedAt clock.Instant
+	// departures are the backend servers that have announced that they leave.
+	departures *departure.Records
+	// pauseLogs bounds the log lines of pauses.
+	pauseLogs rate.Sometimes
 	// keeper keeps what an outage of the store or an older copy of it would take back.
 	keeper *retention.Keeper
 
@@ -134,6 +140,8 @@
 		bodies:         http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
 		splitter:       newTrafficSplitter(),
 		elector:        leader.NewElector(s.VM, o.Clock.Boot()),
+		departures:     departure.NewRecords(s.DrainTime.Std()),
+		pauseLogs:      rate.Sometimes{First: maxPauseLogs, Interval: pauseLogPeriod},
 		keeper:         retention.NewKeeper(),
 		resync:         make(chan struct{}, 1),
 		replan:         make(chan struct{}, 1),
@@ -147,7 +155,8 @@
 	e.metrics = newMetrics(e)
 	e.store.Observe, e.store.OnEra = e.metrics.observeStore, e.observeEra
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
-		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit))
+		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit),
+		dispatch.WithOnPause(e.observePause))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
 		forward.WithOnSuspect(e.observeSuspect), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.handler = entry.NewHandler(entry.Dependencies{
--- a/edge/load.go
+++ b/edge/load.go
@@ -45,6 +45,7 @@
 		e.dispatcher.ExpirePeers()
 		e.dispatcher.Tick()
 		e.announceRequestLimits()
+		e.announceDepartures()
 		nearby := e.neighbourAddresses()
 		now := e.clock.Boot()
 		loads := e.dispatcher.Loads()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -25,9 +25,11 @@
 	edge         *Edge
 	lostMessages atomic.Int64
 	panics       atomic.Int64
-	store        *expvar.Map
-	requests     *expvar.Map
-	attempts     *expvar.Map
+	// leaving counts the incarnations of backend servers that announced that they leave, and pauses the times that one wanted no requests.
+	leaving, pauses atomic.Int64
+	store           *expvar.Map
+	requests        *expvar.Map
+	attempts        *expvar.Map
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -160,6 +162,7 @@
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
 		"BlockedRequests": e.crashes.Blocked(e.clock.Boot()), "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
+		"Leaving": m.leaving.Load(), "Pauses": m.pauses.Load(),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
@@ -46,10 +47,14 @@
 	if a.Timeout <= 0 {
 		return relay.Result{Failure: &relay.Failure{Cause: "no time is left"}}
 	}
+	if failure := e.mayBegin(a); failure != nil {
+		return relay.Result{Failure: failure}
+	}
 	header := a.Header
 	request := http1.Request{
 		Address: a.Address, Server: string(a.Server), Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
 		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
+		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
 	}
 	if !a.Command {
 		header = header.Clone()
@@ -93,6 +98,9 @@
 		if left.Timeout -= e.clock.Boot().Sub(started); left.Timeout <= 0 || ctx.Err() != nil {
 			break
 		}
+		if failure := e.mayBegin(a); failure != nil {
+			return relay.Result{Failure: failure}, true
+		}
 		result, err := e.relayClient.Do(ctx, peer.VM, peer.Address, left)
 		isUnreached := err == nil && result.Failure != nil && !result.Failure.Sent && !result.Failure.AtConnectionLimit
 		switch {
@@ -104,6 +112,10 @@
 			continue
 		case err == nil:
 			e.metrics.attempts.Add("relayed", 1)
+			result.Relayed = true
+			if inc, ok := e.respondent(a, result.Header); ok {
+				e.observeLeaving(inc, result.Header)
+			}
 			if result.Failure != nil {
 				result.Failure.Cause = "through VM " + string(peer.VM) + ": " + result.Failure.Cause
 			}
@@ -120,10 +132,10 @@
 
 // attemptForOther makes an attempt for a VM that reaches no backend server; ok is false if this VM declines it.
 //
-// It declines what it wouldn't send itself: the other VM may know less of the
+// It declines what it wouldn't send itself, also while the backend server wants no requests of this VM. The other VM may know less of the
 // backend server. Commands carry the name of the process that is to run them.
 func (e *Edge) attemptForOther(ctx context.Context, a relay.Attempt) (r relay.Result, ok bool) {
-	if e.reach.IsCutOff() {
+	if e.reach.IsCutOff() || e.dispatcher.IsPaused(fleet.Incarnation{Server: a.Server, Born: a.Born}) && !a.Command {
 		return r, false
 	}
 	if !a.Command {
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/coordination/departure"
+	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/reach"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
@@ -35,7 +37,10 @@
 				w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
 			}))
 			defer server.Close()
-			e := &Edge{clock: clock.System{}, backends: http1.NewClient(), reach: reach.NewDetector()}
+			e := &Edge{
+				clock: clock.System{}, backends: http1.NewClient(), reach: reach.NewDetector(), departures: departure.NewRecords(time.Second),
+				dispatcher: dispatch.NewDispatcher("a", "east"),
+			}
 			a := test.attempt
 			a.Server, a.Address, a.Method, a.Target, a.Host, a.Timeout = "s", strings.TrimPrefix(server.URL, "http://"), http.MethodGet, "/", "a.example", 2*time.Second
 			if a.Header == nil {
--- a/edge/send.go
+++ b/edge/send.go
@@ -31,7 +31,7 @@
 	meta := platform.ParseResponseHeader(result.Status, result.Header)
 	return &forward.Reply{
 		Answer:    forward.Answer{Status: result.Status, Header: result.Header, Body: result.Body, Server: server.Server},
-		Report:    dispatch.Report{Known: meta.HasLoad, Running: meta.Running, Waiting: meta.Waiting, Slots: meta.Slots, Slowdown: meta.Slowdown, RequestLimit: ratelimit.Rate(meta.RequestLimit)},
+		Report:    dispatch.Report{Known: meta.HasLoad, Running: meta.Running, Waiting: meta.Waiting, Slots: meta.Slots, Slowdown: meta.Slowdown, RequestLimit: ratelimit.Rate(meta.RequestLimit), RetryAfter: meta.RetryAfter, Relayed: result.Relayed},
 		NotRun:    meta.NotRun,
 		Misplaced: meta.Misplaced,
 	}, nil
--- a/edge/store.go
+++ b/edge/store.go
@@ -228,7 +228,7 @@
 	e.publishing.Lock()
 	defer e.publishing.Unlock()
 	old := e.snapshot.Load()
-	s := e.withRetained(old, e.mirror.Snapshot())
+	s := e.departures.Apply(e.clock.Boot(), e.withRetained(old, e.mirror.Snapshot()))
 	e.snapshot.Store(s)
 	e.dispatcher.Update(s)
 	e.forwarder.FollowServers(old, s)
