--- a/coordination/departure/departure_test.go
+++ b/coordination/departure/departure_test.go
@@ -164,7 +164,11 @@
 	r := f.vms[vm]
 	s := r.Apply(now, snapshot(server(1)))
 	owner := s.Servers["s"]
-	if !s.Usable(owner) && !(keyed && s.UsableForKeys(now, owner)) {
+	usable := s.Usable(owner)
+	if keyed {
+		usable = s.UsableForKeys(now, owner)
+	}
+	if !usable {
 		return 0, false
 	}
 	if at = now.Add(delay); !r.AllowsAttempt(at, incarnation(1)) {
@@ -196,6 +200,31 @@
 	}
 }
 
+// play plays requests until some time after the backend server has begun to leave. It returns when each VM sent the last one, and how many
+// for its keys were sent after the VM knew that it leaves.
+func (f *departureFleet) play(leavesAt clock.Instant) (last []clock.Instant, keyed int) {
+	last = make([]clock.Instant, len(f.vms))
+	for now := start; now < leavesAt.Add(10*time.Second); now = now.Add(10 * time.Millisecond) {
+		for range 4 {
+			vm, isKeyed := f.random.IntN(len(f.vms)), f.random.IntN(2) == 0
+			// The first VM has most of the requests, and some are delayed between the choice and the sending.
+			if f.random.IntN(2) == 0 {
+				vm = 0
+			}
+			delay := time.Duration(f.random.ExpFloat64() * float64(300*time.Millisecond))
+			at, sent := f.send(now, vm, now >= leavesAt, isKeyed, delay)
+			if sent {
+				last[vm] = max(last[vm], at)
+			}
+			if sent && isKeyed && f.forwardedAt[vm] > 0 && now > f.forwardedAt[vm] {
+				keyed++
+			}
+		}
+		f.gossip(now)
+	}
+	return last, keyed
+}
+
 // No request may reach a leaving backend server later than the drain time after its VM has forwarded a response of it, whether or not the
 // VM hears of the others. VMs that are in contact must stop although they have no response of it.
 func TestNoRequestAfterTheDrainTime(t *testing.T) {
@@ -216,26 +245,8 @@
 			for range vms {
 				f.vms = append(f.vms, departure.NewRecords(drainTime))
 			}
-			last := make([]clock.Instant, vms)
-			leavesAt, keyed := start.Add(time.Second), 0
-			for now := start; now < start.Add(10*time.Second); now = now.Add(10 * time.Millisecond) {
-				for range 4 {
-					vm, isKeyed := f.random.IntN(vms), f.random.IntN(2) == 0
-					// The first VM has most of the requests, and some are delayed between the choice and the sending.
-					if f.random.IntN(2) == 0 {
-						vm = 0
-					}
-					delay := time.Duration(f.random.ExpFloat64() * float64(300*time.Millisecond))
-					at, sent := f.send(now, vm, now >= leavesAt, isKeyed, delay)
-					if sent {
-						last[vm] = max(last[vm], at)
-					}
-					if sent && isKeyed && f.forwardedAt[vm] > 0 && now > f.forwardedAt[vm] {
-						keyed++
-					}
-				}
-				f.gossip(now)
-			}
+			leavesAt := start.Add(time.Second)
+			last, keyed := f.play(leavesAt)
 			for vm := range vms {
 				if f.forwardedAt[vm] > 0 && last[vm] > f.forwardedAt[vm].Add(drainTime) {
 					t.Errorf("VM %d sent a request %s after it had forwarded the first response", vm, last[vm].Sub(f.forwardedAt[vm]))
--- a/edge/departures.go
+++ b/edge/departures.go
@@ -76,7 +76,7 @@
 	}
 	news := make([]departure.News, len(leaving))
 	for i, l := range leaving {
-		news[i] = departure.News{Incarnation: fleet.Incarnation{Server: l.Server, Born: l.Born}, Age: time.Duration(min(l.Age, maxLeavingAge)) * time.Millisecond}
+		news[i] = departure.News{Incarnation: fleet.Incarnation{Server: l.Server, Born: l.Born}, Age: time.Duration(min(max(l.Age, -1), maxLeavingAge)) * time.Millisecond}
 	}
 	added := e.departures.ObserveShared(e.clock.Boot(), news)
 	for _, inc := range added {
@@ -87,7 +87,7 @@
 	}
 }
 
-// maxLeavingAge limits the age in a message, in milliseconds, so that it can't overflow; records of this age are dropped.
+// maxLeavingAge limits the age in a message, in milliseconds, so that it can't overflow; records of this age or a negative one are dropped.
 const maxLeavingAge = 1 << 40
 
 // mayBegin returns why an attempt must not be begun any more, or nil. Its backend server was chosen before a response said that it leaves
--- a/edge/departures_test.go
+++ b/edge/departures_test.go
@@ -155,7 +155,7 @@
 			v.receive(gossip.Message{From: "b", Leaving: []gossip.Leaving{{Server: "s1", Born: 0, Age: 40}}})
 		}},
 		"messages that are malformed": {play: func(_ *testing.T, v *leavingVM) {
-			v.receive(gossip.Message{From: "b", Leaving: []gossip.Leaving{{Born: 1}, {Server: "s1", Born: 1, Age: -1}, {Server: "s1", Born: 1, Age: 1 << 62}}})
+			v.receive(gossip.Message{From: "b", Leaving: []gossip.Leaving{{Born: 1}, {Server: "s1", Born: 1, Age: -1}, {Server: "s1", Born: 1, Age: 1 << 62}, {Server: "s1", Born: 1, Age: -1 << 62}}})
 		}},
 		"a response of another backend server": {play: func(t *testing.T, v *leavingVM) {
 			v.attempt(t.Context(), attemptAt(serveHead(t, http.StatusMisdirectedRequest, http.Header{platform.HeaderLeaving: {"1"}, platform.HeaderInstance: {"s9"}})))
@@ -320,6 +320,39 @@
 	is.Equal(asked, 1) // The other VM would send it too late.
 }
 
+// The keys of a leaving owner are served while they move also for a VM that is cut off, but not near the end of the drain time.
+func TestAttemptsForOthersAtLeavingOwners(t *testing.T) {
+	tests := map[string]struct {
+		keyed bool
+		after time.Duration
+		sent  bool
+	}{
+		"a request for its key":        {keyed: true, sent: true},
+		"a request for its key, later": {keyed: true, after: 1100 * time.Millisecond},
+		"a request without a key":      {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := newLeavingVM(t)
+			address := serveHead(t, http.StatusOK, nil)
+			v.register("s1", address, 1)
+			if test.keyed {
+				data, err := fleet.EncodeTable(&fleet.Table{Service: "plans", Fence: 1, Ranges: []fleet.Range{
+					{From: 0, To: fleet.KeyCount - 1, Owner: fleet.Incarnation{Server: "s1", Born: 1}, Fence: 1},
+				}})
+				is.NoErr(err)
+				v.put(platform.KeyTable("plans"), string(data))
+			}
+			v.receive(gossip.Message{From: "b", Leaving: []gossip.Leaving{{Server: "s1", Born: 1}}})
+			v.clock.now = v.clock.now.Add(test.after)
+			r, ok := v.attemptForOther(t.Context(), attemptAt(address))
+			is.True(ok)
+			is.Equal(r.Status == http.StatusOK, test.sent)
+		})
+	}
+}
+
 // The report to the dispatcher must tell whose pause a response names.
 func TestReportsOfRejections(t *testing.T) {
 	is := is.New(t)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -141,7 +141,11 @@
 	if !a.Command {
 		s := e.snapshot.Load()
 		server, known := s.Servers[a.Server]
-		if !known || server.Born != a.Born || !s.Usable(server) {
+		isUsable := s.Usable(server)
+		if s.Tables[server.Service] != nil {
+			isUsable = s.UsableForKeys(e.clock.Boot(), server)
+		}
+		if !known || server.Born != a.Born || !isUsable {
 			return relay.Result{Failure: &relay.Failure{Cause: "the backend server is not in use here"}}, true
 		}
 		a.Address = server.Address
