Take a pause only from the backend server that a request was sent to

A response of another backend server at the same address names the pause of that one. Also tests a request for a key that is queued when a pause begins.

--- a/coordination/dispatch/pause_test.go
+++ b/coordination/dispatch/pause_test.go
@@ -199,6 +199,19 @@
 				p.Equal(slot.Server.Server, id.Server("s1"))
 			})
 		}},
+		"a queued request for a key of the owner": {servers: 1, keyed: true, play: func(p *pausePlayer) {
+			var first *dispatch.Slot
+			for range slots + 8 {
+				first = p.acquire(true)
+			}
+			time.AfterFunc(50*time.Millisecond, func() { first.Done(dispatch.Shed, rejection) })
+			began := p.clock.Boot()
+			_, err := p.vm.Acquire(context.Background(), p.demand(true))
+			var r *dispatch.Refusal
+			p.True(errors.As(err, &r))
+			p.Equal(r.RetryAfter, pause)
+			p.Equal(p.clock.Boot().Sub(began), 50*time.Millisecond)
+		}},
 		"the owner of a key, for long": {servers: 2, keyed: true, play: func(p *pausePlayer) {
 			p.acquire(true).Done(dispatch.Shed, rejection)
 			p.Equal(p.refused(p.demand(true)), pause)
--- a/edge/departures_test.go
+++ b/edge/departures_test.go
@@ -355,15 +355,28 @@
 
 // The report to the dispatcher must tell whose pause a response names.
 func TestReportsOfRejections(t *testing.T) {
-	is := is.New(t)
-	v := newLeavingVM(t)
-	address := serveHead(t, http.StatusServiceUnavailable, http.Header{"Retry-After": {"2"}, platform.HeaderNotRun: {"1"}})
-	v.register("s1", address, 1)
-	request := &forward.Request{ID: "r1", Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{}, Route: &fleet.Route{Idempotent: true}}
-	server := v.snapshot.Load().Servers["s1"]
-	reply, failure := v.sendAttempt(t.Context(), forward.Attempt{Request: request, Slot: &dispatch.Slot{Server: server}, Timeout: time.Second})
-	is.Equal(failure, nil)
-	is.True(reply.NotRun)
-	is.Equal(reply.Report.RetryAfter, 2*time.Second)
-	is.True(!reply.Report.Relayed)
+	tests := map[string]struct {
+		respondent string
+		want       time.Duration
+	}{
+		"the backend server":         {respondent: "s1", want: 2 * time.Second},
+		"a response without a name":  {want: 2 * time.Second},
+		"another one at its address": {respondent: "s9"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := newLeavingVM(t)
+			address := serveHead(t, http.StatusServiceUnavailable, http.Header{"Retry-After": {"2"}, platform.HeaderNotRun: {"1"}, platform.HeaderInstance: {test.respondent}})
+			v.register("s1", address, 1)
+			request := &forward.Request{ID: "r1", Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{}, Route: &fleet.Route{Idempotent: true}}
+			server := v.snapshot.Load().Servers["s1"]
+			reply, failure := v.sendAttempt(t.Context(), forward.Attempt{Request: request, Slot: &dispatch.Slot{Server: server}, Timeout: time.Second})
+			is.Equal(failure, nil)
+			is.True(reply.NotRun)
+			is.Equal(reply.Report.RetryAfter, test.want)
+			is.True(!reply.Report.Relayed)
+			is.Equal(v.dispatcher.IsPaused(server.Incarnation), test.want > 0)
+		})
+	}
 }
--- a/edge/send.go
+++ b/edge/send.go
@@ -21,14 +21,19 @@
 // sendAttempt makes one attempt at sending a request to a backend server.
 func (e *Edge) sendAttempt(ctx context.Context, a forward.Attempt) (reply *forward.Reply, failure *forward.Failure) {
 	r, server := a.Request, a.Slot.Server
-	result := e.attempt(ctx, relay.Attempt{
+	attempt := relay.Attempt{
 		Server: server.Server, Born: server.Born, Address: server.Address, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body,
 		RequestID: r.ID, Timeout: a.Timeout, MaxConnections: a.Slot.MaxConnections, NewConnection: a.NewConnection, Detached: !r.Route.Idempotent,
-	})
+	}
+	result := e.attempt(ctx, attempt)
 	if f := result.Failure; f != nil {
 		return nil, &forward.Failure{Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Abandoned: f.Abandoned, Cause: errors.New(f.Cause)}
 	}
 	meta := platform.ParseResponseHeader(result.Status, result.Header)
+	if inc, ok := e.respondent(attempt, result.Header); !ok || inc != server.Incarnation {
+		// Another backend server at its address has answered.
+		meta.RetryAfter = 0
+	}
 	return &forward.Reply{
 		Answer:    forward.Answer{Status: result.Status, Header: result.Header, Body: result.Body, Server: server.Server},
 		Report:    dispatch.Report{Known: meta.HasLoad, Running: meta.Running, Waiting: meta.Waiting, Slots: meta.Slots, Slowdown: meta.Slowdown, RequestLimit: ratelimit.Rate(meta.RequestLimit), RetryAfter: meta.RetryAfter, Relayed: result.Relayed},
