--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -33,6 +33,8 @@
 	attempts     *expvar.Map
 	customers    *customerCounters
 	lines        *lineLimiter
+	// leaving counts the incarnations of backend servers that announced that they leave, and pauses the times that one wanted no requests.
+	leaving, pauses atomic.Int64
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -184,6 +186,7 @@
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
 		"BlockedRequests": e.crashes.Blocked(e.clock.Boot()), "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
 		"Customers": m.customerValues(), "Granted": e.Allotments(customerRows).Granted,
+		"Leaving": m.leaving.Load(), "Pauses": m.pauses.Load(),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
