--- a/coordination/allotment/figures_test.go
+++ b/coordination/allotment/figures_test.go
@@ -138,12 +138,12 @@
 
 // replay decides on the arrivals of a play by another scheme. It returns the most that got through in a window, as a fraction of the
 // allotment, and the used fraction of what a single bucket would have admitted.
-func replay(p *player, make func(limit fleet.Allotment) scheme) (most, used float64) {
+func replay(p *player, newScheme func(limit fleet.Allotment) scheme) (most, used float64) {
 	var admittedAll, ideal float64
 	for _, c := range p.customers() {
 		l := p.logs[c]
 		limit := l.limits[0].Allotment
-		s, central := make(limit), localBucket{level: limit.Burst, at: playStart}
+		s, central := newScheme(limit), localBucket{level: limit.Burst, at: playStart}
 		var admitted []clock.Instant
 		for i, t := range l.arrived {
 			counts := t.Sub(playStart) > playWarmup
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -19,6 +19,7 @@
 	"github.com/hickorylug/hickorylug/state/settings"
 	"github.com/hickorylug/hickorylug/state/task"
 	"github.com/hickorylug/hickorylug/state/unit"
+	"github.com/hickorylug/hickorylug/transport/gossip"
 )
 
 // newAllotmentEdge returns an Edge that leads, with only what allotments need.
@@ -131,3 +132,55 @@
 	is.True(e.allotments.stopTimer == nil)
 	is.Equal(len(e.Allotments(10).Held), 0)
 }
+
+// A VM that doesn't lead must get tokens by datagram. Without, it would refuse all requests beyond a small floor.
+func TestAdmitAtAnotherVM(t *testing.T) {
+	is := is.New(t)
+	acme := fleet.Customer{Name: "acme", Allotment: fleet.Allotment{Rate: 500, Burst: 100}}
+	leading, other := newAllotmentEdge(clock.System{}, acme), newAllotmentEdge(clock.System{}, acme)
+	other.settings.VM, other.elector = "b", leader.NewElector("b", other.clock.Boot())
+	ctx, cancel := context.WithCancel(context.Background())
+	peers := map[id.VM]fleet.Peer{}
+	var ended []<-chan error
+	for _, e := range []*Edge{leading, other} {
+		socket, err := gossip.Listen("127.0.0.1:0", e.mirror.Since)
+		is.NoErr(err)
+		e.socket, e.metrics = socket, newMetrics(e)
+		peers[e.settings.VM] = fleet.Peer{VM: e.settings.VM, Address: socket.Address()}
+	}
+	for _, e := range []*Edge{leading, other} {
+		s := *e.snapshot.Load()
+		s.Peers = peers
+		e.snapshot.Store(&s)
+		ended = append(ended, e.socket.Serve(ctx, e.allotments.receive))
+	}
+	stop := make(chan struct{})
+	go keepLeading(leading, stop)
+	beat := func() {
+		other.mu.Lock()
+		other.elector.RecordHeartbeat(other.clock.Boot(), "a", true, 1, false)
+		other.leaderGrants = true
+		other.mu.Unlock()
+		leading.allotments.followLeader()
+		other.allotments.followLeader()
+	}
+	admitted := 0
+	for start := time.Now(); admitted < 50 && time.Since(start) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+		beat()
+		if _, err := other.allotments.admit(ctx, &acme, other.clock.Boot().Add(time.Second)); err == nil {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 50)
+	is.True(other.Allotments(1).InContact)
+	is.Equal(other.Allotments(1).Held[0].Customer, acme.Name)
+	is.Equal(len(other.Allotments(1).Granted), 0)
+	is.Equal(leading.Allotments(1).Granted[0].Customer, acme.Name)
+	close(stop)
+	cancel()
+	for i, e := range []*Edge{leading, other} {
+		e.allotments.stop()
+		is.NoErr(<-ended[i])
+		e.tasks.Wait()
+	}
+}
