Bound what comes back of tokens reserved for VMs without contact

What can come back is now at most the free part of the bucket. The model's VMs could also go back to an older configuration, which real ones don't; the player now applies versions in order.

--- a/coordination/allotment/granter.go
+++ b/coordination/allotment/granter.go
@@ -77,6 +77,9 @@
 	allotment fleet.Allotment
 	level     float64
 	at        clock.Instant
+	// refundable is the number of reserved tokens that can come back. It is at most the free capacity: a bucket without reservations would
+	// have overflowed.
+	refundable float64
 	// pool is the part of the allotment that this granter may use: the shares that VMs have reported to it, or all.
 	pool     Share
 	holdings []*holding
@@ -241,7 +244,12 @@
 		h.spent = spent
 		b.rates.spend(unseen)
 	}
-	b.level = min(capacity(b.allotment), b.level+h.reserved-unseen)
+	change := h.reserved - unseen
+	if change > 0 {
+		change = min(change, b.refundable)
+		b.refundable -= change
+	}
+	b.level = min(capacity(b.allotment), b.level+change)
 	h.reserved = 0
 }
 
@@ -275,10 +283,12 @@
 		if h.counted() > 0 && now.After(h.vm.silentFrom()) {
 			reserved := h.counted().of(b.allotment.Rate) * elapsed(max(b.at, h.vm.silentFrom()), now)
 			h.reserved += reserved
+			b.refundable += reserved
 			gain -= reserved
 		}
 	}
 	b.level = min(capacity(b.allotment), b.level+gain)
+	b.refundable = min(b.refundable, capacity(b.allotment)-max(0, b.level))
 	b.line = max(0, b.line-b.allotment.Rate*elapsed(b.at, now))
 	b.rates.advance(elapsed(b.at, now))
 	b.at = now
--- a/coordination/allotment/player_test.go
+++ b/coordination/allotment/player_test.go
@@ -103,6 +103,7 @@
 	frozenUntil, downTo clock.Instant
 	timerAt             clock.Instant
 	limits              map[id.Customer]fleet.Allotment
+	versions            map[id.Customer]int
 }
 
 // cut is a time in which messages between two sets of VMs are lost; deaf loses only those to the first set.
@@ -190,9 +191,9 @@
 // start starts a VM's process.
 func (p *player) start(v *playVM) {
 	v.incarnation++
-	v.limits = map[id.Customer]fleet.Allotment{}
+	v.limits, v.versions = map[id.Customer]fleet.Allotment{}, map[id.Customer]int{}
 	for c, a := range p.current {
-		v.limits[c] = a
+		v.limits[c], v.versions[c] = a, len(p.logs[c].limits)
 	}
 	lookup := func(c id.Customer) (fleet.Allotment, bool) { a, ok := v.limits[c]; return a, ok }
 	v.holder = NewHolder(p.protocolSettings(), lookup)
@@ -502,8 +503,14 @@
 	a.Rate, a.Burst = a.Rate*factor, a.Burst*factor
 	p.current[c] = a
 	p.logs[c].limits = append(p.logs[c].limits, limitChange{at: p.now, Allotment: a})
+	version := len(p.logs[c].limits)
 	for _, v := range p.vms {
-		p.onVM(v, p.now.Add(p.between(0, playApply)), func() { v.limits[c] = a })
+		p.onVM(v, p.now.Add(p.between(0, playApply)), func() {
+			// An older version of the configuration never comes back into force.
+			if version > v.versions[c] {
+				v.limits[c], v.versions[c] = a, version
+			}
+		})
 	}
 }
 
