--- a/cmd/hickorysoak/customers.go
+++ b/cmd/hickorysoak/customers.go
@@ -64,9 +64,13 @@
 
 func newCustomerBook() *customerBook {
 	b := &customerBook{}
-	for name, l := range map[string]limit{"ample": {}, "large": {rate: 40, burst: 20}, "small": {rate: 8, burst: 4}, "tiny": {rate: 2}} {
+	add := func(name string, l limit) {
 		b.list = append(b.list, &customer{name: name, limits: []limit{l}, keys: []*apiKey{newKey(name, 0)}})
 	}
+	add("ample", limit{})
+	add("large", limit{rate: 40, burst: 20})
+	add("small", limit{rate: 8, burst: 4})
+	add("tiny", limit{rate: 2})
 	return b
 }
 
