--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -356,7 +356,7 @@
 }
 
 // restoreStore brings the store back from a copy that is d old, after an outage of a quarter of d. With customers, the operator writes the
-// latest configuration again before the store is reachable; otherwise a VM without any other source would apply the older one.
+// latest configuration again an eighth of d later; until then the VMs must not apply the older one.
 func (e *environment) restoreStore(d time.Duration) {
 	copied := e.store.Copy()
 	time.Sleep(d)
@@ -365,12 +365,14 @@
 	e.store.SetFault(kv.Fault{Down: true})
 	time.Sleep(d / 4)
 	e.store.Restore(copied)
-	if e.customers != nil {
-		e.mu.Lock()
-		e.store.Put("op/config", e.configuration)
-		e.mu.Unlock()
-	}
 	e.store.SetFault(kv.Fault{})
+	if e.customers == nil {
+		return
+	}
+	time.Sleep(d / 8)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.store.Put("op/config", e.configuration)
 }
 
 // disturb sets a random fault mode of a proxy for the duration d.
