--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -92,7 +92,7 @@
 			return
 		}
 	}
-	args := []any{"request", v.ID, "service", string(v.Service), "status", v.Status, "tookMs", v.Duration.Milliseconds(), "version", v.Version, "attempts", v.Attempts, "server", string(v.Server), "newsAgeMs", e.storeStaleness().Milliseconds()}
+	args := []any{"request", v.ID, "service", string(v.Service), "status", v.Status, "tookMs", v.Duration.Milliseconds(), "version", v.Version, "attempts", v.Attempts, "server", string(v.Server), "newsAgeMs", e.newsAge().Milliseconds()}
 	if v.Route != nil {
 		args = append(args, "route", string(v.Route.Name))
 	}
@@ -178,7 +178,7 @@
 	}
 	out := map[string]any{
 		"Requests": json.RawMessage(m.requests.String()), "Sendings": json.RawMessage(m.attempts.String()), "Store": json.RawMessage(m.store.String()),
-		"InFlight": e.handler.InFlight(), "Position": s.Position.Number(), "StoreEra": e.store.Era(), "Configuration": version, "NewsAgeMs": e.storeStaleness().Milliseconds(),
+		"InFlight": e.handler.InFlight(), "Position": s.Position.Number(), "StoreEra": e.store.Era(), "Configuration": version, "NewsAgeMs": e.newsAge().Milliseconds(),
 		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
