Let VMs without contact collect their part of a customer's burst

Change: the local bucket holds the VM's part of the burst; the granter's bucket is smaller by the parts of VMs without contact, and of VMs that it hasn't heard of, and gives back no more than a local bucket can hold.

--- a/coordination/allotment/granter.go
+++ b/coordination/allotment/granter.go
@@ -93,6 +93,18 @@
 	balancedAt      clock.Instant
 }
 
+// capacity returns the number of tokens that the bucket may collect: the burst without the parts of VMs without contact, which collect them
+// by themselves, and of VMs that this granter hasn't heard of yet.
+func (b *bucket) capacity(now clock.Instant) float64 {
+	part := b.pool
+	for _, h := range b.holdings {
+		if h.counted() > 0 && now.After(h.vm.silentFrom()) {
+			part -= h.counted()
+		}
+	}
+	return max(1, max(0, part).of(capacity(b.allotment)))
+}
+
 // holding is the share of a VM in a bucket.
 type holding struct {
 	name   id.VM
@@ -244,12 +256,14 @@
 		h.spent = spent
 		b.rates.spend(unseen)
 	}
-	change := h.reserved - unseen
-	if change > 0 {
-		change = min(change, b.refundable)
+	// The VM's bucket held its part of the burst at most; the rest of what was reserved had overflowed there.
+	unused := min(h.reserved, h.counted().of(capacity(b.allotment))) - unseen
+	change := min(0, h.reserved-unseen)
+	if unused > 0 {
+		change = min(unused, b.refundable)
 		b.refundable -= change
 	}
-	b.level = min(capacity(b.allotment), b.level+change)
+	b.level = min(b.capacity(b.at), b.level+change)
 	h.reserved = 0
 }
 
@@ -268,7 +282,7 @@
 	g.advance(b, now)
 	if b.allotment != a {
 		b.allotment = a
-		b.level = min(b.level, capacity(a))
+		b.level = min(b.level, b.capacity(now))
 	}
 	return b
 }
@@ -287,7 +301,7 @@
 			gain -= reserved
 		}
 	}
-	b.level = min(capacity(b.allotment), b.level+gain)
+	b.level = min(b.capacity(now), b.level+gain)
 	b.refundable = min(b.refundable, capacity(b.allotment)-max(0, b.level))
 	b.line = max(0, b.line-b.allotment.Rate*elapsed(b.at, now))
 	b.rates.advance(elapsed(b.at, now))
@@ -328,7 +342,7 @@
 	if e.Returned <= 0 {
 		return
 	}
-	b.level = min(capacity(b.allotment), b.level+min(float64(e.Returned), g.settings.ahead(b.allotment)))
+	b.level = min(b.capacity(b.at), b.level+min(float64(e.Returned), g.settings.ahead(b.allotment)))
 }
 
 // grantAhead returns the number of tokens that a VM gets ahead of need. One is left for a request that waits at another VM.
--- a/coordination/allotment/holder.go
+++ b/coordination/allotment/holder.go
@@ -235,9 +235,9 @@
 
 // refill adds what the VM's share has yielded while there was no contact to the granter.
 //
-// What is held and what the share has yielded are together at most the VM's room,
-// so that a cut-off moves no more tokens from one window to the next than tokens
-// held ahead of need do.
+// The VM's bucket has its part of the burst, since a request every now and then
+// would find a smaller one empty at the usual rates. The granter's bucket is
+// smaller by that part meanwhile.
 func (h *Holder) refill(now clock.Instant, a *account, limit fleet.Allotment) {
 	from := a.refilledAt
 	a.refilledAt = now
@@ -255,7 +255,7 @@
 			a.share, a.held = 0, 0
 		}
 		if a.share > 0 {
-			rate, size = max(rate, a.share.of(limit.Rate)), h.settings.room(limit, a.share)
+			rate, size = max(rate, a.share.of(limit.Rate)), max(h.settings.room(limit, a.share), int(a.share.of(capacity(limit))))
 		}
 	}
 	a.level = min(max(0, float64(size-a.held)), a.level+rate*elapsed(from, now))
--- a/coordination/allotment/player_test.go
+++ b/coordination/allotment/player_test.go
@@ -348,6 +348,12 @@
 		if !g.hasKnown {
 			g.known, g.hasKnown = 1, true
 		}
+		// A bucket is smaller by the parts of VMs without contact, which at first are all VMs.
+		if p.now.Sub(g.since) < time.Second {
+			for _, v := range g.vms {
+				v.contactAt = p.now
+			}
+		}
 	case earlyHandover:
 		for _, v := range g.vms {
 			for _, h := range v.holdings {
