--- a/coordination/dispatch/fairness.go
+++ b/coordination/dispatch/fairness.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// minEntitledPart is the least weight at this VM as a part of an even part of the customer's rate.
+	minEntitledPart = 0.5
 	// fullExcess is the excess from which a customer gets the fewest places. It is a range and not a limit, since the use of a customer with
 	// two requests a second deviates by a fifth or more from its mean.
 	fullExcess = 0.6
@@ -31,10 +33,12 @@
 // entitlement returns the bounds of a customer's weight at this VM.
 //
 // A VM knows the customer's rate over all VMs, but not the part of it that
-// comes through itself. The customer may have an equal part at each VM or
-// everything at this one.
+// comes through itself. The customer may have a part at each VM or everything at
+// this one. The least weight is below an even part, since customers usually
+// send less than they are entitled to: it must not make those with callers at
+// all VMs equal to one with all callers here.
 func (d *Dispatcher) entitlement(demand Demand) fairshare.Entitlement {
-	return fairshare.Entitlement{Min: demand.Weight / float64(max(1, d.options.Peers())), Max: demand.Weight}
+	return fairshare.Entitlement{Min: minEntitledPart * demand.Weight / float64(max(1, d.options.Peers())), Max: demand.Weight}
 }
 
 // rank returns the place of a request among those of other customers.
--- a/coordination/dispatch/fairness_test.go
+++ b/coordination/dispatch/fairness_test.go
@@ -44,8 +44,9 @@
 	// elsewhere says that none of its callers is at the first VM.
 	elsewhere bool
 	// hot says that all of its requests are for a key of the first backend server.
-	hot    bool
-	weight float64
+	hot bool
+	// entitled is the rate that it is entitled to as a multiple of its usual one; 0 means no limit.
+	entitled float64
 
 	usual, contended fairCount
 }
@@ -74,8 +75,8 @@
 	mu        sync.Mutex
 }
 
-// entitled returns the share of its requests that a customer was served. Of requests beyond the usual rate none has to be.
-func (c *fairCustomer) entitled() float64 {
+// servedShare returns the share of its requests that a customer was served. Of requests beyond the usual rate none has to be.
+func (c *fairCustomer) servedShare() float64 {
 	return min(1, float64(c.contended.served)/max(1, float64(c.contended.sent)/max(1, c.factor)))
 }
 
@@ -93,7 +94,7 @@
 func (p *fairnessPlayer) request(ctx context.Context, vm int, customer int, key fleet.Key, chance float64) (inTime bool) {
 	began := p.clock.Boot()
 	demand := dispatch.Demand{
-		Service: service, Customer: id.Customer(fmt.Sprint("c", customer)), Weight: p.load.customers[customer].weight,
+		Service: service, Customer: id.Customer(fmt.Sprint("c", customer)), Weight: p.weight(customer),
 		Arrived: began, Deadline: began.Add(deadline), Objective: began.Add(objective), Keyed: p.load.keyed, Key: key,
 	}
 	slot, err := p.vms[vm].Acquire(ctx, demand)
@@ -108,11 +109,21 @@
 	return result == dispatch.Answered && p.clock.Boot().Sub(began) <= objective
 }
 
+// weight returns the rate that a customer is entitled to, in requests per second.
+func (p *fairnessPlayer) weight(customer int) float64 {
+	total := 0.0
+	for _, c := range p.load.customers {
+		total += c.rate
+	}
+	c := p.load.customers[customer]
+	return c.entitled * c.rate / total * p.load.usual * capacity
+}
+
 // send sends requests of all customers for a time and counts them.
 func (p *fairnessPlayer) send(ctx context.Context, random *rand.Rand, group *sync.WaitGroup, duration time.Duration, contended bool) {
 	rates := make([]float64, len(p.customers))
 	total, usual := 0.0, 0.0
-	for i, c := range p.customers {
+	for i, c := range p.load.customers {
 		rates[i], usual = c.rate, usual+c.rate
 		if contended {
 			rates[i] *= c.factor * p.load.load
@@ -220,7 +231,24 @@
 		c[0].atVM, c[0].factor = true, 10
 	})
 	hotKey := equalCustomers(20, func(c []fairCustomer) { c[0].hot, c[0].factor = true, 10 })
+	// With a limit, customers may send 1.6 times their usual rate, and some do. They differ in size.
+	withLimits := func(change func(c []fairCustomer)) []fairCustomer {
+		return equalCustomers(20, func(c []fairCustomer) {
+			for i := range c {
+				c[i].entitled, c[i].rate = 1.6, 2+float64(i%3)
+			}
+			change(c)
+		})
+	}
+	limitsAtOneVM := withLimits(func(c []fairCustomer) { c[0].atVM = true })
+	limitsExceeded := withLimits(func(c []fairCustomer) {
+		for i := range 8 {
+			c[i].factor = 1.6
+		}
+	})
 	tests := map[string]fairnessLoad{
+		"limits, all callers at one VM, above the capacity":               {customers: limitsAtOneVM, usual: 0.9, load: 1.4},
+		"limits, eight of 20 use theirs in full, above the capacity":      {customers: limitsExceeded, usual: 0.9, load: 1},
 		"nobody exceeds its share, near the capacity":                     {customers: equalCustomers(20, none), usual: 0.9, load: 1},
 		"one at ten times its rate, near the capacity":                    {customers: oneAtTenTimes, usual: 0.65, load: 1},
 		"one at ten times its rate, above the capacity":                   {customers: oneAtTenTimes, usual: 0.85, load: 1},
@@ -279,8 +307,8 @@
 	var shares []float64
 	behaving := 0
 	for _, c := range customers {
-		shares = append(shares, c.entitled())
-		f.mean += c.entitled() / float64(len(customers))
+		shares = append(shares, c.servedShare())
+		f.mean += c.servedShare() / float64(len(customers))
 		f.load += float64(c.contended.sent) / (capacity * contendedTime.Seconds())
 		f.throughput += float64(c.contended.served) / (capacity * contendedTime.Seconds())
 		if c.factor == 1 {
