Begin with a share of the granter's tokens when a VM loses contact

Cause: a VM that lost contact to the granter began with an empty local bucket. Change: each answer says how many tokens the granter has left; a VM begins with its share of them, and the granter takes the same number out of its bucket when it considers the VM silent.

--- a/coordination/allotment/account.go
+++ b/coordination/allotment/account.go
@@ -35,6 +35,10 @@
 	// level is what the share has yielded without contact, and refilledAt when it was last computed.
 	level      float64
 	refilledAt clock.Instant
+	// granterLevel is the number of tokens that the granter had left at its latest answer, and startedFor the contact after whose loss the
+	// VM has begun with its share of them.
+	granterLevel int
+	startedFor   clock.Instant
 	// spent counts requests sent without tokens, and spentReported those of which the granter knows.
 	spent, spentReported uint64
 	returned             int
--- a/coordination/allotment/allotment.go
+++ b/coordination/allotment/allotment.go
@@ -165,6 +165,8 @@
 	// Share is offered to the VM under the number Offer.
 	Share Share  `cbor:"5,keyasint,omitempty"`
 	Offer uint64 `cbor:"6,keyasint,omitempty"`
+	// Level is the number of tokens that the granter has left. The VM begins with its share of them when it loses contact.
+	Level int `cbor:"7,keyasint,omitempty"`
 }
 
 // elapsed returns the seconds between two instants, or 0 if to is earlier.
--- a/coordination/allotment/granter.go
+++ b/coordination/allotment/granter.go
@@ -118,6 +118,10 @@
 	// reserved is the number of tokens taken from the bucket for what the VM may have spent by its share since its last report.
 	reserved float64
 	spent    uint64
+	// told are the levels of the bucket in the latest two answers to the VM, and startedFor the contact after whose loss its share of the
+	// higher one was reserved.
+	told       [2]int
+	startedFor clock.Instant
 }
 
 // counted returns the share that the VM may be using.
@@ -296,6 +300,10 @@
 	for _, h := range b.holdings {
 		if h.counted() > 0 && now.After(h.vm.silentFrom()) {
 			reserved := h.counted().of(b.allotment.Rate) * elapsed(max(b.at, h.vm.silentFrom()), now)
+			if h.startedFor != h.vm.contactAt {
+				h.startedFor = h.vm.contactAt
+				reserved += h.counted().of(float64(max(h.told[0], h.told[1])))
+			}
 			h.reserved += reserved
 			b.refundable += reserved
 			gain -= reserved
@@ -330,7 +338,8 @@
 		out.Tokens += ahead
 		b.level -= float64(ahead)
 		g.offer(now, b, h)
-		out.Share, out.Offer = h.offered, h.offer
+		out.Share, out.Offer, out.Level = h.offered, h.offer, int(max(0, b.level))
+		h.told = [2]int{h.told[1], out.Level}
 	}
 	b.granted += uint64(out.Tokens)
 	b.rates.grant(float64(out.Tokens))
--- a/coordination/allotment/holder.go
+++ b/coordination/allotment/holder.go
@@ -255,6 +255,10 @@
 			a.share, a.held = 0, 0
 		}
 		if a.share > 0 {
+			if a.startedFor != h.contactAt {
+				a.startedFor = h.contactAt
+				a.level = a.share.of(float64(a.granterLevel))
+			}
 			rate, size = max(rate, a.share.of(limit.Rate)), max(h.settings.room(limit, a.share), int(a.share.of(capacity(limit))))
 		}
 	}
@@ -316,6 +320,7 @@
 		return
 	}
 	a := h.account(now, e.Customer)
+	a.granterLevel = max(0, e.Level)
 	if e.Offer > a.offer {
 		a.offer, a.unconfirmed = e.Offer, true
 		a.share = min(max(0, e.Share), WholeShare)
