--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -51,7 +51,7 @@
 	Objective clock.Instant
 	// Customer is the customer that sent the request, or empty if none is identified.
 	Customer id.Customer
-	// Weight is the customer's share against other customers of the same priority; 0 means 1.
+	// Weight is the rate that the customer is entitled to over all VMs, in requests per second; 0 means that it has no limit.
 	Weight float64
 	// Priority orders the queue; 0 is the highest.
 	Priority int
