--- a/coordination/allotment/allotment.go
+++ b/coordination/allotment/allotment.go
@@ -50,7 +50,7 @@
 	floorOverage = 0.2
 	// aheadSlack is the part of the slack for tokens ahead of need.
 	aheadSlack = 0.75
-	// slotPart is the part of the tokens ahead of need that is divided evenly, one for each VM with a share. The rest is divided by share.
+	// slotPart is the part of the tokens ahead of need that is divided evenly, one for each VM that may hold some. The rest is divided by share.
 	slotPart = 0.5
 )
 
@@ -85,7 +85,7 @@
 	return aheadOverage*s.Overage*(a.Rate*s.Window.Seconds()+a.Burst) + aheadSlack*s.Slack
 }
 
-// slots returns the number of VMs that may have a share, and so at least one token ahead of need.
+// slots returns the number of VMs that may hold tokens ahead of need, at least one each.
 func (s Settings) slots(a fleet.Allotment) int { return int(slotPart * s.ahead(a)) }
 
 // room returns the number of tokens that a VM with a share may hold ahead of need. The sum over all VMs is at most ahead.
--- a/coordination/allotment/granter.go
+++ b/coordination/allotment/granter.go
@@ -115,6 +115,8 @@
 	confirmed, offered Share
 	offer              uint64
 	target             Share
+	// holdsAhead says that the VM may hold tokens ahead of need.
+	holdsAhead bool
 	// reserved is the number of tokens taken from the bucket for what the VM may have spent by its share since its last report.
 	reserved float64
 	spent    uint64
@@ -356,6 +358,9 @@
 
 // grantAhead returns the number of tokens that a VM gets ahead of need. One is left for a request that waits at another VM.
 func (g *Granter) grantAhead(b *bucket, h *holding, e AskEntry) int {
+	if !h.holdsAhead {
+		return 0
+	}
 	share := min(h.confirmed, h.offered)
 	free := g.settings.room(b.allotment, share) - max(0, e.Held)
 	return max(0, min(e.Ahead, free, int(max(0, b.level-1))))
--- a/coordination/allotment/share.go
+++ b/coordination/allotment/share.go
@@ -48,7 +48,7 @@
 	return h
 }
 
-// balance divides the pool of a bucket by demand among the VMs with the most of it.
+// balance divides the pool of a bucket by demand, and chooses the VMs that may hold tokens ahead of need: those with the most of it.
 func (g *Granter) balance(now clock.Instant, b *bucket) {
 	if now.Sub(b.balancedAt) < balancePeriod && b.balancedAt > 0 {
 		return
@@ -56,16 +56,19 @@
 	b.balancedAt = now
 	list := make([]*holding, 0, len(b.holdings))
 	for _, h := range b.holdings {
-		h.target = 0
+		h.target, h.holdsAhead = 0, false
 		if h.demand >= minDemand {
 			list = append(list, h)
 		}
 	}
-	if slots := g.settings.slots(b.allotment); len(list) > slots {
+	slots := g.settings.slots(b.allotment)
+	if len(list) > slots {
 		slices.SortFunc(list, func(x, y *holding) int {
 			return cmp.Or(-cmp.Compare(x.demand, y.demand), -cmp.Compare(x.confirmed, y.confirmed), cmp.Compare(x.name, y.name))
 		})
-		list = list[:slots]
+	}
+	for _, h := range list[:min(len(list), slots)] {
+		h.holdsAhead = true
 	}
 	var total float64
 	for _, h := range list {
@@ -84,17 +87,11 @@
 	}
 	next := h.target
 	if next > h.confirmed {
-		free, used := b.pool, 0
+		free := b.pool
 		for _, other := range b.holdings {
 			free -= other.counted()
-			if other.counted() > 0 {
-				used++
-			}
 		}
 		next = min(next, h.confirmed+max(0, free))
-		if h.confirmed == 0 && used >= g.settings.slots(b.allotment) {
-			return
-		}
 	}
 	change := float64(max(next-h.confirmed, h.confirmed-next))
 	if change == 0 || next > 0 && h.confirmed > 0 && change < minChange*float64(h.confirmed) {
