--- a/coordination/forward/crashexchange_test.go
+++ b/coordination/forward/crashexchange_test.go
@@ -15,9 +15,9 @@
 
 // options returns the options of a VM and starts its periodic reports. The fleet's mu is held.
 func (e *crashExchange) options(f *crashFleet, v *crashVM) []forward.Option {
-	e.ledger = poison.NewLedger(func(r poison.Report) {
+	e.ledger = poison.NewLedger(poison.WithOnReport(func(r poison.Report) {
 		f.deliver(v, func(to *crashVM) { to.ledger.Merge(f.clock.Boot(), r) })
-	})
+	}))
 	isLeader := len(f.vms) == 0
 	var repeat func()
 	repeat = func() {
--- a/coordination/forward/options.go
+++ b/coordination/forward/options.go
@@ -63,7 +63,7 @@
 
 func newOptions(opts []Option) Options {
 	o := Options{
-		Clock: clock.System{}, Crashes: poison.NewLedger(func(poison.Report) {}),
+		Clock: clock.System{}, Crashes: poison.NewLedger(),
 		OnSuspect:  func(id.Server, poison.Fingerprint) {},
 		Observe:    func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure) {},
 		RetryShare: defaultRetryShare, RetryBurst: func() float64 { return defaultRetryBurst },
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -19,7 +19,7 @@
 	if f.options.Crashes.Check(f.options.Clock.Boot(), s.fingerprint) != poison.Blocked {
 		return nil
 	}
-	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d", s.fingerprint)
+	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d, crashes %d", s.fingerprint, f.options.Crashes.Crashes(s.fingerprint))
 }
 
 // recordSigns records what the result of an attempt says of a crash of the process.
--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -65,7 +66,7 @@
 // flight beside it are in few of them and don't count where it explains the
 // crash.
 type Ledger struct {
-	onReport func(Report)
+	options Options
 
 	mu       sync.Mutex
 	inFlight map[fleet.Incarnation]map[Fingerprint]int
@@ -79,10 +80,10 @@
 	repeatAllAt clock.Instant
 }
 
-// NewLedger returns an empty ledger. It calls onReport with what the other VMs have to be told.
-func NewLedger(onReport func(Report)) *Ledger {
+// NewLedger returns an empty ledger.
+func NewLedger(opts ...Option) *Ledger {
 	return &Ledger{
-		onReport: onReport, inFlight: map[fleet.Incarnation]map[Fingerprint]int{}, unanswered: map[fleet.Incarnation]map[Fingerprint]clock.Instant{},
+		options: newOptions(opts), inFlight: map[fleet.Incarnation]map[Fingerprint]int{}, unanswered: map[fleet.Incarnation]map[Fingerprint]clock.Instant{},
 		crashes: map[fleet.Incarnation]*crash{}, crashesOf: map[Fingerprint]map[fleet.Incarnation]bool{}, clearedAt: map[Fingerprint]clock.Instant{},
 	}
 }
@@ -122,7 +123,7 @@
 	}
 	l.mu.Unlock()
 	if cleared != nil {
-		l.onReport(Report{Cleared: cleared})
+		l.options.OnReport(Report{Cleared: cleared})
 	}
 }
 
@@ -144,7 +145,7 @@
 		}
 		l.mu.Unlock()
 		if added {
-			l.onReport(Report{Process: p, Age: now.Sub(c.at), Suspects: []Fingerprint{f}})
+			l.options.OnReport(Report{Process: p, Age: now.Sub(c.at), Suspects: []Fingerprint{f}})
 		}
 		return
 	}
@@ -175,12 +176,13 @@
 	report, isOwn := Report{Process: p, Suspects: slices.Clone(c.own)}, c.isOwn
 	l.mu.Unlock()
 	if isOwn {
-		l.onReport(report)
+		l.options.OnReport(report)
 	}
 }
 
-// Merge adds the report of another VM, and reports the requests that this VM had in flight at the process.
-func (l *Ledger) Merge(now clock.Instant, r Report) {
+// Merge adds the report of another VM, and reports the requests that this VM had in flight at the process. It returns the suspects that
+// were not known.
+func (l *Ledger) Merge(now clock.Instant, r Report) (added []Fingerprint) {
 	l.mu.Lock()
 	for _, f := range r.Cleared {
 		if l.status(now, f) != Blocked {
@@ -189,7 +191,7 @@
 	}
 	if r.Process.Server == "" {
 		l.mu.Unlock()
-		return
+		return nil
 	}
 	c, isNew := l.crashes[r.Process], false
 	if c == nil {
@@ -197,23 +199,27 @@
 	}
 	if c == nil {
 		l.mu.Unlock()
-		return
+		return nil
 	}
 	for _, f := range r.Suspects {
-		l.addSuspect(r.Process, c, f)
+		if l.addSuspect(r.Process, c, f) {
+			added = append(added, f)
+		}
 	}
 	c.isOwn = c.isOwn || isNew && len(c.own) > 0
 	report := Report{Process: r.Process, Age: now.Sub(c.at), Suspects: slices.Clone(c.own)}
 	l.mu.Unlock()
 	if isNew && len(report.Suspects) > 0 {
-		l.onReport(report)
+		l.options.OnReport(report)
 	}
+	return added
 }
 
 // addCrash records a crash with the suspects of this VM; it returns nil if there is no room.
 func (l *Ledger) addCrash(now clock.Instant, p fleet.Incarnation, at clock.Instant) *crash {
 	l.expire(now)
 	if len(l.crashes) >= maxCrashes {
+		l.options.OnDrop(p, Full, nil)
 		return nil
 	}
 	c := &crash{at: at, ownAt: now, suspects: map[Fingerprint]bool{}}
@@ -259,15 +265,17 @@
 		delete(l.unanswered, p)
 	}
 	if c := l.crashes[p]; c != nil && c.at < began {
-		l.dropCrash(p)
+		l.dropCrash(p, Refuted)
 	}
 }
 
-func (l *Ledger) dropCrash(p fleet.Incarnation) {
-	for f := range l.crashes[p].suspects {
+func (l *Ledger) dropCrash(p fleet.Incarnation, cause Cause) {
+	suspects := slices.Collect(maps.Keys(l.crashes[p].suspects))
+	for _, f := range suspects {
 		l.acquit(p, f)
 	}
 	delete(l.crashes, p)
+	l.options.OnDrop(p, cause, suspects)
 }
 
 // acquit removes a crash from those of a suspect.
@@ -284,6 +292,7 @@
 		if c := l.crashes[p]; c.at <= at {
 			delete(c.suspects, f)
 			l.acquit(p, f)
+			l.options.OnDrop(p, RanWell, []Fingerprint{f})
 		}
 	}
 	if _, known := l.clearedAt[f]; known || len(l.clearedAt) < maxCleared {
@@ -295,7 +304,7 @@
 func (l *Ledger) expire(now clock.Instant) {
 	for p, c := range l.crashes {
 		if now.Sub(c.at) > defaultRetention {
-			l.dropCrash(p)
+			l.dropCrash(p, Expired)
 		}
 	}
 	for p, list := range l.unanswered {
@@ -400,7 +409,7 @@
 	}
 	l.mu.Unlock()
 	for _, r := range due {
-		l.onReport(r)
+		l.options.OnReport(r)
 	}
 }
 
@@ -410,14 +419,32 @@
 	return most >= crashesToBlock
 }
 
-// Blocked returns the number of requests that are refused at the moment.
-func (l *Ledger) Blocked(now clock.Instant) (n int) {
+// Stats are the numbers of what a ledger holds.
+type Stats struct {
+	// Crashes is the number of crashed processes, and Suspects that of the requests that were in flight at one of them.
+	Crashes, Suspects int
+	// Blocked is the number of requests that are refused at the moment.
+	Blocked int
+	// Unconfirmed is the number of processes that left a request unanswered and may have crashed.
+	Unconfirmed int
+}
+
+// Stats returns the numbers of what the ledger holds.
+func (l *Ledger) Stats(now clock.Instant) Stats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s := Stats{Crashes: len(l.crashes), Suspects: len(l.crashesOf), Unconfirmed: len(l.unanswered)}
 	for f := range l.crashesOf {
 		if l.status(now, f) == Blocked {
-			n++
+			s.Blocked++
 		}
 	}
-	return n
+	return s
+}
+
+// Crashes returns the number of crashed processes at which a request was in flight.
+func (l *Ledger) Crashes(f Fingerprint) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.crashesOf[f])
 }
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -44,7 +44,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			l := poison.NewLedger(func(poison.Report) {})
+			l := poison.NewLedger()
 			for _, r := range test.reports {
 				l.Merge(at(0), r)
 			}
@@ -66,7 +66,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			l := poison.NewLedger(func(poison.Report) {})
+			l := poison.NewLedger()
 			process, now := fleet.Incarnation{Server: "a", Born: 1}, clock.Instant(time.Hour)
 			l.Begin(process, 1)
 			l.Begin(process, 2)
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -20,7 +20,7 @@
 //		// Run while no other suspect is running.
 //	}
 //
-//	l := poison.NewLedger(announce)
+//	l := poison.NewLedger(poison.WithOnReport(announce))
 //	l.Begin(process, fingerprint)
 //	l.Unanswered(now, process, fingerprint) // the connection broke
 //	l.RecordCrash(now, process, false)      // the port is closed: announces the suspects
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -219,7 +219,9 @@
 	e.applyRequestLimits(m.RequestLimits)
 	e.applyDepartures(m.From, m.Leaving)
 	for _, r := range m.Crashes {
-		e.crashes.Merge(e.clock.Boot(), r.ToReport())
+		if added := e.crashes.Merge(e.clock.Boot(), r.ToReport()); len(added) > 0 {
+			e.log.Info("another VM reports requests that a crashed backend server had", "from", string(m.From), "server", string(r.Server), "born", int64(r.Born), "ageMs", r.Age, "fingerprints", added)
+		}
 	}
 	if m.Heartbeat != nil {
 		e.handleHeartbeat(m)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -157,7 +157,7 @@
 	}
 	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
 	e.relayClient, e.relayHandler = relay.NewClient(e.bodies), relay.NewHandler(e.bodies, e.attemptForOther)
-	e.crashes = poison.NewLedger(e.reportCrash)
+	e.crashes = poison.NewLedger(poison.WithOnReport(e.reportCrash), poison.WithOnDrop(e.observeDroppedSuspects))
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -19,6 +19,7 @@
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/protocol/customers"
+	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
 )
@@ -125,6 +126,14 @@
 	}
 }
 
+// observeDroppedSuspects logs that a crash no longer counts against requests.
+func (e *Edge) observeDroppedSuspects(p fleet.Incarnation, cause poison.Cause, suspects []poison.Fingerprint) {
+	if len(suspects) == 0 && cause != poison.Full {
+		return
+	}
+	e.log.Info("a crash no longer counts against requests", "server", string(p.Server), "born", int64(p.Born), "cause", string(cause), "fingerprints", suspects)
+}
+
 // observeSuspect logs that a request got no answer, so that it may have crashed the backend server.
 func (e *Edge) observeSuspect(server id.Server, f poison.Fingerprint) {
 	e.log.Info("a request got no answer: it may have crashed the backend server", "server", string(server), "fingerprint", uint64(f))
@@ -178,14 +187,14 @@
 	if s.Configuration != nil {
 		version = s.Configuration.Version
 	}
-	allotments := e.Allotments(customerRows)
+	allotments, crashes := e.Allotments(customerRows), e.crashes.Stats(e.clock.Boot())
 	out := map[string]any{
 		"Requests": json.RawMessage(m.requests.String()), "Sendings": json.RawMessage(m.attempts.String()), "Store": json.RawMessage(m.store.String()),
 		"InFlight": e.handler.InFlight(), "Position": s.Position.Number(), "StoreEra": e.store.Era(), "Configuration": version, "NewsAgeMs": e.newsAge().Milliseconds(),
 		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
-		"BlockedRequests": e.crashes.Blocked(e.clock.Boot()), "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
+		"BlockedRequests": crashes.Blocked, "Crashes": crashes, "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
 		"Customers": m.customerValues(allotments), "Granted": allotments.Granted,
 		"Leaving": m.leaving.Load(), "Pauses": m.pauses.Load(),
 	}
