--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -1,9 +1,11 @@
 package forward_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +31,8 @@
 	// crashRestartTime is the time from a crash to the start of the replacement, and crashRemovalTime the time to the removal of the entry.
 	crashRestartTime = 3 * time.Second
 	crashRemovalTime = 2600 * time.Millisecond
+	// crashRestartDelay is the time from a crash to the restart of VMs.
+	crashRestartDelay = 1500 * time.Millisecond
 	// crashTarget is the target of the request that crashes each backend server that runs it.
 	crashTarget = "/crash"
 )
@@ -56,6 +60,19 @@
 	messageDelay time.Duration
 	// staleAnswer makes another request's answer, written before the crash, arrive after the first connection broke.
 	staleAnswer bool
+	// restart returns which of the VMs lose their memory crashRestartDelay after a crash, given its number and the number of VMs; nil means
+	// none.
+	restart func(crash, vms int) []int
+	// cutFor is how long after each crash no message of a VM reaches another one.
+	cutFor time.Duration
+	// versions is the number of versions of the software of the backend servers, of which only the first one crashes; 0 means one.
+	versions int
+	// removalTime is the time to the removal of the entry of a crashed backend server; 0 means crashRemovalTime.
+	removalTime time.Duration
+	// keyed says that one backend server at a time owns the key of all requests.
+	keyed bool
+	// moves says that the key moves before each repeat of the request, to each version in turn.
+	moves bool
 }
 
 // crashFleet is a fleet of VMs in front of backend servers, one of whose requests crashes them.
@@ -75,15 +92,24 @@
 	sent     map[*crashVM]int
 	snapshot *fleet.Snapshot
 	started  int
+	cutUntil clock.Instant
+	fence    fleet.Fence
+	owner    fleet.Incarnation
+	// isKeyAtRobust says that the owner of the key isn't crashed by the request.
+	isKeyAtRobust bool
 }
 
 type crashServer struct {
 	fleet.Server
 	crashed chan struct{}
+	// robust says that the crashing request ends well here.
+	robust bool
 }
 
 type crashVM struct {
 	crashExchange
+	// stopped is set when the VM has lost its memory: it says nothing more.
+	stopped    bool
 	dispatcher *dispatch.Dispatcher
 	forwarder  *forward.Forwarder
 }
@@ -91,7 +117,7 @@
 func newCrashFleet(test crashCase) *crashFleet {
 	f := &crashFleet{clock: clock.Runtime{Origin: time.Now().Add(-time.Hour)}, test: test, servers: map[id.Server]*crashServer{}, sent: map[*crashVM]int{}}
 	for i := range 8 {
-		f.startServer(fmt.Sprintf("10.0.0.%d:80", i), "")
+		f.startServer(fmt.Sprintf("10.0.0.%d:80", i), "", test.versions > 0 && i%test.versions > 0)
 	}
 	f.publish()
 	for range 4 - test.startsLate {
@@ -101,12 +127,12 @@
 }
 
 // startServer registers a new backend server; mu is held, except in newCrashFleet.
-func (f *crashFleet) startServer(address string, name id.Server) {
+func (f *crashFleet) startServer(address string, name id.Server, robust bool) {
 	f.started++
 	if name == "" {
 		name = id.Server(fmt.Sprint("i-", f.started))
 	}
-	f.servers[name] = &crashServer{crashed: make(chan struct{}), Server: fleet.Server{
+	f.servers[name] = &crashServer{crashed: make(chan struct{}), robust: robust, Server: fleet.Server{
 		Incarnation: fleet.Incarnation{Server: name, Born: fleet.StartTime(f.started)}, Service: service, Domain: "east", Slots: 4, Address: address,
 	}}
 }
@@ -115,11 +141,26 @@
 func (f *crashFleet) startVM() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := &crashVM{dispatcher: dispatch.NewDispatcher(id.VM(fmt.Sprint("vm", len(f.vms))), "east", dispatch.WithClock(f.clock))}
+	f.vms = append(f.vms, f.newVM(len(f.vms)))
+}
+
+// newVM returns a VM with a number; mu is held.
+func (f *crashFleet) newVM(number int) *crashVM {
+	v := &crashVM{dispatcher: dispatch.NewDispatcher(id.VM(fmt.Sprint("vm", number)), "east", dispatch.WithClock(f.clock))}
 	v.dispatcher.Update(f.snapshot)
-	options := append(v.options(f, v), forward.WithClock(f.clock), forward.WithSend(f.send), forward.WithRetries(0.2, func() float64 { return 10 }))
+	options := append(v.options(f, v, number == 0), forward.WithClock(f.clock), forward.WithSend(f.send), forward.WithRetries(0.2, func() float64 { return 10 }))
 	v.forwarder = forward.NewForwarder(v.dispatcher, options...)
-	f.vms = append(f.vms, v)
+	return v
+}
+
+// restartVMs replaces VMs by ones that know nothing.
+func (f *crashFleet) restartVMs(numbers []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range numbers {
+		f.vms[i].stopped = true
+		f.vms[i] = f.newVM(i)
+	}
 }
 
 // publish makes the registered backend servers the snapshot of all VMs.
@@ -143,12 +184,36 @@
 	}
 	old = f.snapshot
 	f.snapshot = &fleet.Snapshot{
-		Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service}}, fleet.Limits{}),
-		Servers:       servers, ByService: fleet.ByService(servers),
+		Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service, Keyed: f.test.keyed}}, fleet.Limits{}),
+		Servers:       servers, ByService: fleet.ByService(servers), Tables: f.tables(servers),
 	}
 	return old, f.snapshot, slices.Clone(f.vms)
 }
 
+// tables returns the key table of a keyed service, whose owner changes when its entry is gone; mu is held.
+func (f *crashFleet) tables(servers map[id.Server]fleet.Server) map[id.Service]*fleet.Table {
+	names := fleet.ByService(servers)[service]
+	if !f.test.keyed || len(names) == 0 {
+		return nil
+	}
+	if s, ok := servers[f.owner.Server]; !ok || s.Incarnation != f.owner {
+		f.moveKey(names, f.isKeyAtRobust)
+	}
+	return map[id.Service]*fleet.Table{service: {Service: service, Fence: f.fence, Ranges: []fleet.Range{{To: math.MaxUint16, Owner: f.owner, Fence: f.fence}}}}
+}
+
+// moveKey gives the key to a backend server that the request crashes or, if robust is set, to one of another version; mu is held.
+func (f *crashFleet) moveKey(names []id.Server, robust bool) {
+	f.fence++
+	for i := range names {
+		next := f.servers[names[(int(f.fence)+i)%len(names)]]
+		f.owner, f.isKeyAtRobust = next.Incarnation, next.robust
+		if next.robust == robust {
+			return
+		}
+	}
+}
+
 // vm returns a VM by number; numbers beyond the last one begin again.
 func (f *crashFleet) vm(i int) *crashVM {
 	f.mu.Lock()
@@ -160,7 +225,7 @@
 func (f *crashFleet) deliver(from *crashVM, receive func(to *crashVM)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.sent[from]++; f.sent[from] <= f.test.lostMessages {
+	if f.sent[from]++; from.stopped || f.sent[from] <= f.test.lostMessages || f.clock.Boot() < f.cutUntil {
 		return
 	}
 	for i, v := range f.vms {
@@ -192,7 +257,7 @@
 	}
 	select {
 	case <-time.After(took):
-		if a.Request.Target != crashTarget {
+		if a.Request.Target != crashTarget || s.robust {
 			return answers(200)(ctx)
 		}
 		f.crash(s)
@@ -231,10 +296,15 @@
 			time.AfterFunc(100*time.Millisecond, f.startVM)
 		}
 	}
+	f.cutUntil = f.clock.Boot().Add(f.test.cutFor)
+	if f.test.restart != nil {
+		numbers := f.test.restart(len(f.crashes), len(f.vms))
+		time.AfterFunc(crashRestartDelay, func() { f.restartVMs(numbers) })
+	}
 	if !f.test.keepsEntry {
-		time.AfterFunc(crashRemovalTime, func() { f.remove(s) })
+		time.AfterFunc(cmp.Or(f.test.removalTime, crashRemovalTime), func() { f.remove(s) })
 	}
-	time.AfterFunc(crashRestartTime, func() { f.replace(s) })
+	time.AfterFunc(max(crashRestartTime, f.test.removalTime+crashRestartTime-crashRemovalTime), func() { f.replace(s) })
 }
 
 // remove removes the entry of a crashed backend server, unless it is replaced already.
@@ -262,7 +332,7 @@
 	if f.test.newAddress {
 		address += "1"
 	}
-	f.startServer(address, name)
+	f.startServer(address, name, s.robust)
 	f.mu.Unlock()
 	f.publish()
 }
@@ -275,7 +345,7 @@
 	defer cancel()
 	answer, err := v.forwarder.Forward(ctx, &forward.Request{
 		ID: "1", Method: "GET", Target: target, Service: service, Arrived: now, Deadline: now.Add(timeout), Objective: now.Add(timeout / 2),
-		Route: &fleet.Route{Name: "r", Idempotent: f.test.idempotent, MaxAttempts: 2, Objective: timeout / 2},
+		Keyed: f.test.keyed, Route: &fleet.Route{Name: "r", Idempotent: f.test.idempotent, MaxAttempts: 2, Objective: timeout / 2},
 	})
 	if err != nil {
 		return false, outcome.FromError(err)
@@ -296,6 +366,30 @@
 	return n
 }
 
+// repeatCrashingRequest sends the crashing request a number of times, one after the other and each time to another VM.
+func (f *crashFleet) repeatCrashingRequest(times int) {
+	for i := range times {
+		if f.test.moves {
+			f.mu.Lock()
+			f.moveKey(f.snapshot.ByService[service], !f.isKeyAtRobust)
+			f.mu.Unlock()
+			f.publish()
+		}
+		for n := range max(1, f.test.concurrent) {
+			go f.start(f.vm(i+n), crashTarget)
+		}
+		for n := range f.test.bystanders {
+			prefix := "/other"
+			if n%2 == 0 {
+				prefix = "/before"
+			}
+			go f.start(f.vm(i+n), fmt.Sprintf("%s%d-%d", prefix, i, n))
+		}
+		time.Sleep(3100 * time.Millisecond)
+	}
+	time.Sleep(10 * time.Second)
+}
+
 // A request that crashes each backend server that runs it must be refused by all VMs after few crashes.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	tests := map[string]crashCase{
@@ -321,20 +415,7 @@
 			var f *crashFleet
 			synctest.Test(t, func(*testing.T) {
 				f = newCrashFleet(test)
-				for i := range 24 {
-					for n := range max(1, test.concurrent) {
-						go f.start(f.vm(i+n), crashTarget)
-					}
-					for n := range test.bystanders {
-						prefix := "/other"
-						if n%2 == 0 {
-							prefix = "/before"
-						}
-						go f.start(f.vm(i+n), fmt.Sprintf("%s%d-%d", prefix, i, n))
-					}
-					time.Sleep(3100 * time.Millisecond)
-				}
-				time.Sleep(10 * time.Second)
+				f.repeatCrashingRequest(24)
 			})
 			t.Logf("crashes: %d, late ones: %d", len(f.crashes), f.lateCrashes())
 			is.True(len(f.crashes) >= 2)
--- /dev/null
+++ b/coordination/forward/crashevidence_test.go
@@ -0,0 +1,121 @@
+package forward_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/protocol/outcome"
+)
+
+// allVMs returns the numbers of all VMs.
+func allVMs(_, vms int) (all []int) {
+	for i := range vms {
+		all = append(all, i)
+	}
+	return all
+}
+
+// playCrashes repeats the crashing request and checks the number of late crashes.
+func playCrashes(t *testing.T, test crashCase) (f *crashFleet) {
+	t.Helper()
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		f = newCrashFleet(test)
+		f.repeatCrashingRequest(24)
+	})
+	t.Logf("crashes: %d, late ones: %d", len(f.crashes), f.lateCrashes())
+	is.True(len(f.crashes) >= 2)
+	is.True(f.lateCrashes() <= maxLateCrashes)
+	return f
+}
+
+// VMs that lose their memory between crashes must still refuse the request.
+func TestCrashEvidenceSurvivesRestarts(t *testing.T) {
+	everyThird := func(crash, vms int) []int {
+		if crash%3 > 0 {
+			return nil
+		}
+		return allVMs(crash, vms)
+	}
+	tests := map[string]crashCase{
+		"all VMs after each crash":                     {idempotent: true, restart: allVMs},
+		"all VMs after each crash, keyed":              {idempotent: true, restart: allVMs, keyed: true, bystanders: 3},
+		"all VMs after each crash, others beside it":   {idempotent: true, restart: allVMs, bystanders: 6},
+		"all VMs after each crash, at three VMs":       {idempotent: true, restart: allVMs, concurrent: 3},
+		"all VMs after each third crash":               {idempotent: true, restart: everyThird},
+		"all VMs after each third crash, not retried":  {restart: everyThird, sameName: true},
+		"the leader after each crash":                  {idempotent: true, restart: func(int, int) []int { return []int{0} }},
+		"all but the leader after each crash":          {idempotent: true, restart: func(int, int) []int { return []int{1, 2, 3} }},
+		"all VMs in turn":                              {idempotent: true, restart: func(crash, vms int) []int { return []int{crash % vms} }},
+		"all VMs in turn, messages are lost for a time": {idempotent: true, restart: func(crash, vms int) []int { return []int{crash % vms} }, lostMessages: 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { playCrashes(t, test) })
+	}
+}
+
+// What one VM alone has seen of a crash must reach the others, however long they don't hear it.
+func TestCrashEvidenceReachesAllVMs(t *testing.T) {
+	tests := map[string]crashCase{
+		"the first ten messages of each VM are lost":          {idempotent: true, lostMessages: 10},
+		"the first ten messages are lost, not retried":        {lostMessages: 10},
+		"the first ten messages are lost, keyed":              {idempotent: true, lostMessages: 10, keyed: true},
+		"no messages for 2.5 s after each crash":              {idempotent: true, cutFor: 2500 * time.Millisecond},
+		"no messages for 2.5 s after each crash, not retried": {cutFor: 2500 * time.Millisecond},
+		"no messages for 8 s after each crash":                {idempotent: true, cutFor: 8 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { playCrashes(t, test) })
+	}
+}
+
+// A request that ends well on one version of a service must not be sent again and again to the version that it crashes.
+func TestVersionThatCrashesGetsNoMoreRequests(t *testing.T) {
+	tests := map[string]crashCase{
+		"the key moves between versions":   {idempotent: true, versions: 2, keyed: true, moves: true},
+		"not retried":                      {versions: 2, keyed: true, moves: true},
+		"not keyed":                        {idempotent: true, versions: 2},
+		"not keyed, one version of four":   {versions: 4},
+		"all VMs restart after each crash": {idempotent: true, versions: 2, keyed: true, moves: true, restart: allVMs},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			refused := map[string]*outcome.Error{}
+			var f *crashFleet
+			synctest.Test(t, func(*testing.T) {
+				f = newCrashFleet(test)
+				f.repeatCrashingRequest(24)
+				if test.keyed {
+					f.moveKey(f.snapshot.ByService[service], true)
+					f.publish()
+				}
+				for i, v := range f.vms {
+					if served, err := f.request(v, crashTarget); !served {
+						refused[fmt.Sprint("vm", i)] = err
+					}
+				}
+			})
+			t.Logf("crashes: %d, late ones: %d", len(f.crashes), f.lateCrashes())
+			is.True(f.lateCrashes() <= maxLateCrashes)
+			// The other version goes on serving it.
+			is.Equal(refused, map[string]*outcome.Error{})
+		})
+	}
+}
+
+// A silent backend server whose entry stays for an outage of the store must count as crashed by what it left unanswered.
+func TestCrashesFoundLateHaveSuspects(t *testing.T) {
+	tests := map[string]crashCase{
+		"not retried": {silent: true, removalTime: 9 * time.Second},
+		"retried":     {silent: true, idempotent: true, removalTime: 9 * time.Second},
+		"keyed":       {silent: true, idempotent: true, removalTime: 9 * time.Second, keyed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { playCrashes(t, test) })
+	}
+}
