--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -65,6 +65,10 @@
 	restart func(crash, vms int) []int
 	// cutFor is how long after each crash no message of a VM reaches another one.
 	cutFor time.Duration
+	// isStoreCut says that the store isn't reached in that time either.
+	isStoreCut bool
+	// withoutLeader says that no VM leads, or one whose build records no crashes.
+	withoutLeader bool
 	// versions is the number of versions of the software of the backend servers, of which only the first one crashes; 0 means one.
 	versions int
 	// removalTime is the time to the removal of the entry of a crashed backend server; 0 means crashRemovalTime.
@@ -92,6 +96,7 @@
 	sent     map[*crashVM]int
 	snapshot *fleet.Snapshot
 	started  int
+	crashStore
 	cutUntil clock.Instant
 	fence    fleet.Fence
 	owner    fleet.Incarnation
@@ -108,6 +113,7 @@
 
 type crashVM struct {
 	crashExchange
+	clock clock.Clock
 	// stopped is set when the VM has lost its memory: it says nothing more.
 	stopped    bool
 	dispatcher *dispatch.Dispatcher
@@ -115,7 +121,7 @@
 }
 
 func newCrashFleet(test crashCase) *crashFleet {
-	f := &crashFleet{clock: clock.Runtime{Origin: time.Now().Add(-time.Hour)}, test: test, servers: map[id.Server]*crashServer{}, sent: map[*crashVM]int{}}
+	f := &crashFleet{clock: clock.Runtime{Origin: time.Now().Add(-time.Hour)}, test: test, servers: map[id.Server]*crashServer{}, sent: map[*crashVM]int{}, crashStore: crashStore{records: map[fleet.Incarnation]fleet.Crash{}}}
 	for i := range 8 {
 		f.startServer(fmt.Sprintf("10.0.0.%d:80", i), "", test.versions > 0 && i%test.versions > 0)
 	}
@@ -146,7 +152,7 @@
 
 // newVM returns a VM with a number; mu is held.
 func (f *crashFleet) newVM(number int) *crashVM {
-	v := &crashVM{dispatcher: dispatch.NewDispatcher(id.VM(fmt.Sprint("vm", number)), "east", dispatch.WithClock(f.clock))}
+	v := &crashVM{clock: f.clock, dispatcher: dispatch.NewDispatcher(id.VM(fmt.Sprint("vm", number)), "east", dispatch.WithClock(f.clock))}
 	v.dispatcher.Update(f.snapshot)
 	options := append(v.options(f, v, number == 0), forward.WithClock(f.clock), forward.WithSend(f.send), forward.WithRetries(0.2, func() float64 { return 10 }))
 	v.forwarder = forward.NewForwarder(v.dispatcher, options...)
@@ -185,7 +191,7 @@
 	old = f.snapshot
 	f.snapshot = &fleet.Snapshot{
 		Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service, Keyed: f.test.keyed}}, fleet.Limits{}),
-		Servers:       servers, ByService: fleet.ByService(servers), Tables: f.tables(servers),
+		Servers:       servers, ByService: fleet.ByService(servers), Tables: f.tables(servers), Crashes: f.records,
 	}
 	return old, f.snapshot, slices.Clone(f.vms)
 }
--- a/coordination/forward/crashevidence_test.go
+++ b/coordination/forward/crashevidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,15 +43,16 @@
 		return allVMs(crash, vms)
 	}
 	tests := map[string]crashCase{
-		"all VMs after each crash":                     {idempotent: true, restart: allVMs},
-		"all VMs after each crash, keyed":              {idempotent: true, restart: allVMs, keyed: true, bystanders: 3},
-		"all VMs after each crash, others beside it":   {idempotent: true, restart: allVMs, bystanders: 6},
-		"all VMs after each crash, at three VMs":       {idempotent: true, restart: allVMs, concurrent: 3},
-		"all VMs after each third crash":               {idempotent: true, restart: everyThird},
-		"all VMs after each third crash, not retried":  {restart: everyThird, sameName: true},
-		"the leader after each crash":                  {idempotent: true, restart: func(int, int) []int { return []int{0} }},
-		"all but the leader after each crash":          {idempotent: true, restart: func(int, int) []int { return []int{1, 2, 3} }},
-		"all VMs in turn":                              {idempotent: true, restart: func(crash, vms int) []int { return []int{crash % vms} }},
+		"all VMs after each crash":                      {idempotent: true, restart: allVMs},
+		"all VMs after each crash, keyed":               {idempotent: true, restart: allVMs, keyed: true, bystanders: 3},
+		"all VMs after each crash, others beside it":    {idempotent: true, restart: allVMs, bystanders: 6},
+		"all VMs after each crash, at three VMs":        {idempotent: true, restart: allVMs, concurrent: 3},
+		"all VMs after each third crash":                {idempotent: true, restart: everyThird},
+		"all VMs after each third crash, not retried":   {restart: everyThird, sameName: true},
+		"the leader after each crash":                   {idempotent: true, restart: func(int, int) []int { return []int{0} }},
+		"all but the leader after each crash":           {idempotent: true, restart: func(int, int) []int { return []int{1, 2, 3} }},
+		"all VMs after each third crash, no leader":     {idempotent: true, restart: everyThird, withoutLeader: true},
+		"all VMs in turn":                               {idempotent: true, restart: func(crash, vms int) []int { return []int{crash % vms} }},
 		"all VMs in turn, messages are lost for a time": {idempotent: true, restart: func(crash, vms int) []int { return []int{crash % vms} }, lostMessages: 4},
 	}
 	for name, test := range tests {
@@ -67,6 +69,10 @@
 		"no messages for 2.5 s after each crash":              {idempotent: true, cutFor: 2500 * time.Millisecond},
 		"no messages for 2.5 s after each crash, not retried": {cutFor: 2500 * time.Millisecond},
 		"no messages for 8 s after each crash":                {idempotent: true, cutFor: 8 * time.Second},
+		"cut off from all for 2.5 s after each crash":         {idempotent: true, cutFor: 2500 * time.Millisecond, isStoreCut: true},
+		"no messages at all":                                  {idempotent: true, lostMessages: math.MaxInt},
+		"no messages at all, not retried":                     {lostMessages: math.MaxInt},
+		"no messages at all, no leader":                       {idempotent: true, lostMessages: math.MaxInt, withoutLeader: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) { playCrashes(t, test) })
--- a/coordination/forward/crashexchange_test.go
+++ b/coordination/forward/crashexchange_test.go
@@ -1,14 +1,22 @@
 package forward_test
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// crashExchange is what a VM of a crashFleet tells others of crashes.
+const (
+	// exchangePeriod is the time between two looks of a VM at what it has to tell others, and storeLatency that of a call of the store.
+	exchangePeriod = 100 * time.Millisecond
+	storeLatency   = 5 * time.Millisecond
+)
+
+// crashExchange is what a VM of a crashFleet tells others of crashes, by messages and by records in the store.
 type crashExchange struct {
 	ledger *poison.Ledger
 }
@@ -18,16 +26,19 @@
 	e.ledger = poison.NewLedger(poison.WithOnReport(func(r poison.Report) {
 		f.deliver(v, func(to *crashVM) { to.ledger.Merge(f.clock.Boot(), r) })
 	}))
-	var repeat func()
-	repeat = func() {
+	leads := isLeader && !f.test.withoutLeader
+	e.ledger.Restore(f.clock.Boot(), f.clock.Now(), f.snapshot.Crashes)
+	var exchange func()
+	exchange = func() {
 		if f.isStopped(v) {
 			return
 		}
-		e.ledger.Repeat(f.clock.Boot(), isLeader)
-		time.AfterFunc(100*time.Millisecond, repeat)
+		e.ledger.Repeat(f.clock.Boot(), leads)
+		f.write(v, e.ledger.Unrecorded(f.clock.Boot(), f.clock.Now(), leads))
+		time.AfterFunc(exchangePeriod, exchange)
 	}
-	time.AfterFunc(0, repeat)
-	return []forward.Option{forward.WithCrashes(e.ledger)}
+	time.AfterFunc(0, exchange)
+	return []forward.Option{forward.WithCrashes(e.ledger), forward.WithProbe(func(s fleet.Server) { go f.probe(v, s) })}
 }
 
 // isStopped reports whether a VM has been stopped.
@@ -37,7 +48,50 @@
 	return v.stopped
 }
 
-// follow tells a VM of a change of the registered backend servers.
+// follow tells a VM of a change of what the store holds.
 func (e *crashExchange) follow(v *crashVM, old, next *fleet.Snapshot) {
+	v.ledger.Restore(v.clock.Boot(), v.clock.Now(), next.Crashes)
 	v.forwarder.FollowServers(old, next)
 }
+
+// probe finds out whether the port of a backend server is closed.
+func (f *crashFleet) probe(v *crashVM, s fleet.Server) {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	known := f.servers[s.Server]
+	f.mu.Unlock()
+	if isSame := known != nil && known.Incarnation == s.Incarnation; !f.test.silent && (!isSame || known.isDown()) {
+		v.forwarder.RecordCrash(s.Incarnation)
+	}
+}
+
+// write makes a VM write records to the store, unless one of them has been changed meanwhile or the VM is cut off.
+func (f *crashFleet) write(v *crashVM, records []fleet.Crash) {
+	if len(records) == 0 {
+		return
+	}
+	time.Sleep(storeLatency)
+	f.mu.Lock()
+	isLost := v.stopped || f.test.isStoreCut && f.clock.Boot() < f.cutUntil
+	for _, r := range records {
+		isLost = isLost || f.records[r.Process].Revision != r.Revision
+	}
+	if !isLost {
+		f.records = maps.Clone(f.records)
+		for _, r := range records {
+			f.revision++
+			r.Revision = f.revision
+			f.records[r.Process] = r
+		}
+	}
+	f.mu.Unlock()
+	if !isLost {
+		f.publish()
+	}
+}
+
+// crashStore is what the store of a crashFleet holds.
+type crashStore struct {
+	records  map[fleet.Incarnation]fleet.Crash
+	revision id.Revision
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -249,7 +249,7 @@
 	began := f.options.Clock.Boot()
 	f.options.Crashes.Begin(slot.Server.Incarnation, s.fingerprint)
 	reply, failure := f.options.Send(ctx, Attempt{Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1})
-	f.recordSigns(s, slot.Server.Incarnation, began, reply, failure)
+	f.recordSigns(ctx, s, slot.Server, began, reply, failure)
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
 	if failure != nil {
 		return f.handleFailure(ctx, s, slot, failure)
--- a/coordination/forward/options.go
+++ b/coordination/forward/options.go
@@ -7,6 +7,7 @@
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
@@ -21,6 +22,8 @@
 	Crashes *poison.Ledger
 	// OnSuspect is called for each request that was sent to a backend server and got no answer, so that it may have crashed it.
 	OnSuspect func(server id.Server, f poison.Fingerprint)
+	// Probe is called when the port of a backend server has to be probed. It must not block; a closed port is reported by RecordCrash.
+	Probe func(s fleet.Server)
 	// Observe is called after each attempt.
 	Observe func(r *Request, s *dispatch.Slot, took time.Duration, reply *Reply, failure *Failure)
 	// RetryShare is the number of retries that each request adds to the budget, and RetryBurst the maximum burst of retries.
@@ -51,6 +54,9 @@
 	return func(o *Options) { o.OnSuspect = f }
 }
 
+// WithProbe sets the function that probes the port of a backend server.
+func WithProbe(f func(fleet.Server)) Option { return func(o *Options) { o.Probe = f } }
+
 // WithObserve sets the function that is called after each attempt.
 func WithObserve(f func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure)) Option {
 	return func(o *Options) { o.Observe = f }
@@ -65,6 +71,7 @@
 	o := Options{
 		Clock: clock.System{}, Crashes: poison.NewLedger(),
 		OnSuspect:  func(id.Server, poison.Fingerprint) {},
+		Probe:      func(fleet.Server) {},
 		Observe:    func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure) {},
 		RetryShare: defaultRetryShare, RetryBurst: func() float64 { return defaultRetryBurst },
 	}
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/hickorylug/hickorylug/coordination/poison"
@@ -23,12 +24,15 @@
 }
 
 // recordSigns records what the result of an attempt says of a crash of the process.
-func (f *Forwarder) recordSigns(s *requestState, process fleet.Incarnation, began clock.Instant, reply *Reply, failure *Failure) {
-	ledger, now := f.options.Crashes, f.options.Clock.Boot()
+func (f *Forwarder) recordSigns(ctx context.Context, s *requestState, server fleet.Server, began clock.Instant, reply *Reply, failure *Failure) {
+	ledger, now, process := f.options.Crashes, f.options.Clock.Boot(), server.Incarnation
 	switch {
 	case failure != nil && failure.Sent && !failure.Abandoned:
-		ledger.Unanswered(now, process, s.fingerprint)
+		probe := ledger.Unanswered(now, process, s.fingerprint, ctx.Err() == nil)
 		f.options.OnSuspect(process.Server, s.fingerprint)
+		if probe {
+			f.options.Probe(server)
+		}
 	case failure != nil:
 		ledger.End(process, s.fingerprint)
 		if failure.Refused {
--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -15,6 +15,8 @@
 	// confirmWindow is the time after a request got no answer within which a sign that the process has ended makes it a suspect: longer
 	// than it takes until the entry of a silent backend server is removed or its replacement has registered.
 	confirmWindow = 5 * time.Second
+	// probePeriod is the least time between two probes of the port of a process that breaks connections off.
+	probePeriod = 500 * time.Millisecond
 	// maxCrashes and maxSuspects limit the crashes that are recorded, and the suspects of each.
 	maxCrashes  = 1024
 	maxSuspects = 64
@@ -24,38 +26,20 @@
 	initialBlock = 30 * time.Second
 	// crashesToBlockAny is the number of crashes after which a request is refused although others share the suspicion.
 	crashesToBlockAny = 3
-	// firstRepeat and secondRepeat are the times after which a VM repeats a report, since messages may be lost.
-	firstRepeat  = 500 * time.Millisecond
-	secondRepeat = 1500 * time.Millisecond
-	// repeatAllPeriod is the time between two reports of all crashes with a repeated suspect, for VMs that have started since.
-	repeatAllPeriod = 2 * time.Second
-	// maxRepeated limits the crashes in such a report.
-	maxRepeated = 32
 )
 
-// Report tells other VMs of the crash of a process, or that requests have run without a crash.
-type Report struct {
-	// Process is the process that has crashed; it is empty in a report of Cleared alone.
-	Process fleet.Incarnation
-	// Age is the time since the crash.
-	Age time.Duration
-	// Suspects are requests that the sender had in flight there.
-	Suspects []Fingerprint
-	// Cleared are requests that have run without a crash, although they were suspects.
-	Cleared []Fingerprint
-	// IsRepeated says that this VM has already sent the report, or that it comes from others.
-	IsRepeated bool
-}
-
 // crash is the crash of one process.
 type crash struct {
 	at       clock.Instant
 	suspects map[Fingerprint]bool
-	// own is the part of the suspects that this VM had in flight, and repeated counts how often it has repeated its report.
-	own      []Fingerprint
-	isOwn    bool
+	// own is the part of the suspects that this VM had in flight.
+	own []Fingerprint
+	// isOwn says that this VM reports the crash, ownAt when it first did, and changedAt when it last learnt of a suspect.
+	isOwn            bool
+	ownAt, changedAt clock.Instant
+	// repeated counts how often this VM has repeated its report, and repeatAt is when it does next.
 	repeated int
-	ownAt    clock.Instant
+	repeatAt clock.Instant
 }
 
 // Ledger records which requests were in flight at which crashed processes, as all VMs saw it. It is safe for concurrent use.
@@ -65,6 +49,10 @@
 // that crashes every process is in all of their sets; others that were in
 // flight beside it are in few of them and don't count where it explains the
 // crash.
+//
+// What the VMs remember ends with them, and messages may be lost. So crashes are
+// also recorded in the platform's store: the leader writes what it hears, and a
+// VM whose own evidence doesn't appear there in time writes it itself.
 type Ledger struct {
 	options Options
 
@@ -78,6 +66,15 @@
 	// clearedAt is when a suspect last ran without a crash; older crashes don't count against it.
 	clearedAt   map[Fingerprint]clock.Instant
 	repeatAllAt clock.Instant
+	// stored holds the records in the store, and storedCrashes their number by suspect.
+	stored        map[fleet.Incarnation]fleet.Crash
+	storedCrashes map[Fingerprint]int
+	// changes counts the changes of suspects and records, and recordedChanges is the count up to which the store holds all of them.
+	changes, recordedChanges int
+	// probedAt is when the port of a process was last probed.
+	probedAt map[fleet.Incarnation]clock.Instant
+	// refutedAt is when a process answered that was taken for crashed; older signs of its crash don't count.
+	refutedAt map[fleet.Incarnation]clock.Instant
 }
 
 // NewLedger returns an empty ledger.
@@ -85,6 +82,7 @@
 	return &Ledger{
 		options: newOptions(opts), inFlight: map[fleet.Incarnation]map[Fingerprint]int{}, unanswered: map[fleet.Incarnation]map[Fingerprint]clock.Instant{},
 		crashes: map[fleet.Incarnation]*crash{}, crashesOf: map[Fingerprint]map[fleet.Incarnation]bool{}, clearedAt: map[Fingerprint]clock.Instant{},
+		storedCrashes: map[Fingerprint]int{}, refutedAt: map[fleet.Incarnation]clock.Instant{}, probedAt: map[fleet.Incarnation]clock.Instant{},
 	}
 }
 
@@ -134,20 +132,23 @@
 	l.endLocked(p, f)
 }
 
-// Unanswered records that a request was sent to a process and got no answer.
-func (l *Ledger) Unanswered(now clock.Instant, p fleet.Incarnation, f Fingerprint) {
+// Unanswered records that a request was sent to a process and got no answer; broken says that its connection broke before its time had
+// run out. probe says that the process's port has to be probed: a closed one confirms the crash before this VM or others may forget the
+// request.
+func (l *Ledger) Unanswered(now clock.Instant, p fleet.Incarnation, f Fingerprint, broken bool) (probe bool) {
 	l.mu.Lock()
 	l.endLocked(p, f)
 	if c := l.crashes[p]; c != nil {
 		added := l.addSuspect(p, c, f)
 		if added {
-			c.own, c.isOwn, c.ownAt, c.repeated = append(c.own, f), true, now, 0
+			c.own, c.isOwn, c.ownAt, c.changedAt = append(c.own, f), true, now, now
+			c.repeated, c.repeatAt = 0, now.Add(repeatPeriod)
 		}
 		l.mu.Unlock()
 		if added {
 			l.options.OnReport(Report{Process: p, Age: now.Sub(c.at), Suspects: []Fingerprint{f}})
 		}
-		return
+		return false
 	}
 	defer l.mu.Unlock()
 	l.expire(now)
@@ -157,6 +158,12 @@
 	if len(l.unanswered[p]) < maxSuspects {
 		l.unanswered[p][f] = now
 	}
+	probedAt, probed := l.probedAt[p]
+	if !broken || probed && now.Sub(probedAt) < probePeriod {
+		return false
+	}
+	l.probedAt[p] = now
+	return true
 }
 
 // RecordCrash records a sign that a process has ended without notice: its port is closed, another process has taken its place, or its
@@ -180,49 +187,17 @@
 	}
 }
 
-// Merge adds the report of another VM, and reports the requests that this VM had in flight at the process. It returns the suspects that
-// were not known.
-func (l *Ledger) Merge(now clock.Instant, r Report) (added []Fingerprint) {
-	l.mu.Lock()
-	for _, f := range r.Cleared {
-		if l.status(now, f) != Blocked {
-			l.clear(f, now.Add(-r.Age))
-		}
-	}
-	if r.Process.Server == "" {
-		l.mu.Unlock()
-		return nil
-	}
-	c, isNew := l.crashes[r.Process], false
-	if c == nil {
-		c, isNew = l.addCrash(now, r.Process, now.Add(-r.Age)), true
-	}
-	if c == nil {
-		l.mu.Unlock()
-		return nil
-	}
-	for _, f := range r.Suspects {
-		if l.addSuspect(r.Process, c, f) {
-			added = append(added, f)
-		}
-	}
-	c.isOwn = c.isOwn || isNew && len(c.own) > 0
-	report := Report{Process: r.Process, Age: now.Sub(c.at), Suspects: slices.Clone(c.own)}
-	l.mu.Unlock()
-	if isNew && len(report.Suspects) > 0 {
-		l.options.OnReport(report)
-	}
-	return added
-}
-
-// addCrash records a crash with the suspects of this VM; it returns nil if there is no room.
+// addCrash records a crash with the suspects of this VM; it returns nil if the crash is refuted, or if there is no room.
 func (l *Ledger) addCrash(now clock.Instant, p fleet.Incarnation, at clock.Instant) *crash {
 	l.expire(now)
+	if refuted, ok := l.refutedAt[p]; ok && at <= refuted {
+		return nil
+	}
 	if len(l.crashes) >= maxCrashes {
 		l.options.OnDrop(p, Full, nil)
 		return nil
 	}
-	c := &crash{at: at, ownAt: now, suspects: map[Fingerprint]bool{}}
+	c := &crash{at: at, ownAt: now, changedAt: now, repeatAt: now.Add(repeatPeriod), suspects: map[Fingerprint]bool{}}
 	l.crashes[p] = c
 	for f := range l.inFlight[p] {
 		if l.addSuspect(p, c, f) {
@@ -247,6 +222,7 @@
 		return false
 	}
 	c.suspects[f] = true
+	l.changes++
 	if l.crashesOf[f] == nil {
 		l.crashesOf[f] = map[fleet.Incarnation]bool{}
 	}
@@ -266,6 +242,7 @@
 	}
 	if c := l.crashes[p]; c != nil && c.at < began {
 		l.dropCrash(p, Refuted)
+		l.refutedAt[p] = began
 	}
 }
 
@@ -291,6 +268,7 @@
 	for p := range l.crashesOf[f] {
 		if c := l.crashes[p]; c.at <= at {
 			delete(c.suspects, f)
+			l.changes++
 			l.acquit(p, f)
 			l.options.OnDrop(p, RanWell, []Fingerprint{f})
 		}
@@ -317,134 +295,19 @@
 			delete(l.unanswered, p)
 		}
 	}
-	for f, at := range l.clearedAt {
-		if now.Sub(at) > defaultRetention {
-			delete(l.clearedAt, f)
+	for p, at := range l.probedAt {
+		if now.Sub(at) > probePeriod {
+			delete(l.probedAt, p)
 		}
 	}
-}
-
-// Check returns the status of a request.
-func (l *Ledger) Check(now clock.Instant, f Fingerprint) Status {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.status(now, f)
-}
-
-// status returns the status of a request.
-//
-// A crash counts against the suspects with the most crashes only. A request that
-// is the only one of these at two crashes is refused, for a shorter time if it
-// may be a coincidence. A request that shares the suspicion each time is refused
-// after a third crash.
-func (l *Ledger) status(now clock.Instant, f Fingerprint) Status {
-	counted, alone := 0, 0
-	var last clock.Instant
-	for p := range l.crashesOf[f] {
-		c := l.crashes[p]
-		if now.Sub(c.at) > defaultRetention {
-			continue
-		}
-		most, ties := l.mostCrashes(c)
-		if len(l.crashesOf[f]) < most {
-			continue
-		}
-		counted++
-		if ties == 1 {
-			alone++
-		}
-		last = max(last, c.at)
-	}
-	block := time.Duration(0)
-	switch {
-	case alone >= crashesToBlock && counted >= crashesToBlockAny:
-		block = defaultRetention
-	case alone >= crashesToBlock || counted >= crashesToBlockAny:
-		block = min(initialBlock<<min(counted-crashesToBlock, 8), defaultRetention)
-	}
-	switch {
-	case counted == 0:
-		return Clear
-	case block > 0 && now.Sub(last) <= block:
-		return Blocked
-	default:
-		return Suspect
-	}
-}
-
-// mostCrashes returns the highest number of crashes among the suspects of a crash, and how many suspects have it.
-func (l *Ledger) mostCrashes(c *crash) (most, ties int) {
-	for f := range c.suspects {
-		switch n := len(l.crashesOf[f]); {
-		case n > most:
-			most, ties = n, 1
-		case n == most:
-			ties++
-		}
-	}
-	return most, ties
-}
-
-// Repeat reports again what other VMs may have missed; all says that this VM also repeats what others have reported.
-func (l *Ledger) Repeat(now clock.Instant, all bool) {
-	l.mu.Lock()
-	var due []Report
-	repeatAll := all && now.Sub(l.repeatAllAt) >= repeatAllPeriod
-	if repeatAll {
-		l.repeatAllAt = now
-	}
-	for p, c := range l.crashes {
-		age := now.Sub(c.ownAt)
-		switch {
-		case c.isOwn && (c.repeated == 0 && age >= firstRepeat || c.repeated == 1 && age >= secondRepeat):
-			c.repeated++
-			due = append(due, Report{Process: p, Age: now.Sub(c.at), Suspects: slices.Clone(c.own), IsRepeated: true})
-		case repeatAll && len(due) < maxRepeated && l.hasRepeatedSuspect(c):
-			r := Report{Process: p, Age: now.Sub(c.at), IsRepeated: true}
-			for f := range c.suspects {
-				r.Suspects = append(r.Suspects, f)
-			}
-			due = append(due, r)
+	for p, at := range l.refutedAt {
+		if now.Sub(at) > defaultRetention {
+			delete(l.refutedAt, p)
 		}
 	}
-	l.mu.Unlock()
-	for _, r := range due {
-		l.options.OnReport(r)
-	}
-}
-
-// hasRepeatedSuspect reports whether a suspect of a crash has several crashes.
-func (l *Ledger) hasRepeatedSuspect(c *crash) bool {
-	most, _ := l.mostCrashes(c)
-	return most >= crashesToBlock
-}
-
-// Stats are the numbers of what a ledger holds.
-type Stats struct {
-	// Crashes is the number of crashed processes, and Suspects that of the requests that were in flight at one of them.
-	Crashes, Suspects int
-	// Blocked is the number of requests that are refused at the moment.
-	Blocked int
-	// Unconfirmed is the number of processes that left a request unanswered and may have crashed.
-	Unconfirmed int
-}
-
-// Stats returns the numbers of what the ledger holds.
-func (l *Ledger) Stats(now clock.Instant) Stats {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := Stats{Crashes: len(l.crashes), Suspects: len(l.crashesOf), Unconfirmed: len(l.unanswered)}
-	for f := range l.crashesOf {
-		if l.status(now, f) == Blocked {
-			s.Blocked++
+	for f, at := range l.clearedAt {
+		if now.Sub(at) > defaultRetention {
+			delete(l.clearedAt, f)
 		}
 	}
-	return s
-}
-
-// Crashes returns the number of crashed processes at which a request was in flight.
-func (l *Ledger) Crashes(f Fingerprint) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.crashesOf[f])
 }
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -70,7 +70,7 @@
 			process, now := fleet.Incarnation{Server: "a", Born: 1}, clock.Instant(time.Hour)
 			l.Begin(process, 1)
 			l.Begin(process, 2)
-			l.Unanswered(now, process, 1)
+			l.Unanswered(now, process, 1, true)
 			l.Answered(now.Add(2*time.Second), process, 2, now.Add(test.began), true)
 			l.RecordCrash(now.Add(3*time.Second), process, false)
 			is.Equal(l.Check(now.Add(3*time.Second), 1), test.status)
--- a/coordination/poison/options.go
+++ b/coordination/poison/options.go
@@ -1,6 +1,10 @@
 package poison
 
-import "github.com/hickorylug/hickorylug/state/fleet"
+import (
+	"time"
+
+	"github.com/hickorylug/hickorylug/state/fleet"
+)
 
 // Cause is why a ledger drops evidence.
 type Cause string
@@ -23,6 +27,8 @@
 	OnReport func(r Report)
 	// OnDrop is called when suspects of a process's crash are dropped. It must not call the ledger.
 	OnDrop func(p fleet.Incarnation, cause Cause, suspects []Fingerprint)
+	// UnrecordedDelay is how long a VM waits for the leader to record its evidence before it writes the record itself.
+	UnrecordedDelay time.Duration
 }
 
 // Option sets one of the Options.
@@ -36,8 +42,11 @@
 	return func(o *Options) { o.OnDrop = f }
 }
 
+// WithUnrecordedDelay sets how long a VM waits for the leader to record its evidence.
+func WithUnrecordedDelay(d time.Duration) Option { return func(o *Options) { o.UnrecordedDelay = d } }
+
 func newOptions(opts []Option) Options {
-	o := Options{OnReport: func(Report) {}, OnDrop: func(fleet.Incarnation, Cause, []Fingerprint) {}}
+	o := Options{OnReport: func(Report) {}, OnDrop: func(fleet.Incarnation, Cause, []Fingerprint) {}, UnrecordedDelay: unrecordedDelay}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -8,7 +8,8 @@
 // same fingerprint are refused for a time.
 //
 // A Ledger serves a fleet in which all VMs send to all backend servers. It
-// merges what each VM saw of each crash.
+// merges what each VM saw of each crash. VMs tell each other by messages, and
+// record crashes in the platform's store, which outlives them.
 //
 // # Usage
 //
@@ -22,9 +23,13 @@
 //
 //	l := poison.NewLedger(poison.WithOnReport(announce))
 //	l.Begin(process, fingerprint)
-//	l.Unanswered(now, process, fingerprint) // the connection broke
-//	l.RecordCrash(now, process, false)      // the port is closed: announces the suspects
-//	l.Merge(now, report)                    // at the other VMs
+//	if l.Unanswered(now, process, fingerprint, true) { // the connection broke
+//		// Probe the port.
+//	}
+//	l.RecordCrash(now, process, false) // the port is closed: announces the suspects
+//	l.Merge(now, report)               // at the other VMs
+//	l.Unrecorded(now, wall, leads)     // the records to be written to the store
+//	l.Restore(now, wall, records)      // at all VMs, also those that start later
 package poison
 
 import (
@@ -34,6 +39,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // Limits of the tracker.
@@ -47,7 +53,7 @@
 )
 
 // Fingerprint is a hash that is the same for equal requests.
-type Fingerprint uint64
+type Fingerprint = id.Fingerprint
 
 // FingerprintOf returns the fingerprint of a request with the given prefix of its body.
 func FingerprintOf(service, method, target string, body []byte) Fingerprint {
--- /dev/null
+++ b/coordination/poison/verdict.go
@@ -0,0 +1,104 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/hickorylug/hickorylug/state/clock"
+)
+
+// Check returns the status of a request.
+func (l *Ledger) Check(now clock.Instant, f Fingerprint) Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.status(now, f)
+}
+
+// status returns the status of a request.
+//
+// A crash counts against the suspects with the most crashes only. A request that
+// is the only one of these at two crashes is refused, for a shorter time if it
+// may be a coincidence. A request that shares the suspicion each time is refused
+// after a third crash.
+func (l *Ledger) status(now clock.Instant, f Fingerprint) Status {
+	counted, alone := 0, 0
+	var last clock.Instant
+	for p := range l.crashesOf[f] {
+		c := l.crashes[p]
+		if now.Sub(c.at) > defaultRetention {
+			continue
+		}
+		most, ties := l.mostCrashes(c)
+		if len(l.crashesOf[f]) < most {
+			continue
+		}
+		counted++
+		if ties == 1 {
+			alone++
+		}
+		last = max(last, c.at)
+	}
+	block := time.Duration(0)
+	switch {
+	case alone >= crashesToBlock && counted >= crashesToBlockAny:
+		block = defaultRetention
+	case alone >= crashesToBlock || counted >= crashesToBlockAny:
+		block = min(initialBlock<<min(counted-crashesToBlock, 8), defaultRetention)
+	}
+	switch {
+	case counted == 0:
+		return Clear
+	case block > 0 && now.Sub(last) <= block:
+		return Blocked
+	default:
+		return Suspect
+	}
+}
+
+// mostCrashes returns the highest number of crashes among the suspects of a crash, and how many suspects have it.
+func (l *Ledger) mostCrashes(c *crash) (most, ties int) {
+	for f := range c.suspects {
+		switch n := len(l.crashesOf[f]); {
+		case n > most:
+			most, ties = n, 1
+		case n == most:
+			ties++
+		}
+	}
+	return most, ties
+}
+
+// hasRepeatedSuspect reports whether a suspect of a crash has several crashes.
+func (l *Ledger) hasRepeatedSuspect(c *crash) bool {
+	most, _ := l.mostCrashes(c)
+	return most >= crashesToBlock
+}
+
+// Stats are the numbers of what a ledger holds.
+type Stats struct {
+	// Crashes is the number of crashed processes, and Suspects that of the requests that were in flight at one of them.
+	Crashes, Suspects int
+	// Blocked is the number of requests that are refused at the moment.
+	Blocked int
+	// Unconfirmed is the number of processes that left a request unanswered and may have crashed.
+	Unconfirmed int
+}
+
+// Stats returns the numbers of what the ledger holds.
+func (l *Ledger) Stats(now clock.Instant) Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Stats{Crashes: len(l.crashes), Suspects: len(l.crashesOf), Unconfirmed: len(l.unanswered)}
+	for f := range l.crashesOf {
+		if l.status(now, f) == Blocked {
+			s.Blocked++
+		}
+	}
+	return s
+}
+
+// Crashes returns the number of crashed processes at which a request was in flight.
+func (l *Ledger) Crashes(f Fingerprint) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.crashesOf[f])
+}
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -11,7 +11,6 @@
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/coordination/ownership"
-	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -218,11 +217,7 @@
 	e.keys.addPaces(m.Paces)
 	e.applyRequestLimits(m.RequestLimits)
 	e.applyDepartures(m.From, m.Leaving)
-	for _, r := range m.Crashes {
-		if added := e.crashes.Merge(e.clock.Boot(), r.ToReport()); len(added) > 0 {
-			e.log.Info("another VM reports requests that a crashed backend server had", "from", string(m.From), "server", string(r.Server), "born", int64(r.Born), "ageMs", r.Age, "fingerprints", added)
-		}
-	}
+	e.receiveCrashes(m.From, m.Crashes)
 	if m.Heartbeat != nil {
 		e.handleHeartbeat(m)
 	}
@@ -315,11 +310,3 @@
 		e.mirror.Apply(platform.WithoutKeys(u))
 	})
 }
-
-// reportCrash tells the other VMs which requests were in flight at a backend server that has crashed.
-func (e *Edge) reportCrash(r poison.Report) {
-	if r.Process.Server != "" && !r.IsRepeated {
-		e.log.Warn("a backend server crashed while it had these requests", "server", string(r.Process.Server), "born", int64(r.Process.Born), "ageMs", r.Age.Milliseconds(), "fingerprints", r.Suspects)
-	}
-	e.announce(e.withSender(gossip.Message{Crashes: []gossip.Crash{gossip.CrashOf(r)}}))
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -157,7 +157,7 @@
 	}
 	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
 	e.relayClient, e.relayHandler = relay.NewClient(e.bodies), relay.NewHandler(e.bodies, e.attemptForOther)
-	e.crashes = poison.NewLedger(poison.WithOnReport(e.reportCrash), poison.WithOnDrop(e.observeDroppedSuspects))
+	e.crashes = e.newLedger()
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
@@ -166,7 +166,7 @@
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit),
 		dispatch.WithOnPause(e.observePause))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
-		forward.WithOnSuspect(e.observeSuspect), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
+		forward.WithOnSuspect(e.observeSuspect), forward.WithProbe(e.probeServer), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.allotments = newAllotments(e)
 	e.handler = entry.NewHandler(entry.Dependencies{
 		Clock: o.Clock,
@@ -257,6 +257,7 @@
 		{"reach", e.watchReach},
 		{"keys", e.keys.run},
 		{"registrations", e.removeLostRegistrations},
+		{"crashes", e.recordCrashes},
 	} {
 		supervisor.Add(c)
 	}
--- a/edge/store.go
+++ b/edge/store.go
@@ -232,6 +232,9 @@
 	s := e.departures.Apply(e.clock.Boot(), e.withRetained(old, e.mirror.Snapshot()))
 	e.snapshot.Store(s)
 	e.dispatcher.Update(s)
+	if !fleet.IsSameMap(old.Crashes, s.Crashes) {
+		e.crashes.Restore(e.clock.Boot(), e.clock.Now(), s.Crashes)
+	}
 	e.forwarder.FollowServers(old, s)
 	if len(s.Servers) != len(old.Servers) {
 		e.options.OnScale(len(s.Servers))
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -145,6 +145,19 @@
 	s.wake()
 }
 
+// Values returns the values of the keys with a prefix.
+func (s *Store) Values(prefix string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := map[string][]byte{}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			values[key] = item.Value
+		}
+	}
+	return values
+}
+
 // Remove deletes an item.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
--- /dev/null
+++ b/state/fleet/crash.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+// Crash is the record of the crash of a backend server's process. It is kept in the store, so that it outlives the VMs that saw the crash.
+type Crash struct {
+	Process Incarnation
+	// At is when the crash was noticed, by the wall clock of the VM that recorded it.
+	At time.Time
+	// Suspects are the requests that were in flight, in ascending order.
+	Suspects []id.Fingerprint
+	// Acquitted are requests that were in flight and have run to a good end since, in ascending order.
+	Acquitted []id.Fingerprint `json:",omitempty"`
+	// Revision is the store revision at which the record was written, or 0; it isn't part of the encoded record.
+	Revision id.Revision `json:"-"`
+}
+
+// maxCrashRequests limits the requests of a record that is read.
+const maxCrashRequests = 1024
+
+// EncodeCrash returns a record as JSON.
+func EncodeCrash(c Crash) (data []byte, err error) {
+	data, err = json.Marshal(c)
+	return data, errors.Wrapf(err, "encode the crash of backend server %s", c.Process.Server)
+}
+
+// DecodeCrash returns the record that EncodeCrash has encoded.
+func DecodeCrash(data []byte) (c Crash, err error) {
+	defer func() { err = errors.Wrap(err, "decode a crash") }()
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Crash{}, err
+	}
+	switch {
+	case c.Process.Server == "":
+		return Crash{}, errors.New("Process: the server is missing")
+	case len(c.Suspects)+len(c.Acquitted) > maxCrashRequests:
+		return Crash{}, errors.Newf("Suspects: more than %d requests", maxCrashRequests)
+	}
+	return c, nil
+}
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -69,6 +69,8 @@
 	Tables map[id.Service]*Table
 	// Peers holds the registered entry VMs.
 	Peers map[id.VM]Peer
+	// Crashes holds the recorded crashes of backend servers.
+	Crashes map[Incarnation]Crash
 	// Leader is the current leader record, or nil if there is none.
 	Leader *Leader
 	// SettledEra is the latest era of the store for which a leader has stored all key tables that were in force before.
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -43,6 +43,9 @@
 // Incarnation distinguishes successive processes of the same VM or backend server.
 type Incarnation string
 
+// Fingerprint is a hash of a request that is the same for equal requests.
+type Fingerprint uint64
+
 // Slice is the index of a shard, which is a range of the hashed key space.
 type Slice uint32
 
