--- a/coordination/poison/verdict.go
+++ b/coordination/poison/verdict.go
@@ -10,7 +10,37 @@
 func (l *Ledger) Check(now clock.Instant, f Fingerprint) Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.status(now, f)
+	if status := l.status(now, f); status != Suspect || l.hasTurn(now, f) {
+		return status
+	}
+	return Blocked
+}
+
+// turn is the time for which one of several requests that share their crashes may run while the others are refused.
+const turn = time.Second
+
+// hasTurn reports whether a suspect may run now. After each crash that the same requests shared, they run in turn once: the one that crashes
+// a process alone, or runs well, tells them apart, so that no innocent one is refused for longer.
+func (l *Ledger) hasTurn(now clock.Instant, f Fingerprint) bool {
+	var last *crash
+	for p := range l.crashesOf[f] {
+		if c := l.crashes[p]; last == nil || c.at > last.at {
+			last = c
+		}
+	}
+	own := len(l.crashesOf[f])
+	most, ties := l.mostCrashes(last)
+	if own < crashesToBlock || own < most {
+		return true
+	}
+	rank := 0
+	for other := range last.suspects {
+		if other < f && len(l.crashesOf[other]) == most {
+			rank++
+		}
+	}
+	current := int(now.Sub(last.at) / turn)
+	return current >= ties || current == rank
 }
 
 // status returns the status of a request.
