--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -35,6 +35,13 @@
 	if demand.Keyed {
 		return d.chooseOwner(now, s, demand)
 	}
+	if len(demand.AvoidedVersions) > 0 {
+		without := demand
+		without.ExcludedVersions, without.AvoidedVersions = slices.Concat(demand.ExcludedVersions, demand.AvoidedVersions), nil
+		if slot, _ := d.choose(now, s, without); slot != nil {
+			return slot, nil
+		}
+	}
 	p := d.preference(s.name)
 	extra := d.queuePlaces(now, s, demand, maxQueuedPerServer)
 	var chosen candidate
@@ -212,7 +219,7 @@
 	skipEjected := hasFewEjected(now, p)
 	add := func(c *server) bool {
 		avoided := demand.AvoidDomain != "" && c.Domain == demand.AvoidDomain
-		if avoided == (tier == avoidedTier) && !slices.Contains(demand.Avoid, c.Incarnation.Server) && (!skipEjected || !c.isEjected(now)) && d.hasCapacity(now, c, extra) {
+		if avoided == (tier == avoidedTier) && !slices.Contains(demand.Avoid, c.Incarnation.Server) && !slices.Contains(demand.ExcludedVersions, c.Version) && (!skipEjected || !c.isEjected(now)) && d.hasCapacity(now, c, extra) {
 			out = append(out, c)
 		}
 		return true
@@ -252,6 +259,9 @@
 	if owner == nil {
 		return nil, nil
 	}
+	if slices.Contains(demand.ExcludedVersions, owner.Version) {
+		return nil, &Refusal{Reason: VersionExcluded, ServiceTime: s.serviceTime, Final: true}
+	}
 	if left := d.pauses.left(now, owner.Incarnation); left > 0 && d.snapshot.UsableForKeys(now, owner.Server) {
 		return nil, d.refusePausedOwner(now, s, demand, left)
 	}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -52,6 +52,10 @@
 	Avoid []id.Server
 	// AvoidDomain is a failure domain whose backend servers are used only if there are no others, or empty.
 	AvoidDomain id.Domain
+	// ExcludedVersions are the versions of the software that must not run the request.
+	ExcludedVersions []id.SoftwareVersion
+	// AvoidedVersions are versions that run the request only while no other one has capacity.
+	AvoidedVersions []id.SoftwareVersion
 	// Retry says that the request was sent before, so that it is queued ahead of first attempts.
 	Retry bool
 }
@@ -351,6 +355,18 @@
 	}
 }
 
+// Versions returns the versions of the software that the usable backend servers of a service run.
+func (d *Dispatcher) Versions(name id.Service) (versions []id.SoftwareVersion) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range d.snapshot.ByService[name] {
+		if s := d.snapshot.Servers[n]; d.snapshot.Usable(s) && !slices.Contains(versions, s.Version) {
+			versions = append(versions, s.Version)
+		}
+	}
+	return versions
+}
+
 // Waiting returns the number of queued requests of a service.
 func (d *Dispatcher) Waiting(name id.Service) int {
 	d.mu.Lock()
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -19,6 +19,8 @@
 	NoServer Reason = "no server"
 	// NoOwner means that no backend server owns the key at the moment.
 	NoOwner Reason = "no owner"
+	// VersionExcluded means that the owner of the key runs a version of its software that must not run the request.
+	VersionExcluded Reason = "version excluded"
 	// CallerGone means that the caller disconnected or timed out while the request was queued.
 	CallerGone Reason = "caller gone"
 )
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -139,10 +139,19 @@
 		name = id.Server(fmt.Sprint("i-", f.started))
 	}
 	f.servers[name] = &crashServer{crashed: make(chan struct{}), robust: robust, Server: fleet.Server{
+		Version:     versionOf(robust),
 		Incarnation: fleet.Incarnation{Server: name, Born: fleet.StartTime(f.started)}, Service: service, Domain: "east", Slots: 4, Address: address,
 	}}
 }
 
+// versionOf returns the version of backend servers that the crashing request crashes, or doesn't.
+func versionOf(robust bool) id.SoftwareVersion {
+	if robust {
+		return "v2"
+	}
+	return "v1"
+}
+
 // startVM starts a VM. Its ledger is empty, so that it reports nothing while mu is held.
 func (f *crashFleet) startVM() {
 	f.mu.Lock()
--- a/coordination/forward/crashexchange_test.go
+++ b/coordination/forward/crashexchange_test.go
@@ -61,7 +61,7 @@
 	known := f.servers[s.Server]
 	f.mu.Unlock()
 	if isSame := known != nil && known.Incarnation == s.Incarnation; !f.test.silent && (!isSame || known.isDown()) {
-		v.forwarder.RecordCrash(s.Incarnation)
+		v.forwarder.RecordCrash(s)
 	}
 }
 
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -151,6 +151,8 @@
 	// than a few of them.
 	unreachable map[id.Domain]int
 	avoidDomain id.Domain
+	// excluded are the versions that must not run the request, and avoided those that run it only if no other one can.
+	excluded, avoided []id.SoftwareVersion
 	// received counts the attempts that a backend server may have received; further ones use the retry budget.
 	received  int
 	attempts  int
@@ -167,9 +169,6 @@
 func (f *Forwarder) Forward(ctx context.Context, r *Request) (answer *Answer, err error) {
 	f.budget(r.Service).addRequest()
 	s := &requestState{request: r, fingerprint: f.fingerprint(r), charges: 1}
-	if refusal := f.refusePoisonous(s); refusal != nil {
-		return nil, refusal
-	}
 	answer, err = f.attemptUntilDone(ctx, s)
 	if err != nil && s.errorAnswer != nil {
 		// A server error tells the caller more than the reason why no further attempt gave an answer.
@@ -183,14 +182,21 @@
 func (f *Forwarder) attemptUntilDone(ctx context.Context, s *requestState) (answer *Answer, err error) {
 	r := s.request
 	for {
+		if refusal := f.followCrashes(s); refusal != nil {
+			return nil, s.finalError(refusal)
+		}
 		slot, err := f.dispatcher.Acquire(ctx, f.demand(s))
 		if err != nil {
-			return nil, s.finalError(translateRefusal(err))
+			return nil, s.finalError(f.translateRefusal(s, err))
 		}
-		if refusal := f.refusePoisonous(s); refusal != nil {
+		if !f.mayRun(s, slot.Server.Version) {
 			// Crashes may have become known during the wait in the queue.
 			slot.Done(dispatch.Cancelled, dispatch.Report{})
-			return nil, s.finalError(refusal)
+			if s.request.Keyed {
+				return nil, s.finalError(f.refusePoisonous(s))
+			}
+			s.tried = append(s.tried, slot.Server.Server)
+			continue
 		}
 		if s.received > 0 && !f.budget(r.Service).trySpend() {
 			slot.Done(dispatch.Cancelled, dispatch.Report{})
@@ -233,7 +239,7 @@
 	r := s.request
 	return dispatch.Demand{
 		Service: r.Service, Priority: r.Priority, Customer: r.Customer, Weight: r.Weight, Keyed: r.Keyed, Key: r.Key, Arrived: r.Arrived,
-		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, AvoidDomain: s.avoidDomain, Retry: s.attempts > 0,
+		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, AvoidDomain: s.avoidDomain, ExcludedVersions: s.excluded, AvoidedVersions: s.avoided, Retry: s.attempts > 0,
 	}
 }
 
@@ -349,7 +355,7 @@
 func (f *Forwarder) canRetry(ctx context.Context, s *requestState) bool {
 	r := s.request
 	return r.Route.Idempotent && s.possibleRuns < r.Route.MaxAttempts && ctx.Err() == nil &&
-		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.refusePoisonous(s) == nil
+		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.followCrashes(s) == nil
 }
 
 // recordUnreachable counts a backend server that refused the connection. After some of a failure domain, the next attempts avoid it:
@@ -379,11 +385,14 @@
 }
 
 // translateRefusal converts an error of the dispatcher.
-func translateRefusal(err error) *outcome.Error {
+func (f *Forwarder) translateRefusal(s *requestState, err error) *outcome.Error {
 	var r *dispatch.Refusal
 	if !errors.As(err, &r) {
 		return outcome.NotRun(outcome.InternalError, "%v", err)
 	}
+	if r.Reason == dispatch.VersionExcluded {
+		return f.refusePoisonous(s)
+	}
 	reason := map[dispatch.Reason]outcome.Reason{
 		dispatch.Overloaded: outcome.Overloaded, dispatch.NoServer: outcome.NoServer,
 		dispatch.NoOwner: outcome.NoOwner, dispatch.CallerGone: outcome.CallerDisconnected,
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -8,6 +8,7 @@
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // fingerprint returns the fingerprint of a request for the ledger of crashes.
@@ -15,11 +16,36 @@
 	return poison.FingerprintOf(string(r.Service), r.Method, r.Target, r.Body)
 }
 
-// refusePoisonous returns the refusal of a request that has crashed several backend servers, or nil.
-func (f *Forwarder) refusePoisonous(s *requestState) *outcome.Error {
-	if f.options.Crashes.Check(f.options.Clock.Boot(), s.fingerprint) != poison.Blocked {
+// followCrashes sets the versions that the next attempt must or should avoid, since the request has crashed backend servers that run them.
+// It returns the refusal of a request that no version may run, or nil.
+func (f *Forwarder) followCrashes(s *requestState) *outcome.Error {
+	ledger := f.options.Crashes
+	s.excluded, s.avoided = nil, nil
+	if !ledger.IsSuspect(s.fingerprint) {
 		return nil
 	}
+	now, versions := f.options.Clock.Boot(), f.dispatcher.Versions(s.request.Service)
+	for _, v := range versions {
+		switch {
+		case ledger.Check(now, s.fingerprint, v) == poison.Blocked:
+			s.excluded = append(s.excluded, v)
+		case ledger.HasCrashed(s.fingerprint, v):
+			s.avoided = append(s.avoided, v)
+		}
+	}
+	if len(versions) > 0 && len(s.excluded) == len(versions) {
+		return f.refusePoisonous(s)
+	}
+	return nil
+}
+
+// mayRun reports whether the backend servers of a version may run the request, which may have changed while it was queued.
+func (f *Forwarder) mayRun(s *requestState, version id.SoftwareVersion) bool {
+	return f.options.Crashes.Check(f.options.Clock.Boot(), s.fingerprint, version) != poison.Blocked
+}
+
+// refusePoisonous returns the refusal of a request that has crashed several backend servers.
+func (f *Forwarder) refusePoisonous(s *requestState) *outcome.Error {
 	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d, crashes %d", s.fingerprint, f.options.Crashes.Crashes(s.fingerprint))
 }
 
@@ -36,18 +62,18 @@
 	case failure != nil:
 		ledger.End(process, s.fingerprint)
 		if failure.Refused {
-			f.RecordCrash(process)
+			f.RecordCrash(server)
 		}
 	case reply.Misplaced:
 		ledger.End(process, s.fingerprint)
 	default:
-		ledger.Answered(now, process, s.fingerprint, began, !reply.NotRun && reply.Answer.Status < http.StatusInternalServerError)
+		ledger.Answered(now, process, server.Version, s.fingerprint, began, !reply.NotRun && reply.Answer.Status < http.StatusInternalServerError)
 	}
 }
 
-// RecordCrash records that the port of a process is closed.
-func (f *Forwarder) RecordCrash(process fleet.Incarnation) {
-	f.options.Crashes.RecordCrash(f.options.Clock.Boot(), process, false)
+// RecordCrash records that the port of a backend server is closed.
+func (f *Forwarder) RecordCrash(s fleet.Server) {
+	f.options.Crashes.RecordCrash(f.options.Clock.Boot(), s, false)
 }
 
 // FollowServers records the processes that have ended between two snapshots without having announced it: their entry is gone, or a
@@ -64,7 +90,7 @@
 	for name, s := range old.Servers {
 		present, isPresent := next.Servers[name]
 		if !s.Draining && (!isPresent || present.Born > s.Born || latest[s.Address] > s.Born) {
-			f.options.Crashes.RecordCrash(now, s.Incarnation, true)
+			f.options.Crashes.RecordCrash(now, s, true)
 		}
 	}
 }
--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // Limits of a ledger.
@@ -20,8 +21,9 @@
 	// maxCrashes and maxSuspects limit the crashes that are recorded, and the suspects of each.
 	maxCrashes  = 1024
 	maxSuspects = 64
-	// maxCleared limits the requests that are remembered to have run without a crash.
-	maxCleared = 4096
+	// maxCleared limits the requests that are remembered to have run without a crash, and maxVersions the versions of each.
+	maxCleared  = 4096
+	maxVersions = 16
 	// initialBlock is how long a request is refused that may still be innocent; it doubles with each further crash.
 	initialBlock = 30 * time.Second
 	// crashesToBlockAny is the number of crashes after which a request is refused although others share the suspicion.
@@ -31,6 +33,7 @@
 // crash is the crash of one process.
 type crash struct {
 	at       clock.Instant
+	version  id.SoftwareVersion
 	suspects map[Fingerprint]bool
 	// own is the part of the suspects that this VM had in flight.
 	own []Fingerprint
@@ -63,8 +66,8 @@
 	crashes    map[fleet.Incarnation]*crash
 	// crashesOf holds the crashed processes by suspect.
 	crashesOf map[Fingerprint]map[fleet.Incarnation]bool
-	// clearedAt is when a suspect last ran without a crash; older crashes don't count against it.
-	clearedAt   map[Fingerprint]clock.Instant
+	// ranAt is when a suspect last ran to a good end on a version; older crashes of that version don't count against it.
+	ranAt       map[Fingerprint]map[id.SoftwareVersion]clock.Instant
 	repeatAllAt clock.Instant
 	// stored holds the records in the store, and storedCrashes their number by suspect.
 	stored        map[fleet.Incarnation]fleet.Crash
@@ -81,7 +84,7 @@
 func NewLedger(opts ...Option) *Ledger {
 	return &Ledger{
 		options: newOptions(opts), inFlight: map[fleet.Incarnation]map[Fingerprint]int{}, unanswered: map[fleet.Incarnation]map[Fingerprint]clock.Instant{},
-		crashes: map[fleet.Incarnation]*crash{}, crashesOf: map[Fingerprint]map[fleet.Incarnation]bool{}, clearedAt: map[Fingerprint]clock.Instant{},
+		crashes: map[fleet.Incarnation]*crash{}, crashesOf: map[Fingerprint]map[fleet.Incarnation]bool{}, ranAt: map[Fingerprint]map[id.SoftwareVersion]clock.Instant{},
 		storedCrashes: map[Fingerprint]int{}, refutedAt: map[fleet.Incarnation]clock.Instant{}, probedAt: map[fleet.Incarnation]clock.Instant{},
 	}
 }
@@ -106,22 +109,22 @@
 	}
 }
 
-// Answered records the answer to a request that began at the given time; succeeded says that the process ran it to a good end.
+// Answered records the answer of a process of a version to a request that began at the given time; succeeded says that the process ran it to
+// a good end.
 //
 // Only an answer to a request that was sent after the signs of a crash refutes
 // them: others may have been written before it.
-func (l *Ledger) Answered(now clock.Instant, p fleet.Incarnation, f Fingerprint, began clock.Instant, succeeded bool) {
+func (l *Ledger) Answered(now clock.Instant, p fleet.Incarnation, version id.SoftwareVersion, f Fingerprint, began clock.Instant, succeeded bool) {
 	l.mu.Lock()
 	l.endLocked(p, f)
 	l.refute(p, began)
-	var cleared []Fingerprint
-	if succeeded && len(l.crashesOf[f]) > 0 && l.status(now, f) != Blocked {
-		l.clear(f, now)
-		cleared = []Fingerprint{f}
+	isNews := succeeded && len(l.crashesOf[f]) > 0 && !l.isRefused(now, f, version) && !l.hasRun(f, version)
+	if isNews {
+		l.clear(f, version, now)
 	}
 	l.mu.Unlock()
-	if cleared != nil {
-		l.options.OnReport(Report{Cleared: cleared})
+	if isNews {
+		l.options.OnReport(Report{Version: version, Cleared: []Fingerprint{f}})
 	}
 }
 
@@ -146,7 +149,7 @@
 		}
 		l.mu.Unlock()
 		if added {
-			l.options.OnReport(Report{Process: p, Age: now.Sub(c.at), Suspects: []Fingerprint{f}})
+			l.options.OnReport(Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: []Fingerprint{f}})
 		}
 		return false
 	}
@@ -168,19 +171,20 @@
 
 // RecordCrash records a sign that a process has ended without notice: its port is closed, another process has taken its place, or its
 // entry is gone. If isPublic is set, the other VMs see the sign too, and are told of the suspects only.
-func (l *Ledger) RecordCrash(now clock.Instant, p fleet.Incarnation, isPublic bool) {
+func (l *Ledger) RecordCrash(now clock.Instant, s fleet.Server, isPublic bool) {
+	p := s.Incarnation
 	l.mu.Lock()
 	if l.crashes[p] != nil {
 		l.mu.Unlock()
 		return
 	}
-	c := l.addCrash(now, p, now)
+	c := l.addCrash(now, p, s.Version, now)
 	if c == nil {
 		l.mu.Unlock()
 		return
 	}
 	c.isOwn = !isPublic || len(c.own) > 0
-	report, isOwn := Report{Process: p, Suspects: slices.Clone(c.own)}, c.isOwn
+	report, isOwn := Report{Process: p, Version: c.version, Suspects: slices.Clone(c.own)}, c.isOwn
 	l.mu.Unlock()
 	if isOwn {
 		l.options.OnReport(report)
@@ -188,7 +192,7 @@
 }
 
 // addCrash records a crash with the suspects of this VM; it returns nil if the crash is refuted, or if there is no room.
-func (l *Ledger) addCrash(now clock.Instant, p fleet.Incarnation, at clock.Instant) *crash {
+func (l *Ledger) addCrash(now clock.Instant, p fleet.Incarnation, version id.SoftwareVersion, at clock.Instant) *crash {
 	l.expire(now)
 	if refuted, ok := l.refutedAt[p]; ok && at <= refuted {
 		return nil
@@ -197,7 +201,7 @@
 		l.options.OnDrop(p, Full, nil)
 		return nil
 	}
-	c := &crash{at: at, ownAt: now, changedAt: now, repeatAt: now.Add(repeatPeriod), suspects: map[Fingerprint]bool{}}
+	c := &crash{at: at, version: version, ownAt: now, changedAt: now, repeatAt: now.Add(repeatPeriod), suspects: map[Fingerprint]bool{}}
 	l.crashes[p] = c
 	for f := range l.inFlight[p] {
 		if l.addSuspect(p, c, f) {
@@ -218,7 +222,7 @@
 	if c.suspects[f] || len(c.suspects) >= maxSuspects {
 		return false
 	}
-	if cleared, ok := l.clearedAt[f]; ok && cleared >= c.at {
+	if ran, ok := l.ranAt[f][c.version]; ok && ran >= c.at {
 		return false
 	}
 	c.suspects[f] = true
@@ -263,18 +267,29 @@
 	}
 }
 
-// clear drops the crashes up to a time from those of a suspect.
-func (l *Ledger) clear(f Fingerprint, at clock.Instant) {
+// clear records that a suspect has run to a good end on a version, and drops the crashes of that version up to then from its crashes.
+func (l *Ledger) clear(f Fingerprint, version id.SoftwareVersion, at clock.Instant) {
 	for p := range l.crashesOf[f] {
-		if c := l.crashes[p]; c.at <= at {
+		if c := l.crashes[p]; c.version == version && c.at <= at {
 			delete(c.suspects, f)
 			l.changes++
 			l.acquit(p, f)
 			l.options.OnDrop(p, RanWell, []Fingerprint{f})
 		}
 	}
-	if _, known := l.clearedAt[f]; known || len(l.clearedAt) < maxCleared {
-		l.clearedAt[f] = max(l.clearedAt[f], at)
+	ran := l.ranAt[f]
+	if ran == nil {
+		if len(l.ranAt) >= maxCleared {
+			return
+		}
+		ran = map[id.SoftwareVersion]clock.Instant{}
+		l.ranAt[f] = ran
+	}
+	if before, known := ran[version]; known || len(ran) < maxVersions {
+		ran[version] = max(before, at)
+		if !known {
+			l.changes++
+		}
 	}
 }
 
@@ -305,9 +320,10 @@
 			delete(l.refutedAt, p)
 		}
 	}
-	for f, at := range l.clearedAt {
-		if now.Sub(at) > defaultRetention {
-			delete(l.clearedAt, f)
+	for f, versions := range l.ranAt {
+		maps.DeleteFunc(versions, func(_ id.SoftwareVersion, at clock.Instant) bool { return now.Sub(at) > defaultRetention })
+		if len(versions) == 0 {
+			delete(l.ranAt, f)
 		}
 	}
 }
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -50,8 +50,8 @@
 			for _, r := range test.reports {
 				l.Merge(at(0), r)
 			}
-			is.Equal(l.Check(at(test.age), guilty), test.guilty)
-			is.Equal(l.Check(at(test.age), innocent), test.innocent)
+			is.Equal(l.Check(at(test.age), guilty, ""), test.guilty)
+			is.Equal(l.Check(at(test.age), innocent, ""), test.innocent)
 		})
 	}
 }
@@ -73,9 +73,9 @@
 			l.Begin(process, 1)
 			l.Begin(process, 2)
 			l.Unanswered(now, process, 1, true)
-			l.Answered(now.Add(2*time.Second), process, 2, now.Add(test.began), true)
-			l.RecordCrash(now.Add(3*time.Second), process, false)
-			is.Equal(l.Check(now.Add(3*time.Second), 1), test.status)
+			l.Answered(now.Add(2*time.Second), process, "", 2, now.Add(test.began), true)
+			l.RecordCrash(now.Add(3*time.Second), fleet.Server{Incarnation: process}, false)
+			is.Equal(l.Check(now.Add(3*time.Second), 1, ""), test.status)
 		})
 	}
 }
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -26,7 +26,7 @@
 //	if l.Unanswered(now, process, fingerprint, true) { // the connection broke
 //		// Probe the port.
 //	}
-//	l.RecordCrash(now, process, false) // the port is closed: announces the suspects
+//	l.RecordCrash(now, server, false)  // the port is closed: announces the suspects
 //	l.Merge(now, report)               // at the other VMs
 //	l.Unrecorded(now, wall, leads)     // the records to be written to the store
 //	l.Restore(now, wall, records)      // at all VMs, also those that start later
--- a/coordination/poison/record.go
+++ b/coordination/poison/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 const (
@@ -44,9 +45,12 @@
 			if c := l.crashes[p]; c != nil {
 				at = max(at, c.at)
 			}
-			l.clear(f, at)
+			l.clear(f, r.Version, at)
 		}
-		if _, own := l.mergeCrash(now, p, now.Add(-age), r.Suspects); own != nil {
+		for _, run := range r.RunsOn {
+			l.clear(run.Request, run.Version, now.Add(-age))
+		}
+		if _, own := l.mergeCrash(now, p, r.Version, now.Add(-age), r.Suspects); own != nil {
 			reports = append(reports, *own)
 		}
 	}
@@ -124,14 +128,24 @@
 		}
 	}
 	for _, f := range l.stored[p].Suspects {
-		// A request that is listed once doesn't get refused, so that its acquittal needs no record.
-		if !c.suspects[f] && l.storedCrashes[f] >= crashesToBlock {
+		// A request that is listed once doesn't get refused, so that its good ends need no record.
+		if l.storedCrashes[f] >= crashesToBlock && (!c.suspects[f] || len(l.otherRuns(f, c.version, l.stored[p].RunsOn)) > 0) {
 			return false
 		}
 	}
 	return true
 }
 
+// otherRuns returns the good ends of a suspect on other versions than the given one that aren't recorded.
+func (l *Ledger) otherRuns(f Fingerprint, version id.SoftwareVersion, recorded []fleet.Run) (out []fleet.Run) {
+	for v := range l.ranAt[f] {
+		if run := (fleet.Run{Request: f, Version: v}); v != version && !slices.Contains(recorded, run) {
+			out = append(out, run)
+		}
+	}
+	return out
+}
+
 // remaining returns the requests of a list that still are suspects of the crash.
 func (c *crash) remaining(list []Fingerprint) (out []Fingerprint) {
 	for _, f := range list {
@@ -145,15 +159,16 @@
 // record returns the record of a crash as it is to be stored.
 func (l *Ledger) record(now clock.Instant, wall time.Time, p fleet.Incarnation, c *crash) fleet.Crash {
 	old := l.stored[p]
-	r := fleet.Crash{Process: p, At: wall.Add(-now.Sub(c.at)), Revision: old.Revision, Acquitted: slices.Clone(old.Acquitted)}
+	r := fleet.Crash{Process: p, Version: c.version, RunsOn: slices.Clone(old.RunsOn), At: wall.Add(-now.Sub(c.at)), Revision: old.Revision, Acquitted: slices.Clone(old.Acquitted)}
 	if !old.At.IsZero() {
 		r.At = old.At
 	}
 	for f := range c.suspects {
 		r.Suspects = append(r.Suspects, f)
+		r.RunsOn = append(r.RunsOn, l.otherRuns(f, c.version, r.RunsOn)...)
 	}
 	for _, f := range old.Suspects {
-		if at, cleared := l.clearedAt[f]; cleared && at >= c.at {
+		if at, ran := l.ranAt[f][c.version]; ran && at >= c.at {
 			r.Acquitted = append(r.Acquitted, f)
 		} else if !c.suspects[f] {
 			r.Suspects = append(r.Suspects, f)
@@ -162,6 +177,9 @@
 	r.Acquitted = slices.DeleteFunc(r.Acquitted, func(f Fingerprint) bool { return c.suspects[f] })
 	slices.Sort(r.Suspects)
 	slices.Sort(r.Acquitted)
+	slices.SortFunc(r.RunsOn, func(a, b fleet.Run) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Version, b.Version))
+	})
 	return r
 }
 
--- a/coordination/poison/record_test.go
+++ b/coordination/poison/record_test.go
@@ -61,7 +61,7 @@
 			s.ledger.Merge(s.now, crashReport(1, guilty))
 			s.ledger.Merge(s.now, crashReport(2, guilty))
 		}, written: 2, status: poison.Blocked},
-		"a crash without suspects": {play: func(s *recordStore) { s.ledger.RecordCrash(s.now, process(1), false) }, status: poison.Clear},
+		"a crash without suspects": {play: func(s *recordStore) { s.ledger.RecordCrash(s.now, fleet.Server{Incarnation: process(1)}, false) }, status: poison.Clear},
 		"already stored": {play: func(s *recordStore) {
 			s.ledger.Merge(s.now, crashReport(1, guilty))
 			s.pass(time.Second)
@@ -110,7 +110,7 @@
 			is.Equal(s.write(true), test.written)
 			is.Equal(s.write(true), 0)
 			s.restart()
-			is.Equal(s.ledger.Check(s.now, guilty), test.status)
+			is.Equal(s.ledger.Check(s.now, guilty, ""), test.status)
 		})
 	}
 }
@@ -122,7 +122,7 @@
 	own, foreign := crashReport(1, 1).Process, crashReport(2, 1)
 	s.ledger.Begin(own, 1)
 	s.ledger.Unanswered(s.now, own, 1, true)
-	s.ledger.RecordCrash(s.now, own, false)
+	s.ledger.RecordCrash(s.now, fleet.Server{Incarnation: own}, false)
 	s.ledger.Merge(s.now, foreign)
 	is.Equal(s.write(false), 0)
 	s.pass(2 * time.Second)
@@ -142,7 +142,7 @@
 	is.Equal(s.write(true), 2)
 	is.Equal(len(s.ledger.Outdated(s.wall)), 0)
 	s.ledger.Begin(alive, 3)
-	s.ledger.Answered(s.now.Add(time.Second), alive, 3, s.now, true)
+	s.ledger.Answered(s.now.Add(time.Second), alive, "", 3, s.now, true)
 	outdated := s.ledger.Outdated(s.wall)
 	is.Equal(len(outdated), 1)
 	is.Equal(outdated[0].Process, alive)
--- a/coordination/poison/report.go
+++ b/coordination/poison/report.go
@@ -7,12 +7,15 @@
 
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // Report tells other VMs of the crash of a process, or that requests have run without a crash.
 type Report struct {
 	// Process is the process that has crashed; it is empty in a report of Cleared alone.
 	Process fleet.Incarnation
+	// Version is the version of the process's software, or that on which Cleared have run; earlier builds send none.
+	Version id.SoftwareVersion
 	// Age is the time since the crash.
 	Age time.Duration
 	// Suspects are requests that the sender had in flight there.
@@ -44,15 +47,15 @@
 func (l *Ledger) Merge(now clock.Instant, r Report) (added []Fingerprint) {
 	l.mu.Lock()
 	for _, f := range r.Cleared {
-		if l.status(now, f) != Blocked {
-			l.clear(f, now.Add(-r.Age))
+		if !l.isRefused(now, f, r.Version) {
+			l.clear(f, r.Version, now.Add(-r.Age))
 		}
 	}
 	if r.Process.Server == "" {
 		l.mu.Unlock()
 		return nil
 	}
-	added, own := l.mergeCrash(now, r.Process, now.Add(-r.Age), r.Suspects)
+	added, own := l.mergeCrash(now, r.Process, r.Version, now.Add(-r.Age), r.Suspects)
 	l.mu.Unlock()
 	if own != nil {
 		l.options.OnReport(*own)
@@ -62,14 +65,18 @@
 
 // mergeCrash adds a crash with suspects that others have found. It returns the suspects that were not known and, if this VM has suspects of
 // its own to add, a report of them.
-func (l *Ledger) mergeCrash(now clock.Instant, p fleet.Incarnation, at clock.Instant, suspects []Fingerprint) (added []Fingerprint, own *Report) {
+func (l *Ledger) mergeCrash(now clock.Instant, p fleet.Incarnation, version id.SoftwareVersion, at clock.Instant, suspects []Fingerprint) (added []Fingerprint, own *Report) {
 	c, isNew := l.crashes[p], false
 	if c == nil {
-		c, isNew = l.addCrash(now, p, at), true
+		c, isNew = l.addCrash(now, p, version, at), true
 	}
 	if c == nil {
 		return nil, nil
 	}
+	if c.version == "" {
+		// The first report came from an earlier build.
+		c.version = version
+	}
 	for _, f := range suspects {
 		if l.addSuspect(p, c, f) {
 			added = append(added, f)
@@ -80,7 +87,7 @@
 		return added, nil
 	}
 	c.isOwn = true
-	return added, &Report{Process: p, Age: now.Sub(c.at), Suspects: slices.Clone(c.own)}
+	return added, &Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: slices.Clone(c.own)}
 }
 
 // Repeat reports again what other VMs may have missed. The leader also repeats what others have reported while the store is away.
@@ -99,11 +106,11 @@
 			if c.repeated >= quickRepeats {
 				c.repeatAt = now.Add(slowRepeatPeriod)
 			}
-			due = append(due, Report{Process: p, Age: now.Sub(c.at), Suspects: slices.Clone(c.own), IsRepeated: true})
+			due = append(due, Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: slices.Clone(c.own), IsRepeated: true})
 		case repeatAll && len(due) < maxRepeated && l.hasRepeatedSuspect(c):
 			suspects := slices.Collect(maps.Keys(c.suspects))
 			if !l.isStored(p, suspects) {
-				due = append(due, Report{Process: p, Age: now.Sub(c.at), Suspects: suspects, IsRepeated: true})
+				due = append(due, Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: suspects, IsRepeated: true})
 			}
 		}
 	}
--- a/coordination/poison/verdict.go
+++ b/coordination/poison/verdict.go
@@ -4,16 +4,72 @@
 	"time"
 
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// Check returns the status of a request.
-func (l *Ledger) Check(now clock.Instant, f Fingerprint) Status {
+// Check returns the status of a request at the backend servers of a version.
+//
+// A request that has crashed processes of other versions only, and none of this
+// one, is refused after one crash more, and only for a time: a fault is often
+// that of one version. Where it has run to a good end it isn't refused until it
+// crashes a process there.
+func (l *Ledger) Check(now clock.Instant, f Fingerprint, version id.SoftwareVersion) Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	status := l.status(now, f)
+	switch {
+	case status == Clear:
+		return Clear
+	case l.isRefused(now, f, version), status == Suspect && !l.hasRun(f, version) && !l.hasTurn(now, f):
+		return Blocked
+	default:
+		return Suspect
+	}
+}
+
+// IsSuspect reports whether any crash is known at which a request was in flight.
+func (l *Ledger) IsSuspect(f Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.crashesOf[f]) > 0
+}
+
+// HasCrashed reports whether a request was in flight at a crashed process of a version.
+func (l *Ledger) HasCrashed(f Fingerprint, version id.SoftwareVersion) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if status := l.status(now, f); status != Suspect || l.hasTurn(now, f) {
-		return status
+	return l.hasCrashed(f, version)
+}
+
+// hasCrashed counts crashes of unknown versions as ones of each version.
+func (l *Ledger) hasCrashed(f Fingerprint, version id.SoftwareVersion) bool {
+	for p := range l.crashesOf[f] {
+		if v := l.crashes[p].version; v == version || v == "" || version == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRun reports whether a request has run to a good end on a version and crashed no process of it since.
+func (l *Ledger) hasRun(f Fingerprint, version id.SoftwareVersion) bool {
+	_, ran := l.ranAt[f][version]
+	return ran && !l.hasCrashed(f, version)
+}
+
+// isRefused reports whether the crashes of a request suffice to refuse it at the backend servers of a version.
+func (l *Ledger) isRefused(now clock.Instant, f Fingerprint, version id.SoftwareVersion) bool {
+	if l.status(now, f) != Blocked || l.hasRun(f, version) {
+		return false
+	}
+	if l.hasCrashed(f, version) {
+		return true
+	}
+	var last clock.Instant
+	for p := range l.crashesOf[f] {
+		last = max(last, l.crashes[p].at)
 	}
-	return Blocked
+	return len(l.crashesOf[f]) >= crashesToBlockAny && now.Sub(last) <= initialBlock
 }
 
 // turn is the time for which one of several requests that share their crashes may run while the others are refused.
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -70,7 +70,7 @@
 	switch {
 	case result.Failure != nil:
 		if result.Failure.Refused {
-			e.forwarder.RecordCrash(c.Incarnation)
+			e.forwarder.RecordCrash(server)
 		}
 		k.recordOutcome(c, ownership.Unanswered, "", result.Failure.Refused)
 	case result.Status == http.StatusOK:
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -100,7 +100,7 @@
 	e.publishSnapshot()
 	e.notify(e.updatesPending)
 	for _, r := range records {
-		e.log.Info("the crash of a backend server is recorded", "server", string(r.Process.Server), "born", int64(r.Process.Born), "revision", written.Number(), "fingerprints", r.Suspects, "acquitted", r.Acquitted)
+		e.log.Info("the crash of a backend server is recorded", "server", string(r.Process.Server), "born", int64(r.Process.Born), "version", string(r.Version), "revision", written.Number(), "fingerprints", r.Suspects, "acquitted", r.Acquitted, "runsOn", r.RunsOn)
 	}
 	return nil
 }
@@ -137,7 +137,7 @@
 		e.metrics.attempts.Add("probed", 1)
 		e.log.Info("a backend server that broke a connection off was probed", "server", string(s.Server), "closed", isClosed)
 		if isClosed {
-			e.forwarder.RecordCrash(s.Incarnation)
+			e.forwarder.RecordCrash(s)
 		}
 	})
 }
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -41,6 +41,8 @@
 	Service id.Service
 	Address string
 	Domain  id.Domain
+	// Version is the version of its software.
+	Version id.SoftwareVersion
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
 	// Draining is set if it is shutting down and must get no new requests.
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -43,6 +43,9 @@
 // Incarnation distinguishes successive processes of the same VM or backend server.
 type Incarnation string
 
+// SoftwareVersion names the version of the software that a backend server runs.
+type SoftwareVersion string
+
 // Fingerprint is a hash of a request that is the same for equal requests.
 type Fingerprint uint64
 
--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -138,6 +138,8 @@
 	Suspects []poison.Fingerprint `cbor:"4,keyasint,omitempty"`
 	// Cleared are requests that have run without a crash since they were reported.
 	Cleared []poison.Fingerprint `cbor:"5,keyasint,omitempty"`
+	// Version is the version of the process's software, or that on which Cleared have run.
+	Version id.SoftwareVersion `cbor:"6,keyasint,omitempty"`
 }
 
 // maxCrashAge is the age of a crash, in milliseconds, from which it no longer matters.
@@ -145,12 +147,12 @@
 
 // CrashOf returns a report as it is sent.
 func CrashOf(r poison.Report) Crash {
-	return Crash{Server: r.Process.Server, Born: r.Process.Born, Age: int(r.Age.Milliseconds()), Suspects: r.Suspects, Cleared: r.Cleared}
+	return Crash{Server: r.Process.Server, Born: r.Process.Born, Version: r.Version, Age: int(r.Age.Milliseconds()), Suspects: r.Suspects, Cleared: r.Cleared}
 }
 
 // ToReport returns a received report.
 func (c Crash) ToReport() poison.Report {
 	return poison.Report{
-		Process: fleet.Incarnation{Server: c.Server, Born: c.Born}, Age: time.Duration(min(max(c.Age, 0), maxCrashAge)) * time.Millisecond, Suspects: c.Suspects, Cleared: c.Cleared,
+		Process: fleet.Incarnation{Server: c.Server, Born: c.Born}, Version: c.Version, Age: time.Duration(min(max(c.Age, 0), maxCrashAge)) * time.Millisecond, Suspects: c.Suspects, Cleared: c.Cleared,
 	}
 }
--- a/transport/gossip/message_test.go
+++ b/transport/gossip/message_test.go
@@ -42,6 +42,24 @@
 		is.NoErr(cbor.Unmarshal(data, &got))
 		is.Equal(got, gossip.Message{From: "a", Incarnation: "i", Domain: "east", Heartbeat: heartbeat, RequestLimits: limits})
 	})
+	t.Run("the fields of a crash, and the version that earlier builds don't send", func(t *testing.T) {
+		is := is.New(t)
+		// {1: "a", 2: "", 3: "", 13: [{1: "s", 2: 2, 3: 30, 4: [7], 6: "v1"}]}
+		data := []byte{0xa4, 0x01, 0x61, 'a', 0x02, 0x60, 0x03, 0x60, 0x0d, 0x81, 0xa5, 0x01, 0x61, 's', 0x02, 0x02, 0x03, 0x18, 30, 0x04, 0x81, 0x07, 0x06, 0x62, 'v', '1'}
+		crash := gossip.Crash{Server: "s", Born: 2, Age: 30, Suspects: []id.Fingerprint{7}, Version: "v1"}
+		var got gossip.Message
+		is.NoErr(cbor.Unmarshal(data, &got))
+		is.Equal(got, gossip.Message{From: "a", Crashes: []gossip.Crash{crash}})
+		encoded, err := cbor.Marshal(got)
+		is.NoErr(err)
+		is.Equal(encoded, data)
+		earlier := append([]byte{}, data[:len(data)-4]...)
+		earlier[10] = 0xa4
+		var gotEarlier gossip.Message
+		is.NoErr(cbor.Unmarshal(earlier, &gotEarlier))
+		crash.Version = ""
+		is.Equal(gotEarlier.Crashes[0].ToReport(), crash.ToReport())
+	})
 	t.Run("the number and the fields of a leaving backend server", func(t *testing.T) {
 		is := is.New(t)
 		// {1: "a", 2: "", 3: "", 16: [{1: "s", 2: 2, 3: 30}]}
