--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -13,9 +13,9 @@
 
 // Limits of a ledger.
 const (
-	// confirmWindow is the time after a request got no answer within which a sign that the process has ended makes it a suspect: longer
-	// than it takes until the entry of a silent backend server is removed or its replacement has registered.
-	confirmWindow = 5 * time.Second
+	// confirmWindow is the time after a request got no answer within which a sign that the process has ended makes it a suspect, unless the
+	// process answers. The entry of a silent backend server is removed late if the store is away meanwhile.
+	confirmWindow = 30 * time.Second
 	// probePeriod is the least time between two probes of the port of a process that breaks connections off.
 	probePeriod = 500 * time.Millisecond
 	// maxCrashes and maxSuspects limit the crashes that are recorded, and the suspects of each.
