--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -191,15 +191,14 @@
 	}
 }
 
-// addCrash records a crash with the suspects of this VM; it returns nil if the crash is refuted, or if there is no room.
+// addCrash records a crash with the suspects of this VM; it returns nil if the crash is refuted.
 func (l *Ledger) addCrash(now clock.Instant, p fleet.Incarnation, version id.SoftwareVersion, at clock.Instant) *crash {
 	l.expire(now)
 	if refuted, ok := l.refutedAt[p]; ok && at <= refuted {
 		return nil
 	}
 	if len(l.crashes) >= maxCrashes {
-		l.options.OnDrop(p, Full, nil)
-		return nil
+		l.dropCrash(l.leastCrash(), Full)
 	}
 	c := &crash{at: at, version: version, ownAt: now, changedAt: now, repeatAt: now.Add(repeatPeriod), suspects: map[Fingerprint]bool{}}
 	l.crashes[p] = c
@@ -217,6 +216,19 @@
 	return c
 }
 
+// leastCrash returns the process whose crash says least: one without a repeated suspect if there is any, and the oldest of these.
+func (l *Ledger) leastCrash() (least fleet.Incarnation) {
+	var found *crash
+	foundRepeated := false
+	for p, c := range l.crashes {
+		repeated := l.hasRepeatedSuspect(c)
+		if found == nil || foundRepeated && !repeated || foundRepeated == repeated && c.at < found.at {
+			least, found, foundRepeated = p, c, repeated
+		}
+	}
+	return least
+}
+
 // addSuspect adds a suspect to a crash and reports whether it is new.
 func (l *Ledger) addSuspect(p fleet.Incarnation, c *crash, f Fingerprint) bool {
 	if c.suspects[f] || len(c.suspects) >= maxSuspects {
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -79,3 +79,23 @@
 		})
 	}
 }
+
+// A storm of crashes must not keep later ones from being recorded, or a request that crashes many processes from being known.
+func TestCrashesAfterACrashStormCount(t *testing.T) {
+	is := is.New(t)
+	const before, after poison.Fingerprint = 1, 2
+	l, now := poison.NewLedger(), clock.Instant(time.Hour)
+	for n := range 2 {
+		l.Merge(now, crashReport(n, before))
+	}
+	for n := range 3000 {
+		now = now.Add(time.Millisecond)
+		l.Merge(now, crashReport(100+n, poison.Fingerprint(100+n)))
+	}
+	for n := range 2 {
+		l.Merge(now, crashReport(10+n, after))
+	}
+	is.Equal(l.Check(now, before, ""), poison.Blocked)
+	is.Equal(l.Check(now, after, ""), poison.Blocked)
+	is.True(l.Stats(now).Crashes <= 1024)
+}
--- a/coordination/poison/options.go
+++ b/coordination/poison/options.go
@@ -17,7 +17,7 @@
 	Refuted Cause = "the process answers"
 	// Expired means that the crash is too old to count.
 	Expired Cause = "expired"
-	// Full means that too many crashes are recorded.
+	// Full means that the ledger had no room for all crashes.
 	Full Cause = "too many crashes"
 )
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -128,7 +128,7 @@
 
 // observeDroppedSuspects logs that a crash no longer counts against requests.
 func (e *Edge) observeDroppedSuspects(p fleet.Incarnation, cause poison.Cause, suspects []poison.Fingerprint) {
-	if len(suspects) == 0 && cause != poison.Full {
+	if len(suspects) == 0 {
 		return
 	}
 	e.log.Info("a crash no longer counts against requests", "server", string(p.Server), "born", int64(p.Born), "cause", string(cause), "fingerprints", suspects)
