--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -178,6 +178,15 @@
 	}
 }
 
+// stopAll stops all VMs.
+func (f *crashFleet) stopAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.vms {
+		v.stopped = true
+	}
+}
+
 // publish makes the registered backend servers the snapshot of all VMs.
 func (f *crashFleet) publish() {
 	f.publishing.Lock()
--- a/coordination/forward/crashevidence_test.go
+++ b/coordination/forward/crashevidence_test.go
@@ -1,15 +1,19 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
+	"github.com/hickorylug/hickorylug/state/fleet"
 )
 
 // allVMs returns the numbers of all VMs.
@@ -125,3 +129,36 @@
 		t.Run(name, func(t *testing.T) { playCrashes(t, test) })
 	}
 }
+
+// An attempt that a VM gives up since its own links hang was in flight all the same, and may be what crashed the backend server.
+func TestAbandonedAttemptsAreSuspects(t *testing.T) {
+	tests := map[string]struct {
+		failure forward.Failure
+		want    bool
+	}{
+		"abandoned":  {failure: forward.Failure{Sent: true, Abandoned: true, Cause: errors.New("the links of this VM hang")}, want: true},
+		"broken":     {failure: forward.Failure{Sent: true, Cause: errors.New("connection reset")}, want: true},
+		"never sent": {failure: forward.Failure{Cause: errors.New("i/o timeout")}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			suspects := 0
+			synctest.Test(t, func(*testing.T) {
+				f := newCrashFleet(crashCase{})
+				v := f.vm(0)
+				var server fleet.Server
+				v.forwarder = forward.NewForwarder(v.dispatcher, forward.WithClock(f.clock), forward.WithCrashes(v.ledger), forward.WithSend(
+					func(_ context.Context, a forward.Attempt) (*forward.Reply, *forward.Failure) {
+						server = a.Slot.Server
+						return nil, &test.failure
+					}))
+				f.start(v, crashTarget)
+				v.forwarder.RecordCrash(server)
+				f.stopAll()
+				suspects = v.ledger.Stats(f.clock.Boot()).Suspects
+			})
+			is.Equal(suspects > 0, test.want)
+		})
+	}
+}
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -53,8 +53,8 @@
 func (f *Forwarder) recordSigns(ctx context.Context, s *requestState, server fleet.Server, began clock.Instant, reply *Reply, failure *Failure) {
 	ledger, now, process := f.options.Crashes, f.options.Clock.Boot(), server.Incarnation
 	switch {
-	case failure != nil && failure.Sent && !failure.Abandoned:
-		probe := ledger.Unanswered(now, process, s.fingerprint, ctx.Err() == nil)
+	case failure != nil && failure.Sent:
+		probe := ledger.Unanswered(now, process, s.fingerprint, ctx.Err() == nil && !failure.Abandoned)
 		f.options.OnSuspect(process.Server, s.fingerprint)
 		if probe {
 			f.options.Probe(server)
