--- a/edge/relay.go
+++ b/edge/relay.go
@@ -52,7 +52,7 @@
 	}
 	header := a.Header
 	request := http1.Request{
-		Address: a.Address, Server: string(a.Server), Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
+		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
 		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
 		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
 	}
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -71,6 +72,8 @@
 	socket net.Conn
 	heads  *headLimiter
 	reader *bufio.Reader
+	// carried holds the ids of the latest requests.
+	carried []string
 	// usableUntil is the time from which the server may close the idle connection.
 	usableUntil time.Time
 }
@@ -101,6 +104,23 @@
 	return errors.CombineErrors(err, optionErr)
 }
 
+// maxCarriedIDs limits the ids that a connection remembers: a late copy of a response comes soon after it.
+const maxCarriedIDs = 32
+
+// hasCarried reports whether a request with an id was sent on the connection.
+func (c *connection) hasCarried(id string) bool { return id != "" && slices.Contains(c.carried, id) }
+
+// recordID remembers the id of a request that is sent.
+func (c *connection) recordID(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.carried) >= maxCarriedIDs {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, id)
+}
+
 // isIdle reports whether a connection is still open and has no unread bytes.
 func (c *connection) isIdle() bool {
 	raw, err := c.socket.(*net.TCPConn).SyscallConn()
@@ -136,6 +156,7 @@
 			stop()
 		}
 	}()
+	c.recordID(r.ID)
 	written, err := c.write(r)
 	if err != nil {
 		return nil, err
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -31,6 +31,9 @@
 	Address string
 	// Server identifies the backend server. Connections aren't shared between servers, since an address may be reassigned.
 	Server string
+	// ID identifies the request in its response, or is empty. A connection that has carried it before isn't used for it again: a late copy of
+	// the earlier response couldn't be told from its own one.
+	ID     string
 	Method string
 	// Target is the request target as the caller sent it.
 	Target string
@@ -135,7 +138,7 @@
 // acquire returns an idle connection that is still open, or dials a new one.
 func (c *Client) acquire(ctx context.Context, key poolKey, r Request) (conn *connection, err error) {
 	for !r.NewConnection {
-		conn := c.popIdle(key)
+		conn := c.popIdle(key, r.ID)
 		if conn == nil {
 			break
 		}
@@ -155,33 +158,31 @@
 	return conn, nil
 }
 
-// popIdle returns the most recently used idle connection, or nil, and closes those whose idle timeout has expired.
-func (c *Client) popIdle(key poolKey) *connection {
+// popIdle returns the most recently used idle connection that hasn't carried a request with the given id, or nil, and closes those whose idle
+// timeout has expired.
+func (c *Client) popIdle(key poolKey, id string) (conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[key]
 	if p == nil || len(p.idle) == 0 {
 		return nil
 	}
-	conn := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
 	now := time.Now()
-	remaining := p.idle[:0]
-	for _, other := range p.idle {
-		if now.Before(other.usableUntil) {
-			remaining = append(remaining, other)
-		} else {
+	p.idle = slices.DeleteFunc(p.idle, func(other *connection) bool {
+		expired := !now.Before(other.usableUntil)
+		if expired {
 			p.open--
 			_ = other.socket.Close()
 		}
+		return expired
+	})
+	for i, other := range slices.Backward(p.idle) {
+		if !other.hasCarried(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return other
+		}
 	}
-	p.idle = remaining
-	if !now.Before(conn.usableUntil) {
-		p.open--
-		_ = conn.socket.Close()
-		return nil
-	}
-	return conn
+	return nil
 }
 
 // reserve counts a connection that is about to be opened. It returns ErrNoConnection if limit connections are open.
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -203,6 +203,53 @@
 	is.NoErr(err)
 }
 
+// refusal is a response that says that the backend server has not run the request with an id.
+func refusal(id string) string {
+	return "HTTP/1.1 503 Busy\r\nX-Id: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// A refusal that is written once more on a kept connection must not be taken for the response to a later attempt.
+func TestRefusalsWrittenAgain(t *testing.T) {
+	const unidentified = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]struct {
+		// responses are those of each connection, and ids those of the requests, which are sent one after the other.
+		responses []string
+		ids       []string
+		// want holds the statuses, 0 for a request that may have run.
+		want   []int
+		opened int64
+	}{
+		"before another request's response": {responses: []string{refusal("1"), refusal("1") + response("2", "two")}, ids: []string{"1", "2"}, want: []int{503, 200}, opened: 1},
+		"before the response to the same request": {
+			responses: []string{refusal("1"), refusal("1") + response("1", "one")}, ids: []string{"1", "1"}, want: []int{503, 503}, opened: 2,
+		},
+		"the same request after another one": {
+			responses: []string{refusal("1"), response("2", "two"), refusal("1") + response("1", "one")}, ids: []string{"1", "2", "1"}, want: []int{503, 200, 503}, opened: 2,
+		},
+		"without an id": {responses: []string{refusal("1"), unidentified + response("2", "two")}, ids: []string{"1", "2"}, want: []int{503, 0}, opened: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, test.responses...)
+			c := http1.NewClient()
+			for i, id := range test.ids {
+				r := request(s, id)
+				r.ID = id
+				resp, err := c.Do(context.Background(), r)
+				if test.want[i] == 0 {
+					is.True(http1.WasSent(err))
+					continue
+				}
+				is.Equal(resp.Status, test.want[i])
+				_, err = read(t, resp, err)
+				is.NoErr(err)
+			}
+			is.Equal(c.OpenedConnections(), test.opened)
+		})
+	}
+}
+
 // A canceled request must not reach the backend server later: after a plain close the kernel would retransmit its bytes.
 // So the connection must be reset.
 func TestGivenUpRequestResetsItsConnection(t *testing.T) {
