--- a/edge/latecopies_test.go
+++ b/edge/latecopies_test.go
@@ -61,6 +61,7 @@
 	const (
 		refusalOfA = "HTTP/1.1 503 Busy\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 		refusal    = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		badRequest = "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 		answerToA  = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"
 		answerToB  = "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n"
 	)
@@ -74,9 +75,11 @@
 		// want is the status of the last attempt, or 0 if it may have run.
 		want int
 	}{
-		"a refusal of another request":  {texts: []string{refusalOfA, refusalOfA + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}, want: 200},
-		"a refusal of the same request": {texts: []string{refusalOfA, refusalOfA + answerToA}, further: []string{answerToA}, attempts: []relay.Attempt{request("a"), request("a")}, want: 200},
-		"a refusal without an id":       {texts: []string{refusalOfA, refusal + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}},
+		"a refusal of another request":         {texts: []string{refusalOfA, refusalOfA + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}, want: 200},
+		"a refusal of the same request":        {texts: []string{refusalOfA, refusalOfA + answerToA}, further: []string{answerToA}, attempts: []relay.Attempt{request("a"), request("a")}, want: 200},
+		"a refusal without an id":              {texts: []string{refusalOfA, refusal + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}},
+		"a refusal of a request without an id": {texts: []string{badRequest, badRequest + answerToB}, attempts: []relay.Attempt{request(""), request("b")}},
+		"a request without an id":              {texts: []string{badRequest}, attempts: []relay.Attempt{request("")}, want: 400},
 	}
 	newVM := func() *Edge {
 		return &Edge{
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -60,7 +60,7 @@
 		header = header.Clone()
 		platform.SetAttemptHeaders(header, a.RequestID, a.Timeout, a.Server)
 		request.Header = header
-		request.Match = func(status int, h http.Header) http1.Match { return platform.MatchResponse(status, h, a.RequestID) }
+		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, a.RequestID) }
 	}
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
