--- a/edge/commands.go
+++ b/edge/commands.go
@@ -66,6 +66,8 @@
 	result := e.attempt(ctx, relay.Attempt{
 		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: call.Path, Host: server.Address,
 		Header: header, Body: body, Timeout: timeout, Command: true,
+		// Responses to commands carry no id: a late copy of that to a grant would end the former owner's hold too early.
+		NewConnection: c.Release,
 	})
 	switch {
 	case result.Failure != nil:
--- a/edge/latecopies_test.go
+++ b/edge/latecopies_test.go
@@ -16,6 +16,7 @@
 	"github.com/hickorylug/hickorylug/coordination/departure"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/reach"
+	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/relay"
@@ -64,10 +65,15 @@
 		badRequest = "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 		answerToA  = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"
 		answerToB  = "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n"
+		granted    = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		conflict   = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
 	)
 	request := func(id string) relay.Attempt {
 		return relay.Attempt{RequestID: id, Method: http.MethodPost, Target: "/"}
 	}
+	command := relay.Attempt{Command: true, Method: http.MethodPost, Target: platform.GrantCall(0, 1, 1, 1, "").Path}
+	release := command
+	release.Target, release.NewConnection = platform.ReleaseCall(0, 1, 1).Path, true
 	tests := map[string]struct {
 		// texts are the responses of the first connection, and further those of the others; the attempts follow each other.
 		texts, further []string
@@ -75,11 +81,14 @@
 		// want is the status of the last attempt, or 0 if it may have run.
 		want int
 	}{
-		"a refusal of another request":         {texts: []string{refusalOfA, refusalOfA + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}, want: 200},
-		"a refusal of the same request":        {texts: []string{refusalOfA, refusalOfA + answerToA}, further: []string{answerToA}, attempts: []relay.Attempt{request("a"), request("a")}, want: 200},
-		"a refusal without an id":              {texts: []string{refusalOfA, refusal + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}},
-		"a refusal of a request without an id": {texts: []string{badRequest, badRequest + answerToB}, attempts: []relay.Attempt{request(""), request("b")}},
-		"a request without an id":              {texts: []string{badRequest}, attempts: []relay.Attempt{request("")}, want: 400},
+		"a refusal of another request":                   {texts: []string{refusalOfA, refusalOfA + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}, want: 200},
+		"a refusal of the same request":                  {texts: []string{refusalOfA, refusalOfA + answerToA}, further: []string{answerToA}, attempts: []relay.Attempt{request("a"), request("a")}, want: 200},
+		"a refusal without an id":                        {texts: []string{refusalOfA, refusal + answerToB}, attempts: []relay.Attempt{request("a"), request("b")}},
+		"a refusal of a request without an id":           {texts: []string{badRequest, badRequest + answerToB}, attempts: []relay.Attempt{request(""), request("b")}},
+		"a request without an id":                        {texts: []string{badRequest}, attempts: []relay.Attempt{request("")}, want: 400},
+		"an answer before that to a command":             {texts: []string{answerToA, answerToA + conflict}, attempts: []relay.Attempt{request("a"), command}, want: 409},
+		"a refusal before the answer to a command":       {texts: []string{refusalOfA, refusalOfA + granted}, attempts: []relay.Attempt{request("a"), command}, want: 200},
+		"the answer to a grant before that to a release": {texts: []string{granted, granted + conflict}, further: []string{conflict}, attempts: []relay.Attempt{command, release}, want: 409},
 	}
 	newVM := func() *Edge {
 		return &Edge{
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -56,7 +56,9 @@
 		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
 		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
 	}
-	if !a.Command {
+	if a.Command {
+		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, "") }
+	} else {
 		header = header.Clone()
 		platform.SetAttemptHeaders(header, a.RequestID, a.Timeout, a.Server)
 		request.Header = header
