--- a/protocol/backend/backend.go
+++ b/protocol/backend/backend.go
@@ -36,6 +36,9 @@
 	HeaderKey = "Hickorylug-Key"
 	// HeaderExpiry is the expiry of the grant, in nanoseconds of the backend server's clock.
 	HeaderExpiry = "Hickorylug-Expiry"
+	// HeaderAttempt identifies one attempt at sending a request. Responses repeat it, so that a late copy of a response isn't taken for the
+	// response to a later request on the same connection.
+	HeaderAttempt = "Hickorylug-Attempt"
 	// HeaderDeadline is the time left until the request's deadline, in milliseconds.
 	HeaderDeadline = "Hickorylug-Deadline"
 )
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -159,6 +159,7 @@
 	s.waitWhilePaused()
 	s.mu.Lock()
 	w.Header().Set(backend.HeaderBoot, string(s.incarnation))
+	w.Header().Set(backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt))
 	w.Header().Set(backend.HeaderLoad, strconv.Itoa(s.running))
 	draining := s.draining
 	s.mu.Unlock()
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/hickorylug/hickorylug/coordination/group"
 	"github.com/hickorylug/hickorylug/protocol/backend"
@@ -136,8 +137,14 @@
 	ctx, span := t.options.Tracer.Start(ctx, r.Header, "backend")
 	defer span.End()
 	t.options.Tracer.Inject(ctx, r.Header)
+	attempt := uuid.NewString()
+	r.Header.Set(backend.HeaderAttempt, attempt)
 	resp, err = t.httpTransport(s.Address, limit).RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, clientTrace)))
 	if err == nil {
+		if got := resp.Header.Get(backend.HeaderAttempt); got != "" && got != attempt {
+			_ = resp.Body.Close()
+			return nil, errors.Newf("the response with status %d belongs to another request", resp.StatusCode)
+		}
 		return resp, nil
 	}
 	if !tracker.hasWritten() {
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -19,6 +19,52 @@
 	"github.com/hickorylug/hickorylug/transport/backend"
 )
 
+// A refusal that a backend server writes once more on a kept connection must not be taken for the response to the next request.
+func TestRefusalWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r, refusal := bufio.NewReader(c), ""
+		for n := range 2 {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			attempt := "\r\nHickorylug-Attempt: " + req.Header.Get("Hickorylug-Attempt") + "\r\nContent-Length: 0\r\n\r\n"
+			if n == 0 {
+				refusal = "HTTP/1.1 503 Busy\r\nHickorylug-Not-Run: overload" + attempt
+				_, _ = io.WriteString(c, refusal)
+			} else {
+				_, _ = io.WriteString(c, refusal+"HTTP/1.1 200 OK"+attempt)
+			}
+		}
+		_, _ = io.Copy(io.Discard, r)
+	}()
+	transport := backend.NewTransport()
+	send := func() (*http.Response, error) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String(), nil)
+		is.NoErr(err)
+		return transport.Send(t.Context(), config.Server{Address: l.Addr().String()}, 1, r)
+	}
+	resp, err := send()
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("Hickorylug-Not-Run"), "overload")
+	is.NoErr(resp.Body.Close())
+	resp, err = send()
+	if err == nil {
+		resp.Body.Close()
+		is.Equal(resp.Header.Get("Hickorylug-Not-Run"), "")
+	}
+	is.True(!errors.Is(err, group.ErrNotSent))
+}
+
 // flakyServer answers the first request of each connection and closes the connection after reading the second one.
 type flakyServer struct {
 	listener net.Listener
