--- a/edge/latecopies_test.go
+++ b/edge/latecopies_test.go
@@ -57,6 +57,14 @@
 	return l.Addr().String()
 }
 
+// newBareVM returns a VM that only makes attempts.
+func newBareVM() *Edge {
+	return &Edge{
+		clock: clock.System{}, backends: http1.NewClient(), reach: reach.NewDetector(), departures: departure.NewRecords(time.Second),
+		dispatcher: dispatch.NewDispatcher("a", "east"), bodies: http1.NewQuota(1 << 20),
+	}
+}
+
 // A response that a backend server writes once more on a kept connection must not decide about a later request or command.
 func TestLateCopiesOfResponses(t *testing.T) {
 	const (
@@ -90,19 +98,13 @@
 		"a refusal before the answer to a command":       {texts: []string{refusalOfA, refusalOfA + granted}, attempts: []relay.Attempt{request("a"), command}, want: 200},
 		"the answer to a grant before that to a release": {texts: []string{granted, granted + conflict}, further: []string{conflict}, attempts: []relay.Attempt{command, release}, want: 409},
 	}
-	newVM := func() *Edge {
-		return &Edge{
-			clock: clock.System{}, backends: http1.NewClient(), reach: reach.NewDetector(), departures: departure.NewRecords(time.Second),
-			dispatcher: dispatch.NewDispatcher("a", "east"), bodies: http1.NewQuota(1 << 20),
-		}
-	}
 	ways := map[string]func(t *testing.T) func(a relay.Attempt) relay.Result{
 		"directly": func(t *testing.T) func(a relay.Attempt) relay.Result {
-			e := newVM()
+			e := newBareVM()
 			return func(a relay.Attempt) relay.Result { return e.attemptDirectly(t.Context(), a) }
 		},
 		"through another VM": func(t *testing.T) func(a relay.Attempt) relay.Result {
-			other := newVM()
+			other := newBareVM()
 			h := relay.NewHandler(other.bodies, func(ctx context.Context, a relay.Attempt) (relay.Result, bool) {
 				return other.attemptDirectly(ctx, a), true
 			})
