--- /dev/null
+++ b/coordination/drain/drain.go
@@ -0,0 +1,45 @@
+// Package drain decides which requests a VM still sends to backend servers while it stops.
+//
+// A VM that stops has a grace time, after which its process is killed. A request
+// that is under way then is cut off without an answer, and its caller can't know
+// whether it has run. So the VM refuses what may outlast the grace time, as
+// long as it can still say that it has not run.
+//
+// # Usage
+//
+//	w := drain.NewWindow(now, 3*time.Second, 5*time.Second)
+//	if !w.Accepts(now, r.Deadline, r.Objective, r.Idempotent) {
+//		// Refuse as not run; the caller's next connection goes to another VM.
+//	}
+package drain
+
+import (
+	"time"
+
+	"github.com/hickorylug/hickorylug/state/clock"
+)
+
+// Window is the time of a planned stop.
+type Window struct {
+	// settled is when callers' new connections go to other VMs, and ends when the VM cuts off what is still under way.
+	settled, ends clock.Instant
+}
+
+// NewWindow returns the window of a stop that begins now. settle is the time after which no new connections come, and grace the time after
+// which requests are cut off.
+func NewWindow(now clock.Instant, settle, grace time.Duration) *Window {
+	return &Window{settled: now.Add(settle), ends: now.Add(grace)}
+}
+
+// Accepts reports whether a request may be sent to a backend server. A nil window accepts everything.
+//
+// A request whose deadline lies before the end gets its answer. While new
+// connections still come, one that may be repeated is also accepted if its
+// objective lies before the end: it is answered by then as a rule, and its
+// caller may ask again if not.
+func (w *Window) Accepts(now, deadline, objective clock.Instant, idempotent bool) bool {
+	if w == nil || deadline <= w.ends {
+		return true
+	}
+	return idempotent && now < w.settled && max(objective, now) < w.ends
+}
--- /dev/null
+++ b/coordination/drain/drain_test.go
@@ -0,0 +1,44 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/drain"
+	"github.com/hickorylug/hickorylug/state/clock"
+)
+
+func TestAccepts(t *testing.T) {
+	const settle, grace = 3 * time.Second, 5 * time.Second
+	tests := map[string]struct {
+		running bool
+		// at is the time since the stop began, and objective and deadline are counted from then.
+		at, objective, deadline time.Duration
+		idempotent, want        bool
+	}{
+		"no stop":                                    {running: true, objective: time.Hour, deadline: time.Hour, want: true},
+		"ends before the stop does":                  {at: time.Second, objective: 2 * time.Second, deadline: 5 * time.Second, want: true},
+		"late, ends before the stop does":            {at: 4 * time.Second, objective: 4500 * time.Millisecond, deadline: 5 * time.Second, want: true},
+		"may outlast the stop":                       {at: time.Second, objective: 2 * time.Second, deadline: 5*time.Second + 1},
+		"may outlast the stop, idempotent":           {at: time.Second, objective: 2 * time.Second, deadline: time.Minute, idempotent: true, want: true},
+		"usually outlasts the stop, idempotent":      {at: time.Second, objective: 6 * time.Second, deadline: time.Minute, idempotent: true},
+		"past its objective, idempotent":             {at: time.Second, deadline: time.Minute, idempotent: true, want: true},
+		"late, may outlast the stop, idempotent":     {at: 3 * time.Second, objective: 4 * time.Second, deadline: 5*time.Second + 1, idempotent: true},
+		"at the very end, idempotent":                {at: 5 * time.Second, objective: 6 * time.Second, deadline: 7 * time.Second, idempotent: true},
+		"just before new connections stay away":      {at: settle - 1, objective: 4 * time.Second, deadline: 7 * time.Second, idempotent: true, want: true},
+		"not idempotent, as new connections do come": {at: 0, objective: time.Second, deadline: 6 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			began := clock.Instant(time.Hour)
+			w := drain.NewWindow(began, settle, grace)
+			if test.running {
+				w = nil
+			}
+			is.Equal(w.Accepts(began.Add(test.at), began.Add(test.deadline), began.Add(test.objective), test.idempotent), test.want)
+		})
+	}
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -182,6 +182,9 @@
 func (f *Forwarder) attemptUntilDone(ctx context.Context, s *requestState) (answer *Answer, err error) {
 	r := s.request
 	for {
+		if !f.options.Accepts(r) {
+			return nil, s.finalError(refuseStopping())
+		}
 		if refusal := f.followCrashes(s); refusal != nil {
 			return nil, s.finalError(refusal)
 		}
@@ -189,6 +192,10 @@
 		if err != nil {
 			return nil, s.finalError(f.translateRefusal(s, err))
 		}
+		if !f.options.Accepts(r) {
+			slot.Done(dispatch.Cancelled, dispatch.Report{})
+			return nil, s.finalError(refuseStopping())
+		}
 		if !f.mayRun(s, slot.Server.Version) {
 			// Crashes may have become known during the wait in the queue.
 			slot.Done(dispatch.Cancelled, dispatch.Report{})
@@ -358,6 +365,11 @@
 		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.followCrashes(s) == nil
 }
 
+// refuseStopping returns the refusal of a request that may outlast this VM.
+func refuseStopping() *outcome.Error {
+	return outcome.NotRun(outcome.Stopping, "this VM stops, and the request may outlast it")
+}
+
 // recordUnreachable counts a backend server that refused the connection. After some of a failure domain, the next attempts avoid it:
 // all of its backend servers may be down.
 func (s *requestState) recordUnreachable(domain id.Domain) {
--- a/coordination/forward/options.go
+++ b/coordination/forward/options.go
@@ -24,6 +24,8 @@
 	OnSuspect func(server id.Server, f poison.Fingerprint)
 	// Probe is called when the port of a backend server has to be probed. It must not block; a closed port is reported by RecordCrash.
 	Probe func(s fleet.Server)
+	// Accepts reports whether a request may be sent to a backend server now; it is false where the VM stops before the answer may come.
+	Accepts func(r *Request) bool
 	// Observe is called after each attempt.
 	Observe func(r *Request, s *dispatch.Slot, took time.Duration, reply *Reply, failure *Failure)
 	// RetryShare is the number of retries that each request adds to the budget, and RetryBurst the maximum burst of retries.
@@ -57,6 +59,9 @@
 // WithProbe sets the function that probes the port of a backend server.
 func WithProbe(f func(fleet.Server)) Option { return func(o *Options) { o.Probe = f } }
 
+// WithAccepts sets the function that reports whether a request may be sent now.
+func WithAccepts(f func(*Request) bool) Option { return func(o *Options) { o.Accepts = f } }
+
 // WithObserve sets the function that is called after each attempt.
 func WithObserve(f func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure)) Option {
 	return func(o *Options) { o.Observe = f }
@@ -72,6 +77,7 @@
 		Clock: clock.System{}, Crashes: poison.NewLedger(),
 		OnSuspect:  func(id.Server, poison.Fingerprint) {},
 		Probe:      func(fleet.Server) {},
+		Accepts:    func(*Request) bool { return true },
 		Observe:    func(*Request, *dispatch.Slot, time.Duration, *Reply, *Failure) {},
 		RetryShare: defaultRetryShare, RetryBurst: func() float64 { return defaultRetryBurst },
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,6 +31,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/departure"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/drain"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/coordination/poison"
@@ -118,6 +119,8 @@
 	snapshot   atomic.Pointer[fleet.Snapshot]
 	// pacesSentAt is when the paces of owners of keys were last sent to the leader; only the component "load" uses it.
 	pacesSentAt clock.Instant
+	// stop is the window of the planned stop, or nil before it.
+	stop atomic.Pointer[drain.Window]
 	// leaving is set when the graceful shutdown begins, and resigned once this VM has also given up the leadership.
 	leaving  atomic.Bool
 	resigned atomic.Bool
@@ -166,7 +169,7 @@
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit),
 		dispatch.WithOnPause(e.observePause))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
-		forward.WithOnSuspect(e.observeSuspect), forward.WithProbe(e.probeServer), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
+		forward.WithOnSuspect(e.observeSuspect), forward.WithProbe(e.probeServer), forward.WithAccepts(e.accepts), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.allotments = newAllotments(e)
 	e.handler = entry.NewHandler(entry.Dependencies{
 		Clock: o.Clock,
@@ -278,54 +281,6 @@
 	return nil
 }
 
-// Times of a graceful shutdown.
-const (
-	// balancerDetectionTime is the time the load balancer needs to stop sending new connections: two missed health checks, one second apart.
-	balancerDetectionTime = 3 * time.Second
-	// graceMargin is the reserve at the end of the grace time.
-	graceMargin     = 400 * time.Millisecond
-	drainPollPeriod = 20 * time.Millisecond
-	// resignRetryPause is the time between two attempts to revoke the leader's lease at an unreachable store; each call is priced.
-	resignRetryPause = 400 * time.Millisecond
-)
-
-// drain completes the requests in flight and gives up the leadership, within the grace time.
-func (e *Edge) drain(ctx context.Context, server *http.Server) {
-	startedAt := e.clock.Boot()
-	e.leaving.Store(true)
-	e.handler.Drain()
-	e.relayHandler.Drain()
-	e.log.Info("graceful shutdown began", "inFlight", e.handler.InFlight())
-	resigned := e.resign()
-	grace := e.settings.GraceTime.Std() - graceMargin
-	<-e.clock.After(min(balancerDetectionTime, grace/2))
-	drainCtx, cancel := context.WithTimeout(ctx, max(0, grace-e.clock.Boot().Sub(startedAt)))
-	defer cancel()
-	if err := server.Shutdown(drainCtx); err != nil {
-		e.log.Warn("requests were still in flight at the end of the grace time", "inFlight", e.handler.InFlight(), "error", err)
-	}
-	for e.handler.InFlight() > 0 && drainCtx.Err() == nil {
-		<-e.clock.After(drainPollPeriod)
-	}
-	e.drainRelayed(drainCtx, drainPollPeriod)
-	// Key grants expire without a leader, so a leader that can't be replaced keeps renewing them until the end of the grace time.
-	for !resigned && drainCtx.Err() == nil {
-		<-e.clock.After(resignRetryPause)
-		resigned = e.resign()
-	}
-}
-
-// Limits of callers' connections; the limits in the configuration are checked for each request.
-const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 256 << 10
-)
-
-func newCallerServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLogger()}
-}
-
 func (e *Edge) readinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/edge/stop_test.go
@@ -0,0 +1,82 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/standin/worker"
+)
+
+// lateCaller has a connection to a VM on which it sends a request late.
+type lateCaller struct {
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+func dialCaller(t *testing.T, address string) *lateCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &lateCaller{connection: c, reader: bufio.NewReader(c)}
+}
+
+// send sends a request and returns the status of its response, or 0 if the connection ends without one.
+func (c *lateCaller) send(method, path, id string) (status int) {
+	_, err := fmt.Fprintf(c.connection, "%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 5000\r\nShard-Key: 7\r\nContent-Length: 0\r\n\r\n", method, path, id)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A request that comes late in the grace time of a planned stop must not be passed on and then cut off without an answer.
+func TestRequestsLateInAPlannedStopAreNotCutOff(t *testing.T) {
+	// The grace time of the site is 2 s, of which 0.4 s are a reserve. New connections are accepted for 0.8 s.
+	tests := map[string]struct {
+		method, path string
+		// kept says that the connection has carried a request before the stop; others are opened before it and carry none.
+		kept bool
+		// at is the time of the request since the beginning of the stop.
+		at     time.Duration
+		status int
+		runs   int
+	}{
+		"kept connection, not idempotent": {method: http.MethodPost, path: "/renew/x", kept: true, at: 300 * time.Millisecond, status: 503},
+		"kept connection, idempotent":     {method: http.MethodGet, path: "/view/x", kept: true, at: 300 * time.Millisecond, status: 200, runs: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 2, func(s *site) { s.billing = []worker.Option{worker.WithServiceTime(1500 * time.Millisecond)} })
+			s.awaitAll("/view/")
+			c := dialCaller(t, s.callerAddresses[0])
+			if test.kept {
+				is.Equal(c.send(http.MethodGet, "/view/x", "before"), http.StatusOK)
+			}
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				s.stopVM(0)
+			}()
+			time.Sleep(test.at)
+			status := c.send(test.method, test.path, "late")
+			<-stopped
+			is.Equal(status, test.status)
+			is.Equal(s.journal.Runs("late"), test.runs)
+		})
+	}
+}
