--- a/edge/edge.go
+++ b/edge/edge.go
@@ -249,7 +249,7 @@
 	supervisor := suture.New("edge", suture.Spec{EventHook: func(s suture.Event) { e.log.Warn("supervisor event", "event", s.String()) }})
 	for _, c := range []component{
 		{"gossip", func(ctx context.Context) error { return <-e.socket.Serve(ctx, e.receive) }},
-		{"callers", func(ctx context.Context) error { return serve(ctx, server, callers) }},
+		{"callers", func(ctx context.Context) error { return serve(ctx, server.Server, callers) }},
 		{"readiness", func(ctx context.Context) error { return serve(ctx, e.readinessServer(), ready) }},
 		{"metrics", func(ctx context.Context) error { return serve(ctx, e.metrics.server(), metricsListener) }},
 		{"store", e.synchronize},
@@ -268,7 +268,7 @@
 	e.log.Info("entry VM started", "incarnation", string(e.incarnation), "callers", e.settings.CallerAddress, "store", e.settings.Store)
 	select {
 	case <-ctx.Done():
-		e.drain(serveCtx, server)
+		e.drain(serveCtx, server, callers)
 	case err := <-ended:
 		return err
 	}
@@ -303,7 +303,7 @@
 		}
 		return nil
 	case err := <-done:
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return suture.ErrDoNotRestart
 		}
 		return err
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickorylug/hickorylug/coordination/drain"
@@ -26,7 +28,7 @@
 }
 
 // drain completes the requests in flight and gives up the leadership, within the grace time.
-func (e *Edge) drain(ctx context.Context, server *http.Server) {
+func (e *Edge) drain(ctx context.Context, server *callerServer, callers net.Listener) {
 	startedAt := e.clock.Boot()
 	grace := e.settings.GraceTime.Std() - graceMargin
 	settle := min(balancerDetectionTime, grace/2)
@@ -39,12 +41,14 @@
 	<-e.clock.After(settle - e.clock.Boot().Sub(startedAt))
 	drainCtx, cancel := context.WithTimeout(ctx, max(0, grace-e.clock.Boot().Sub(startedAt)))
 	defer cancel()
-	if err := server.Shutdown(drainCtx); err != nil {
-		e.log.Warn("requests were still in flight at the end of the grace time", "inFlight", e.handler.InFlight(), "error", err)
-	}
-	for e.handler.InFlight() > 0 && drainCtx.Err() == nil {
+	server.closeIdle(callers)
+	for (server.open.Load() > 0 || e.handler.InFlight() > 0) && drainCtx.Err() == nil {
 		<-e.clock.After(drainPollPeriod)
 	}
+	if n := e.handler.InFlight(); n > 0 {
+		e.log.Warn("requests were still in flight at the end of the grace time", "inFlight", n)
+	}
+	_ = server.Close()
 	e.drainRelayed(drainCtx, drainPollPeriod)
 	// Key grants expire without a leader, so a leader that can't be replaced keeps renewing them until the end of the grace time.
 	for !resigned && drainCtx.Err() == nil {
@@ -60,6 +64,31 @@
 	maxHeaderBytes = 256 << 10
 )
 
-func newCallerServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLogger()}
+// callerServer is the server of callers' connections.
+type callerServer struct {
+	*http.Server
+	// open is the number of open connections.
+	open atomic.Int64
+}
+
+func newCallerServer(h http.Handler) *callerServer {
+	s := &callerServer{Server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLogger()}}
+	s.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			s.open.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			s.open.Add(-1)
+		case http.StateActive, http.StateIdle:
+		}
+	}
+	return s
+}
+
+// closeIdle closes the listener and the idle connections. Requests that come on the others are still answered, each as the last one of its
+// connection. Server.Shutdown would close connections on which a request has just come, without an answer.
+func (s *callerServer) closeIdle(l net.Listener) {
+	// The listener is closed in any case.
+	_ = l.Close()
+	s.SetKeepAlivesEnabled(false)
 }
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -55,8 +55,10 @@
 		status int
 		runs   int
 	}{
-		"kept connection, not idempotent": {method: http.MethodPost, path: "/renew/x", kept: true, at: 300 * time.Millisecond, status: 503},
-		"kept connection, idempotent":     {method: http.MethodGet, path: "/view/x", kept: true, at: 300 * time.Millisecond, status: 200, runs: 1},
+		"kept connection, not idempotent":                {method: http.MethodPost, path: "/renew/x", kept: true, at: 300 * time.Millisecond, status: 503},
+		"connection without a request, not idempotent":   {method: http.MethodPost, path: "/renew/x", at: 1200 * time.Millisecond, status: 503},
+		"kept connection, idempotent":                    {method: http.MethodGet, path: "/view/x", kept: true, at: 300 * time.Millisecond, status: 200, runs: 1},
+		"connection without a request, idempotent, late": {method: http.MethodGet, path: "/view/x", at: 1200 * time.Millisecond, status: 503},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
