--- a/cmd/hickorysoak/environment.go
+++ b/cmd/hickorysoak/environment.go
@@ -72,6 +72,9 @@
 	lastStartTime int64
 	// mu guards configVersion, configuration, backends and lastStartTime while faults are injected.
 	mu sync.Mutex
+	// crashes records the crashes that requests cause, and crashed waits for the next incarnations.
+	crashes crashLog
+	crashed sync.WaitGroup
 	// customers is nil if the configuration has no customers.
 	customers *customerBook
 	// strictRevocation is the setting of the VMs.
@@ -169,7 +172,8 @@
 	}
 	// Start times increase strictly, so that two incarnations never have the same one.
 	e.lastStartTime = max(e.lastStartTime+1, time.Now().UnixMilli())
-	b := &backend{id: id, service: service, startTime: e.lastStartTime, worker: worker.New(id, service, e.journal, opts...)}
+	b := &backend{id: id, service: service, startTime: e.lastStartTime}
+	b.worker = worker.New(id, service, e.journal, append(opts, worker.WithOnRequest(func(r *http.Request) { e.crashBackend(b, r) }))...)
 	b.server = &http.Server{Handler: b.worker, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = b.server.Serve(l) }()
 	if b.proxy, err = faultproxy.Listen(l.Addr().String()); err != nil {
--- a/cmd/hickorysoak/main.go
+++ b/cmd/hickorysoak/main.go
@@ -9,6 +9,9 @@
 // fourth seed the VMs refuse requests that need a key while their configuration
 // may be too old.
 //
+// With the faults "crashing request", kill, terminate, reload and configuration
+// alone, a request that crashes backend servers is refused after few crashes.
+//
 // Faults are drawn from a seeded random generator. It ends only processes that
 // it has started.
 //
@@ -37,7 +40,7 @@
 	Time    time.Duration `help:"Time for which faults are injected, per seed." default:"12s"`
 	VMs     int           `help:"Number of entry VMs." default:"4" name:"vms"`
 	Logs    string        `help:"Folder for the logs of failed seeds." default:"soak-logs"`
-	Faults  []string      `help:"Names of the faults to draw from, separated by commas; all if empty. With planned work alone, no request that was run may be cut off."`
+	Faults  []string      `help:"Names of the faults to draw from, separated by commas; all if empty. With planned work alone, no request that was run may be cut off; with 'crashing request', kill and planned work alone, one request crashes few backend servers."`
 }
 
 // errViolated means that at least one seed violated a guarantee.
--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -78,6 +78,7 @@
 	}
 	r.faults = e.injectFaults(ctx, random, selected)
 	wg.Wait()
+	e.crashed.Wait()
 	cancel()
 	e.clearFaults()
 	if !e.waitUntilServing(r) {
@@ -117,6 +118,9 @@
 			r.addViolation("request %s was refused as not run, but has run", id)
 		}
 	}
+	if !slices.ContainsFunc(injected, func(f fault) bool { return !f.keepsEvidence }) {
+		r.faults += "; " + e.crashes.check(r)
+	}
 	r.violations = append(r.violations, e.journal.Violations()...)
 	if e.customers != nil {
 		r.faults += "; " + e.checkAllotments(r)
@@ -238,13 +242,15 @@
 	run  func(e *environment, random *rand.Rand, d time.Duration)
 	// isPlanned says that it is planned work, during which no request may be cut off.
 	isPlanned bool
+	// keepsEvidence says that VMs can tell each other what crashes backend servers all the while, so that the number of crashes is limited.
+	keepsEvidence bool
 	// needsCustomers says that it changes customers; it is left out where the configuration has none.
 	needsCustomers bool
 }
 
 var faults = []fault{
-	{name: "kill", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGKILL, d) }},
-	{name: "terminate", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGTERM, d) }, isPlanned: true},
+	{name: "kill", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGKILL, d) }, keepsEvidence: true},
+	{name: "terminate", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGTERM, d) }, isPlanned: true, keepsEvidence: true},
 	{name: "pause", run: func(e *environment, random *rand.Rand, d time.Duration) {
 		v := e.vms[random.IntN(len(e.vms))]
 		v.signal(syscall.SIGSTOP)
@@ -253,7 +259,7 @@
 	}},
 	{name: "reload", run: func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.vms[random.IntN(len(e.vms))].signal(syscall.SIGHUP)
-	}, isPlanned: true},
+	}, isPlanned: true, keepsEvidence: true},
 	{name: "store down", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{Down: true}, d) }},
 	{name: "store slow", run: func(e *environment, _ *rand.Rand, d time.Duration) {
 		e.injectStoreFault(kv.Fault{Delay: 200 * time.Millisecond}, d)
@@ -269,13 +275,14 @@
 		disturb(p, random, d)
 	}},
 	{name: "server restarts", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, false) }},
+	{name: "crashing request", run: func(e *environment, random *rand.Rand, d time.Duration) { e.repeatCrashingRequest(random, d) }, keepsEvidence: true},
 	{name: "server drains", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, true) }},
 	{name: "store restored", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.restoreStore(d) }},
 	{name: "configuration", run: func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.writeConfiguration(time.Duration(800+random.IntN(800)) * time.Millisecond)
-	}, isPlanned: true},
+	}, isPlanned: true, keepsEvidence: true},
 	{name: "revoke", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.revoke(random) }, isPlanned: true, needsCustomers: true},
 	{name: "allotment", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.changeAllotment(random) }, isPlanned: true, needsCustomers: true},
 }
