--- a/coordination/forward/crashevidence_test.go
+++ b/coordination/forward/crashevidence_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,3 +164,60 @@
 		})
 	}
 }
+
+// loseRack crashes half of the backend servers at once, for a reason that has nothing to do with requests.
+func (f *crashFleet) loseRack() {
+	f.mu.Lock()
+	var lost []*crashServer
+	for i, name := range slices.Sorted(maps.Keys(f.servers)) {
+		if i%2 == 0 {
+			lost = append(lost, f.servers[name])
+		}
+	}
+	f.mu.Unlock()
+	for _, s := range lost {
+		f.crash(s)
+	}
+}
+
+// Requests that were under way when many backend servers were lost at once must be served when their callers repeat them.
+func TestRequestsBesideALostRackAreServed(t *testing.T) {
+	tests := map[string]crashCase{
+		"retried":     {idempotent: true},
+		"not retried": {},
+		"silent":      {idempotent: true, silent: true},
+	}
+	const unique = 30
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			refused := map[string]string{}
+			synctest.Test(t, func(*testing.T) {
+				f := newCrashFleet(test)
+				for i := range 200 {
+					go f.start(f.vm(i), "/popular")
+					if i < unique {
+						go f.start(f.vm(i), fmt.Sprint("/unique", i))
+					}
+					if i == unique {
+						f.loseRack()
+					}
+					time.Sleep(2 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Second)
+				for i, v := range f.vms {
+					for n := range unique {
+						if _, err := f.request(v, fmt.Sprint("/unique", n)); err != nil && err.Reason == outcome.NoServer {
+							refused[fmt.Sprint("unique", n)] = err.Error()
+						}
+					}
+					if _, err := f.request(v, "/popular"); err != nil {
+						refused[fmt.Sprint("popular at vm", i)] = err.Error()
+					}
+				}
+				f.stopAll()
+			})
+			is.Equal(refused, map[string]string{})
+		})
+	}
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -260,7 +260,7 @@
 	}
 	s.attempts++
 	began := f.options.Clock.Boot()
-	f.options.Crashes.Begin(slot.Server.Incarnation, s.fingerprint)
+	f.options.Crashes.Begin(began, slot.Server.Incarnation, s.fingerprint)
 	reply, failure := f.options.Send(ctx, Attempt{Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1})
 	f.recordSigns(ctx, s, slot.Server, began, reply, failure)
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -54,7 +54,7 @@
 	ledger, now, process := f.options.Crashes, f.options.Clock.Boot(), server.Incarnation
 	switch {
 	case failure != nil && failure.Sent:
-		probe := ledger.Unanswered(now, process, s.fingerprint, ctx.Err() == nil && !failure.Abandoned)
+		probe := ledger.Unanswered(now, process, s.fingerprint, began, ctx.Err() == nil && !failure.Abandoned)
 		f.options.OnSuspect(process.Server, s.fingerprint)
 		if probe {
 			f.options.Probe(server)
--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -45,6 +45,16 @@
 	repeatAt clock.Instant
 }
 
+// flight is a request in flight at a process.
+type flight struct {
+	count int
+	// began is when the latest of count attempts was sent.
+	began clock.Instant
+}
+
+// unanswered is a request that got no answer from a process.
+type unanswered struct{ began, noticed clock.Instant }
+
 // Ledger records which requests were in flight at which crashed processes, as all VMs saw it. It is safe for concurrent use.
 //
 // The suspects of a crash are a set, so that reports can be merged in any order
@@ -60,10 +70,12 @@
 	options Options
 
 	mu       sync.Mutex
-	inFlight map[fleet.Incarnation]map[Fingerprint]int
-	// unanswered holds the requests that got no answer from a process, with the time at which that was noticed.
-	unanswered map[fleet.Incarnation]map[Fingerprint]clock.Instant
-	crashes    map[fleet.Incarnation]*crash
+	inFlight map[fleet.Incarnation]map[Fingerprint]flight
+	// unanswered holds the requests that got no answer from a process.
+	unanswered map[fleet.Incarnation]map[Fingerprint]unanswered
+	// attempts counts the entries of inFlight and unanswered by request.
+	attempts map[Fingerprint]int
+	crashes  map[fleet.Incarnation]*crash
 	// crashesOf holds the crashed processes by suspect.
 	crashesOf map[Fingerprint]map[fleet.Incarnation]bool
 	// ranAt is when a suspect last ran to a good end on a version; older crashes of that version don't count against it.
@@ -83,32 +95,60 @@
 // NewLedger returns an empty ledger.
 func NewLedger(opts ...Option) *Ledger {
 	return &Ledger{
-		options: newOptions(opts), inFlight: map[fleet.Incarnation]map[Fingerprint]int{}, unanswered: map[fleet.Incarnation]map[Fingerprint]clock.Instant{},
+		options: newOptions(opts), inFlight: map[fleet.Incarnation]map[Fingerprint]flight{}, unanswered: map[fleet.Incarnation]map[Fingerprint]unanswered{}, attempts: map[Fingerprint]int{},
 		crashes: map[fleet.Incarnation]*crash{}, crashesOf: map[Fingerprint]map[fleet.Incarnation]bool{}, ranAt: map[Fingerprint]map[id.SoftwareVersion]clock.Instant{},
 		storedCrashes: map[Fingerprint]int{}, refutedAt: map[fleet.Incarnation]clock.Instant{}, probedAt: map[fleet.Incarnation]clock.Instant{},
 	}
 }
 
 // Begin records that a request is being sent to a process. Exactly one of Answered, Unanswered and End must follow.
-func (l *Ledger) Begin(p fleet.Incarnation, f Fingerprint) {
+func (l *Ledger) Begin(now clock.Instant, p fleet.Incarnation, f Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.inFlight[p] == nil {
-		l.inFlight[p] = map[Fingerprint]int{}
+		l.inFlight[p] = map[Fingerprint]flight{}
+	}
+	known := l.inFlight[p][f]
+	if known.count == 0 {
+		l.attempts[f]++
 	}
-	l.inFlight[p][f]++
+	l.inFlight[p][f] = flight{count: known.count + 1, began: now}
 }
 
 // endLocked removes a request in flight.
 func (l *Ledger) endLocked(p fleet.Incarnation, f Fingerprint) {
-	if l.inFlight[p][f]--; l.inFlight[p][f] <= 0 {
-		delete(l.inFlight[p], f)
+	known := l.inFlight[p][f]
+	if known.count--; known.count > 0 {
+		l.inFlight[p][f] = known
+		return
 	}
+	l.forgetAttempt(f)
+	delete(l.inFlight[p], f)
 	if len(l.inFlight[p]) == 0 {
 		delete(l.inFlight, p)
 	}
 }
 
+// forgetAttempt counts one entry of a request less.
+func (l *Ledger) forgetAttempt(f Fingerprint) {
+	if l.attempts[f]--; l.attempts[f] <= 0 {
+		delete(l.attempts, f)
+	}
+}
+
+// forgetUnanswered drops the requests without an answer from a process that match.
+func (l *Ledger) forgetUnanswered(p fleet.Incarnation, matches func(u unanswered) bool) {
+	for f, u := range l.unanswered[p] {
+		if matches(u) {
+			l.forgetAttempt(f)
+			delete(l.unanswered[p], f)
+		}
+	}
+	if len(l.unanswered[p]) == 0 {
+		delete(l.unanswered, p)
+	}
+}
+
 // Answered records the answer of a process of a version to a request that began at the given time; succeeded says that the process ran it to
 // a good end.
 //
@@ -118,8 +158,9 @@
 	l.mu.Lock()
 	l.endLocked(p, f)
 	l.refute(p, began)
-	isNews := succeeded && len(l.crashesOf[f]) > 0 && !l.isRefused(now, f, version) && !l.hasRun(f, version)
-	if isNews {
+	isNews := succeeded && len(l.crashesOf[f]) > 0 && !l.hasRun(f, version)
+	if isNews || succeeded && l.attempts[f] > 0 {
+		// It is under way, or unanswered, at another process too, whose crash wouldn't be due to it.
 		l.clear(f, version, now)
 	}
 	l.mu.Unlock()
@@ -135,14 +176,14 @@
 	l.endLocked(p, f)
 }
 
-// Unanswered records that a request was sent to a process and got no answer; broken says that its connection broke before its time had
+// Unanswered records that a request was sent to a process at the given time and got no answer; broken says that its connection broke before its time had
 // run out. probe says that the process's port has to be probed: a closed one confirms the crash before this VM or others may forget the
 // request.
-func (l *Ledger) Unanswered(now clock.Instant, p fleet.Incarnation, f Fingerprint, broken bool) (probe bool) {
+func (l *Ledger) Unanswered(now clock.Instant, p fleet.Incarnation, f Fingerprint, began clock.Instant, broken bool) (probe bool) {
 	l.mu.Lock()
 	l.endLocked(p, f)
 	if c := l.crashes[p]; c != nil {
-		added := l.addSuspect(p, c, f)
+		added := l.addSuspect(p, c, f, began)
 		if added {
 			c.own, c.isOwn, c.ownAt, c.changedAt = append(c.own, f), true, now, now
 			c.repeated, c.repeatAt = 0, now.Add(repeatPeriod)
@@ -156,10 +197,13 @@
 	defer l.mu.Unlock()
 	l.expire(now)
 	if l.unanswered[p] == nil {
-		l.unanswered[p] = map[Fingerprint]clock.Instant{}
+		l.unanswered[p] = map[Fingerprint]unanswered{}
 	}
-	if len(l.unanswered[p]) < maxSuspects {
-		l.unanswered[p][f] = now
+	if _, known := l.unanswered[p][f]; !known && len(l.unanswered[p]) < maxSuspects {
+		l.attempts[f]++
+		l.unanswered[p][f] = unanswered{began: began, noticed: now}
+	} else if known {
+		l.unanswered[p][f] = unanswered{began: began, noticed: now}
 	}
 	probedAt, probed := l.probedAt[p]
 	if !broken || probed && now.Sub(probedAt) < probePeriod {
@@ -202,17 +246,17 @@
 	}
 	c := &crash{at: at, version: version, ownAt: now, changedAt: now, repeatAt: now.Add(repeatPeriod), suspects: map[Fingerprint]bool{}}
 	l.crashes[p] = c
-	for f := range l.inFlight[p] {
-		if l.addSuspect(p, c, f) {
+	for f, flight := range l.inFlight[p] {
+		if l.addSuspect(p, c, f, flight.began) {
 			c.own = append(c.own, f)
 		}
 	}
-	for f := range l.unanswered[p] {
-		if l.addSuspect(p, c, f) {
+	for f, u := range l.unanswered[p] {
+		if l.addSuspect(p, c, f, u.began) {
 			c.own = append(c.own, f)
 		}
 	}
-	delete(l.unanswered, p)
+	l.forgetUnanswered(p, func(unanswered) bool { return true })
 	return c
 }
 
@@ -229,12 +273,13 @@
 	return least
 }
 
-// addSuspect adds a suspect to a crash and reports whether it is new.
-func (l *Ledger) addSuspect(p fleet.Incarnation, c *crash, f Fingerprint) bool {
+// addSuspect adds a suspect to a crash and reports whether it is new. A request that has run to a good end on the same version since it was
+// sent to the process isn't one.
+func (l *Ledger) addSuspect(p fleet.Incarnation, c *crash, f Fingerprint, began clock.Instant) bool {
 	if c.suspects[f] || len(c.suspects) >= maxSuspects {
 		return false
 	}
-	if ran, ok := l.ranAt[f][c.version]; ok && ran >= c.at {
+	if ran, ok := l.ranAt[f][c.version]; ok && ran >= began {
 		return false
 	}
 	c.suspects[f] = true
@@ -248,14 +293,7 @@
 
 // refute drops the signs of a crash that are older than the beginning of a request that the process has answered.
 func (l *Ledger) refute(p fleet.Incarnation, began clock.Instant) {
-	for f, at := range l.unanswered[p] {
-		if at < began {
-			delete(l.unanswered[p], f)
-		}
-	}
-	if len(l.unanswered[p]) == 0 {
-		delete(l.unanswered, p)
-	}
+	l.forgetUnanswered(p, func(u unanswered) bool { return u.noticed < began })
 	if c := l.crashes[p]; c != nil && c.at < began {
 		l.dropCrash(p, Refuted)
 		l.refutedAt[p] = began
@@ -312,15 +350,8 @@
 			l.dropCrash(p, Expired)
 		}
 	}
-	for p, list := range l.unanswered {
-		for f, at := range list {
-			if now.Sub(at) > confirmWindow {
-				delete(list, f)
-			}
-		}
-		if len(list) == 0 {
-			delete(l.unanswered, p)
-		}
+	for p := range l.unanswered {
+		l.forgetUnanswered(p, func(u unanswered) bool { return now.Sub(u.noticed) > confirmWindow })
 	}
 	for p, at := range l.probedAt {
 		if now.Sub(at) > probePeriod {
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -18,6 +18,12 @@
 	return poison.Report{Process: fleet.Incarnation{Server: id.Server(fmt.Sprint("i-", process)), Born: 1}, Suspects: suspects}
 }
 
+// later returns the report as one of a crash 5 s after the others.
+func later(r poison.Report) poison.Report {
+	r.Age = -5 * time.Second
+	return r
+}
+
 func TestLedgerStatus(t *testing.T) {
 	const guilty, innocent poison.Fingerprint = 1, 2
 	at := func(d time.Duration) clock.Instant { return clock.Instant(time.Hour + d) }
@@ -41,6 +47,8 @@
 		"the third crash tells them apart": {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty)}, guilty: poison.Blocked},
 		"together at three crashes":        {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, guilty: poison.Blocked, innocent: poison.Blocked},
 		"together, after a time":           {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, age: 2 * time.Minute, guilty: poison.Suspect, innocent: poison.Suspect},
+		"twice beside another crash":       {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect},
+		"beside another crash, then again": {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, innocent), later(crashReport(4, guilty))}, age: 5 * time.Second, guilty: poison.Blocked, innocent: poison.Suspect},
 		"has run since":                    {reports: []poison.Report{crashReport(1, innocent), {Cleared: []poison.Fingerprint{innocent}}, crashReport(1, innocent)}},
 	}
 	for name, test := range tests {
@@ -70,9 +78,9 @@
 			is := is.New(t)
 			l := poison.NewLedger()
 			process, now := fleet.Incarnation{Server: "a", Born: 1}, clock.Instant(time.Hour)
-			l.Begin(process, 1)
-			l.Begin(process, 2)
-			l.Unanswered(now, process, 1, true)
+			l.Begin(now, process, 1)
+			l.Begin(now, process, 2)
+			l.Unanswered(now, process, 1, now, true)
 			l.Answered(now.Add(2*time.Second), process, "", 2, now.Add(test.began), true)
 			l.RecordCrash(now.Add(3*time.Second), fleet.Server{Incarnation: process}, false)
 			is.Equal(l.Check(now.Add(3*time.Second), 1, ""), test.status)
@@ -88,10 +96,12 @@
 	for n := range 2 {
 		l.Merge(now, crashReport(n, before))
 	}
+	now = now.Add(2 * time.Second)
 	for n := range 3000 {
 		now = now.Add(time.Millisecond)
 		l.Merge(now, crashReport(100+n, poison.Fingerprint(100+n)))
 	}
+	now = now.Add(2 * time.Second)
 	for n := range 2 {
 		l.Merge(now, crashReport(10+n, after))
 	}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -22,8 +22,8 @@
 //	}
 //
 //	l := poison.NewLedger(poison.WithOnReport(announce))
-//	l.Begin(process, fingerprint)
-//	if l.Unanswered(now, process, fingerprint, true) { // the connection broke
+//	l.Begin(now, process, fingerprint)
+//	if l.Unanswered(now, process, fingerprint, began, true) { // the connection broke
 //		// Probe the port.
 //	}
 //	l.RecordCrash(now, server, false)  // the port is closed: announces the suspects
--- a/coordination/poison/report.go
+++ b/coordination/poison/report.go
@@ -47,9 +47,7 @@
 func (l *Ledger) Merge(now clock.Instant, r Report) (added []Fingerprint) {
 	l.mu.Lock()
 	for _, f := range r.Cleared {
-		if !l.isRefused(now, f, r.Version) {
-			l.clear(f, r.Version, now.Add(-r.Age))
-		}
+		l.clear(f, r.Version, now.Add(-r.Age))
 	}
 	if r.Process.Server == "" {
 		l.mu.Unlock()
@@ -78,7 +76,7 @@
 		c.version = version
 	}
 	for _, f := range suspects {
-		if l.addSuspect(p, c, f) {
+		if l.addSuspect(p, c, f, c.at) {
 			added = append(added, f)
 			c.changedAt = now
 		}
--- a/coordination/poison/verdict.go
+++ b/coordination/poison/verdict.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hickorylug/hickorylug/state/clock"
@@ -105,23 +107,26 @@
 // is the only one of these at two crashes is refused, for a shorter time if it
 // may be a coincidence. A request that shares the suspicion each time is refused
 // after a third crash.
+//
+// Crashes close together count once if another process crashed among them that
+// didn't have the request: they have a common cause, such as the loss of a rack.
 func (l *Ledger) status(now clock.Instant, f Fingerprint) Status {
 	counted, alone := 0, 0
 	var last clock.Instant
-	for p := range l.crashesOf[f] {
-		c := l.crashes[p]
-		if now.Sub(c.at) > defaultRetention {
-			continue
-		}
+	for _, c := range l.sortedCrashes(now, f) {
 		most, ties := l.mostCrashes(c)
 		if len(l.crashesOf[f]) < most {
 			continue
 		}
+		isOfBurst := counted > 0 && c.at.Sub(last) <= burstTime && l.isBesideOthers(c, f)
+		last = c.at
+		if isOfBurst {
+			continue
+		}
 		counted++
 		if ties == 1 {
 			alone++
 		}
-		last = max(last, c.at)
 	}
 	block := time.Duration(0)
 	switch {
@@ -140,6 +145,30 @@
 	}
 }
 
+// burstTime is the time between two crashes that may have a common cause.
+const burstTime = time.Second
+
+// sortedCrashes returns the crashes of a request that still count, the oldest first.
+func (l *Ledger) sortedCrashes(now clock.Instant, f Fingerprint) (out []*crash) {
+	for p := range l.crashesOf[f] {
+		if c := l.crashes[p]; now.Sub(c.at) <= defaultRetention {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
+// isBesideOthers reports whether a process that didn't have the request crashed at about the same time.
+func (l *Ledger) isBesideOthers(c *crash, f Fingerprint) bool {
+	for _, other := range l.crashes {
+		if !other.suspects[f] && other.at.Sub(c.at).Abs() <= burstTime {
+			return true
+		}
+	}
+	return false
+}
+
 // mostCrashes returns the highest number of crashes among the suspects of a crash, and how many suspects have it.
 func (l *Ledger) mostCrashes(c *crash) (most, ties int) {
 	for f := range c.suspects {
