--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -48,6 +48,7 @@
 		"together at three crashes":        {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, guilty: poison.Blocked, innocent: poison.Blocked},
 		"together, after a time":           {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, age: 2 * time.Minute, guilty: poison.Suspect, innocent: poison.Suspect},
 		"twice beside another crash":       {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect},
+		"together beside another crash":    {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3)}, guilty: poison.Suspect, innocent: poison.Suspect},
 		"beside another crash, then again": {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, innocent), later(crashReport(4, guilty))}, age: 5 * time.Second, guilty: poison.Blocked, innocent: poison.Suspect},
 		"has run since":                    {reports: []poison.Report{crashReport(1, innocent), {Cleared: []poison.Fingerprint{innocent}}, crashReport(1, innocent)}},
 	}
--- a/coordination/poison/verdict.go
+++ b/coordination/poison/verdict.go
@@ -18,11 +18,11 @@
 func (l *Ledger) Check(now clock.Instant, f Fingerprint, version id.SoftwareVersion) Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	status := l.status(now, f)
+	v := l.judge(now, f)
 	switch {
-	case status == Clear:
+	case v.status == Clear:
 		return Clear
-	case l.isRefused(now, f, version), status == Suspect && !l.hasRun(f, version) && !l.hasTurn(now, f):
+	case l.isRefused(now, f, version), v.status == Suspect && v.crashes >= crashesToBlock && !l.hasRun(f, version) && !l.hasTurn(now, f):
 		return Blocked
 	default:
 		return Suspect
@@ -61,7 +61,7 @@
 
 // isRefused reports whether the crashes of a request suffice to refuse it at the backend servers of a version.
 func (l *Ledger) isRefused(now clock.Instant, f Fingerprint, version id.SoftwareVersion) bool {
-	if l.status(now, f) != Blocked || l.hasRun(f, version) {
+	if l.judge(now, f).status != Blocked || l.hasRun(f, version) {
 		return false
 	}
 	if l.hasCrashed(f, version) {
@@ -86,9 +86,8 @@
 			last = c
 		}
 	}
-	own := len(l.crashesOf[f])
 	most, ties := l.mostCrashes(last)
-	if own < crashesToBlock || own < most {
+	if len(l.crashesOf[f]) < most {
 		return true
 	}
 	rank := 0
@@ -101,7 +100,14 @@
 	return current >= ties || current == rank
 }
 
-// status returns the status of a request.
+// verdict is what the crashes of a request say of it.
+type verdict struct {
+	status Status
+	// crashes is the number of crashes that count.
+	crashes int
+}
+
+// judge returns the verdict on a request, whatever the version that would run it.
 //
 // A crash counts against the suspects with the most crashes only. A request that
 // is the only one of these at two crashes is refused, for a shorter time if it
@@ -110,7 +116,7 @@
 //
 // Crashes close together count once if another process crashed among them that
 // didn't have the request: they have a common cause, such as the loss of a rack.
-func (l *Ledger) status(now clock.Instant, f Fingerprint) Status {
+func (l *Ledger) judge(now clock.Instant, f Fingerprint) verdict {
 	counted, alone := 0, 0
 	var last clock.Instant
 	for _, c := range l.sortedCrashes(now, f) {
@@ -137,11 +143,11 @@
 	}
 	switch {
 	case counted == 0:
-		return Clear
+		return verdict{status: Clear}
 	case block > 0 && now.Sub(last) <= block:
-		return Blocked
+		return verdict{status: Blocked, crashes: counted}
 	default:
-		return Suspect
+		return verdict{status: Suspect, crashes: counted}
 	}
 }
 
@@ -204,7 +210,7 @@
 	defer l.mu.Unlock()
 	s := Stats{Crashes: len(l.crashes), Suspects: len(l.crashesOf), Unconfirmed: len(l.unanswered)}
 	for f := range l.crashesOf {
-		if l.status(now, f) == Blocked {
+		if l.judge(now, f).status == Blocked {
 			s.Blocked++
 		}
 	}
