--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -245,8 +245,8 @@
 	return f.vms[i%len(f.vms)]
 }
 
-// deliver hands a message of a VM to the others, unless it is lost.
-func (f *crashFleet) deliver(from *crashVM, receive func(to *crashVM)) {
+// deliver hands a message of a VM to the others, or to the leader alone, unless it is lost.
+func (f *crashFleet) deliver(from *crashVM, toLeader bool, receive func(to *crashVM)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.sent[from]++; from.stopped || f.sent[from] <= f.test.lostMessages || f.clock.Boot() < f.cutUntil {
@@ -257,7 +257,7 @@
 		if i == len(f.vms)-1 {
 			delay += f.test.messageDelay
 		}
-		if v != from {
+		if v != from && (!toLeader || i == 0) {
 			time.AfterFunc(delay, func() { receive(v) })
 		}
 	}
--- a/coordination/forward/crashexchange_test.go
+++ b/coordination/forward/crashexchange_test.go
@@ -24,7 +24,7 @@
 // options returns the options of a VM and starts its periodic reports, until the VM is stopped. The fleet's mu is held.
 func (e *crashExchange) options(f *crashFleet, v *crashVM, isLeader bool) []forward.Option {
 	e.ledger = poison.NewLedger(poison.WithOnReport(func(r poison.Report) {
-		f.deliver(v, func(to *crashVM) { to.ledger.Merge(f.clock.Boot(), r) })
+		f.deliver(v, r.IsForLeader && !f.test.withoutLeader, func(to *crashVM) { to.ledger.Merge(f.clock.Boot(), r) })
 	}))
 	leads := isLeader && !f.test.withoutLeader
 	e.ledger.Restore(f.clock.Boot(), f.clock.Now(), f.snapshot.Crashes)
--- a/coordination/poison/report.go
+++ b/coordination/poison/report.go
@@ -24,6 +24,8 @@
 	Cleared []Fingerprint
 	// IsRepeated says that this VM has already sent the report, or that it comes from others.
 	IsRepeated bool
+	// IsForLeader says that only the leader needs the report, which records the crash for all VMs.
+	IsForLeader bool
 }
 
 const (
@@ -33,6 +35,8 @@
 	quickRepeats     = 6
 	slowRepeatPeriod = 2 * time.Second
 	maxRepeatTime    = time.Minute
+	// repeatsToAll is the number of repeats of which one goes to all VMs, for the time that nobody records.
+	repeatsToAll = 4
 	// maxSignRepeats limits the repeats of a report without suspects, which only says that the process has ended.
 	maxSignRepeats = 2
 	// repeatAllPeriod is the time between two reports of all crashes with a repeated suspect that the store doesn't hold, for VMs that have
@@ -104,7 +108,7 @@
 			if c.repeated >= quickRepeats {
 				c.repeatAt = now.Add(slowRepeatPeriod)
 			}
-			due = append(due, Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: slices.Clone(c.own), IsRepeated: true})
+			due = append(due, Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: slices.Clone(c.own), IsRepeated: true, IsForLeader: c.repeated%repeatsToAll != 0})
 		case repeatAll && len(due) < maxRepeated && l.hasRepeatedSuspect(c):
 			suspects := slices.Collect(maps.Keys(c.suspects))
 			if !l.isStored(p, suspects) {
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -142,12 +142,21 @@
 	})
 }
 
-// reportCrash tells the other VMs which requests were in flight at a backend server that has crashed.
+// reportCrash tells the other VMs, or the leader, which requests were in flight at a backend server that has crashed.
 func (e *Edge) reportCrash(r poison.Report) {
 	if r.Process.Server != "" && !r.IsRepeated {
 		e.log.Warn("a backend server crashed while it had these requests", "server", string(r.Process.Server), "born", int64(r.Process.Born), "ageMs", r.Age.Milliseconds(), "fingerprints", r.Suspects)
 	}
-	e.announce(e.withSender(gossip.Message{Crashes: []gossip.Crash{gossip.CrashOf(r)}}))
+	m := e.withSender(gossip.Message{Crashes: []gossip.Crash{gossip.CrashOf(r)}})
+	e.mu.Lock()
+	vm, _, isHeard := e.elector.Leader(e.clock.Boot())
+	e.mu.Unlock()
+	switch {
+	case !r.IsForLeader || !isHeard:
+		e.announce(m)
+	case vm != e.settings.VM:
+		e.sendToVM(vm, m)
+	}
 }
 
 // receiveCrashes merges what another VM reports of crashes.
