--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -46,7 +46,9 @@
 
 // refusePoisonous returns the refusal of a request that has crashed several backend servers.
 func (f *Forwarder) refusePoisonous(s *requestState) *outcome.Error {
-	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d, crashes %d", s.fingerprint, f.options.Crashes.Crashes(s.fingerprint))
+	ledger := f.options.Crashes
+	return outcome.NotRun(outcome.NoServer, "this request has crashed each backend server that ran it: fingerprint %d, crashes %d", s.fingerprint, ledger.Crashes(s.fingerprint)).
+		WithRetryAfter(ledger.RefusedFor(f.options.Clock.Boot(), s.fingerprint))
 }
 
 // recordSigns records what the result of an attempt says of a crash of the process.
--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -176,9 +176,9 @@
 	l.endLocked(p, f)
 }
 
-// Unanswered records that a request was sent to a process at the given time and got no answer; broken says that its connection broke before its time had
-// run out. probe says that the process's port has to be probed: a closed one confirms the crash before this VM or others may forget the
-// request.
+// Unanswered records that a request was sent to a process at the given time and got no answer; broken says that its connection broke
+// before its time had run out. probe says that the process's port has to be probed: a closed one confirms the crash before this VM or others
+// may forget the request.
 func (l *Ledger) Unanswered(now clock.Instant, p fleet.Incarnation, f Fingerprint, began clock.Instant, broken bool) (probe bool) {
 	l.mu.Lock()
 	l.endLocked(p, f)
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -32,17 +32,19 @@
 		// age is the time since the last report.
 		age              time.Duration
 		guilty, innocent poison.Status
+		// refusedFor is how much longer the guilty one is refused, or the innocent one if the guilty one isn't.
+		refusedFor time.Duration
 	}{
 		"one crash": {reports: []poison.Report{crashReport(1, guilty)}, guilty: poison.Suspect},
 		"one crash that several VMs report": {
 			reports: []poison.Report{crashReport(1, guilty), crashReport(1, guilty), crashReport(1, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Suspect,
 		},
-		"alone at two crashes":             {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, guilty: poison.Blocked},
+		"alone at two crashes":             {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, age: time.Second, guilty: poison.Blocked, refusedFor: 29 * time.Second},
 		"a coincidence may have ended":     {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty)}, age: time.Minute, guilty: poison.Suspect},
 		"alone at three crashes":           {reports: []poison.Report{crashReport(1, guilty), crashReport(2, guilty), crashReport(3, guilty)}, age: 9 * time.Minute, guilty: poison.Blocked},
 		"another request beside it":        {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty)}, guilty: poison.Blocked},
-		"beside it twice, the first turn":  {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Blocked},
-		"beside it twice, the second turn": {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, age: 1500 * time.Millisecond, guilty: poison.Blocked, innocent: poison.Suspect},
+		"beside it twice, the first turn":  {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, guilty: poison.Suspect, innocent: poison.Blocked, refusedFor: time.Second},
+		"beside it twice, the second turn": {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, age: 1500 * time.Millisecond, guilty: poison.Blocked, innocent: poison.Suspect, refusedFor: 500 * time.Millisecond},
 		"beside it twice, after the turns": {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent)}, age: 2500 * time.Millisecond, guilty: poison.Suspect, innocent: poison.Suspect},
 		"the third crash tells them apart": {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty)}, guilty: poison.Blocked},
 		"together at three crashes":        {reports: []poison.Report{crashReport(1, guilty, innocent), crashReport(2, guilty, innocent), crashReport(3, guilty, innocent)}, guilty: poison.Blocked, innocent: poison.Blocked},
@@ -61,6 +63,13 @@
 			}
 			is.Equal(l.Check(at(test.age), guilty, ""), test.guilty)
 			is.Equal(l.Check(at(test.age), innocent, ""), test.innocent)
+			if test.refusedFor > 0 {
+				refused := guilty
+				if test.guilty != poison.Blocked {
+					refused = innocent
+				}
+				is.Equal(l.RefusedFor(at(test.age), refused), test.refusedFor)
+			}
 		})
 	}
 }
--- a/coordination/poison/record.go
+++ b/coordination/poison/record.go
@@ -85,6 +85,7 @@
 	if l.changes == l.recordedChanges {
 		return nil
 	}
+	l.expire(now)
 	changes, isRecorded := l.changes, true
 	for p, c := range l.crashes {
 		isRecorded = isRecorded && l.isRecorded(p, c)
@@ -129,13 +130,20 @@
 	}
 	for _, f := range l.stored[p].Suspects {
 		// A request that is listed once doesn't get refused, so that its good ends need no record.
-		if l.storedCrashes[f] >= crashesToBlock && (!c.suspects[f] || len(l.otherRuns(f, c.version, l.stored[p].RunsOn)) > 0) {
+		isNews := l.isAcquitted(f, c) || c.suspects[f] && len(l.otherRuns(f, c.version, l.stored[p].RunsOn)) > 0
+		if isNews && l.storedCrashes[f] >= crashesToBlock {
 			return false
 		}
 	}
 	return true
 }
 
+// isAcquitted reports whether a request has run to a good end on the version of a crashed process since its crash.
+func (l *Ledger) isAcquitted(f Fingerprint, c *crash) bool {
+	ran, ok := l.ranAt[f][c.version]
+	return ok && ran >= c.at
+}
+
 // otherRuns returns the good ends of a suspect on other versions than the given one that aren't recorded.
 func (l *Ledger) otherRuns(f Fingerprint, version id.SoftwareVersion, recorded []fleet.Run) (out []fleet.Run) {
 	for v := range l.ranAt[f] {
@@ -168,7 +176,7 @@
 		r.RunsOn = append(r.RunsOn, l.otherRuns(f, c.version, r.RunsOn)...)
 	}
 	for _, f := range old.Suspects {
-		if at, ran := l.ranAt[f][c.version]; ran && at >= c.at {
+		if l.isAcquitted(f, c) {
 			r.Acquitted = append(r.Acquitted, f)
 		} else if !c.suspects[f] {
 			r.Suspects = append(r.Suspects, f)
--- a/coordination/poison/record_test.go
+++ b/coordination/poison/record_test.go
@@ -86,6 +86,16 @@
 			s.write(true)
 			s.ledger.Merge(s.now, poison.Report{Cleared: []poison.Fingerprint{guilty}})
 		}, status: poison.Suspect},
+		"more suspects in the record than a VM keeps": {play: func(s *recordStore) {
+			many := fleet.Crash{Process: process(1), At: s.wall}
+			for f := range 200 {
+				many.Suspects = append(many.Suspects, poison.Fingerprint(1+f))
+			}
+			other := many
+			other.Process = process(2)
+			s.records = map[fleet.Incarnation]fleet.Crash{many.Process: many, other.Process: other}
+			s.ledger.Restore(s.now, s.wall, s.records)
+		}, status: poison.Suspect},
 		"older than counts": {play: func(s *recordStore) {
 			s.ledger.Merge(s.now, crashReport(1, guilty))
 			s.ledger.Merge(s.now, crashReport(2, guilty))
@@ -150,4 +160,7 @@
 	is.Equal(s.ledger.Crashes(1), 1)
 	s.pass(12 * time.Minute)
 	is.Equal(len(s.ledger.Outdated(s.wall)), 2)
+	s.records = nil
+	s.ledger.Restore(s.now, s.wall, nil)
+	is.Equal(s.write(true), 0)
 }
--- a/coordination/poison/verdict.go
+++ b/coordination/poison/verdict.go
@@ -74,12 +74,22 @@
 	return len(l.crashesOf[f]) >= crashesToBlockAny && now.Sub(last) <= initialBlock
 }
 
-// turn is the time for which one of several requests that share their crashes may run while the others are refused.
-const turn = time.Second
+const (
+	// turn is the time for which one of several requests that share their crashes may run while the others are refused.
+	turn = time.Second
+	// maxTurns limits the requests that run in turn; more of them would wait for too long.
+	maxTurns = 8
+)
 
 // hasTurn reports whether a suspect may run now. After each crash that the same requests shared, they run in turn once: the one that crashes
 // a process alone, or runs well, tells them apart, so that no innocent one is refused for longer.
 func (l *Ledger) hasTurn(now clock.Instant, f Fingerprint) bool {
+	begin, end := l.turnOf(f)
+	return now >= end || now >= begin && now < begin.Add(turn)
+}
+
+// turnOf returns when the turn of a suspect begins, and when those of all suspects have ended.
+func (l *Ledger) turnOf(f Fingerprint) (begin, end clock.Instant) {
 	var last *crash
 	for p := range l.crashesOf[f] {
 		if c := l.crashes[p]; last == nil || c.at > last.at {
@@ -87,8 +97,8 @@
 		}
 	}
 	most, ties := l.mostCrashes(last)
-	if len(l.crashesOf[f]) < most {
-		return true
+	if len(l.crashesOf[f]) < most || ties > maxTurns {
+		return 0, 0
 	}
 	rank := 0
 	for other := range last.suspects {
@@ -96,8 +106,22 @@
 			rank++
 		}
 	}
-	current := int(now.Sub(last.at) / turn)
-	return current >= ties || current == rank
+	return last.at.Add(time.Duration(rank) * turn), last.at.Add(time.Duration(ties) * turn)
+}
+
+// RefusedFor returns how much longer a request is refused that Check has found to be blocked.
+func (l *Ledger) RefusedFor(now clock.Instant, f Fingerprint) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.judge(now, f)
+	if v.status == Suspect && v.crashes >= crashesToBlock {
+		begin, end := l.turnOf(f)
+		if begin < now {
+			begin = end
+		}
+		return max(0, begin.Sub(now))
+	}
+	return max(0, v.until.Sub(now))
 }
 
 // verdict is what the crashes of a request say of it.
@@ -105,6 +129,8 @@
 	status Status
 	// crashes is the number of crashes that count.
 	crashes int
+	// until is the end of a refusal.
+	until clock.Instant
 }
 
 // judge returns the verdict on a request, whatever the version that would run it.
@@ -145,7 +171,7 @@
 	case counted == 0:
 		return verdict{status: Clear}
 	case block > 0 && now.Sub(last) <= block:
-		return verdict{status: Blocked, crashes: counted}
+		return verdict{status: Blocked, crashes: counted, until: last.Add(block)}
 	default:
 		return verdict{status: Suspect, crashes: counted}
 	}
--- a/state/fleet/crash.go
+++ b/state/fleet/crash.go
@@ -33,7 +33,7 @@
 }
 
 // maxCrashRequests limits the requests of a record that is read.
-const maxCrashRequests = 1024
+const maxCrashRequests = 4096
 
 // EncodeCrash returns a record as JSON.
 func EncodeCrash(c Crash) (data []byte, err error) {
