--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -185,7 +185,8 @@
 	return nil
 }
 
-// reserve counts a connection that is about to be opened. It returns ErrNoConnection if limit connections are open.
+// reserve counts a connection that is about to be opened. At the limit it closes the idle connection that is unused for longest, which this
+// request can't use; it returns ErrNoConnection if limit connections are in use.
 func (c *Client) reserve(key poolKey, limit int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -194,6 +195,11 @@
 		p = &pool{}
 		c.pools[key] = p
 	}
+	if limit > 0 && p.open >= limit && len(p.idle) > 0 {
+		_ = p.idle[0].socket.Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.open--
+	}
 	if limit > 0 && p.open >= limit {
 		return ErrNoConnection
 	}
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -250,6 +250,31 @@
 	}
 }
 
+// Idle connections that a request can't use must make room for a new one, also if callers use the same id for all requests.
+func TestIdleConnectionsMakeRoomAtTheLimit(t *testing.T) {
+	tests := map[string]func(r *http1.Request){
+		"the same id":      func(r *http1.Request) { r.ID = "1" },
+		"a new connection": func(r *http1.Request) { r.NewConnection = true },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, response("1", "one"))
+			c := http1.NewClient()
+			r := request(s, "1")
+			r.MaxConnections = 2
+			change(&r)
+			for range 6 {
+				resp, err := c.Do(context.Background(), r)
+				body, err := read(t, resp, err)
+				is.NoErr(err)
+				is.Equal(body, "one")
+			}
+			is.Equal(c.OpenedConnections(), int64(6))
+		})
+	}
+}
+
 // A canceled request must not reach the backend server later: after a plain close the kernel would retransmit its bytes.
 // So the connection must be reset.
 func TestGivenUpRequestResetsItsConnection(t *testing.T) {
