--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -159,8 +159,8 @@
 	l.endLocked(p, f)
 	l.refute(p, began)
 	isNews := succeeded && len(l.crashesOf[f]) > 0 && !l.hasRun(f, version)
+	// A crash of another process at which it is under way, or unanswered, isn't due to it either.
 	if isNews || succeeded && l.attempts[f] > 0 {
-		// It is under way, or unanswered, at another process too, whose crash wouldn't be due to it.
 		l.clear(f, version, now)
 	}
 	l.mu.Unlock()
@@ -199,10 +199,10 @@
 	if l.unanswered[p] == nil {
 		l.unanswered[p] = map[Fingerprint]unanswered{}
 	}
-	if _, known := l.unanswered[p][f]; !known && len(l.unanswered[p]) < maxSuspects {
-		l.attempts[f]++
-		l.unanswered[p][f] = unanswered{began: began, noticed: now}
-	} else if known {
+	if _, known := l.unanswered[p][f]; known || len(l.unanswered[p]) < maxSuspects {
+		if !known {
+			l.attempts[f]++
+		}
 		l.unanswered[p][f] = unanswered{began: began, noticed: now}
 	}
 	probedAt, probed := l.probedAt[p]
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -92,13 +92,7 @@
 	if err != nil {
 		return err
 	}
-	e.recordStoreSuccess()
-	for i := range items {
-		items[i].Revision = written
-	}
-	e.mirror.Apply(fleet.Update{From: written - 1, To: written, Items: items})
-	e.publishSnapshot()
-	e.notify(e.updatesPending)
+	e.applyWritten(written, items...)
 	for _, r := range records {
 		e.log.Info("the crash of a backend server is recorded", "server", string(r.Process.Server), "born", int64(r.Process.Born), "version", string(r.Version), "revision", written.Number(), "fingerprints", r.Suspects, "acquitted", r.Acquitted, "runsOn", r.RunsOn)
 	}
--- a/edge/store.go
+++ b/edge/store.go
@@ -10,6 +10,7 @@
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // Periods and limits of the store's calls.
@@ -200,6 +201,17 @@
 	}
 }
 
+// applyWritten applies items that this VM has just written to the store, at the revision of the write, without waiting for the watch.
+func (e *Edge) applyWritten(written id.Revision, items ...fleet.Item) {
+	e.recordStoreSuccess()
+	for i := range items {
+		items[i].Revision = written
+	}
+	e.mirror.Apply(fleet.Update{From: written - 1, To: written, Items: items})
+	e.publishSnapshot()
+	e.notify(e.updatesPending)
+}
+
 // publishSnapshots publishes a snapshot after each change of the mirror, and when what is retained expires.
 func (e *Edge) publishSnapshots(ctx context.Context) error {
 	for {
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -219,12 +219,7 @@
 		<-e.clock.After(minRetryPause)
 		return false
 	}
-	e.recordStoreSuccess()
-	item := fleet.Item{Key: key, Value: bytes.Clone(value), Revision: written}
-	u := fleet.Update{From: written - 1, To: written, Items: []fleet.Item{item}}
-	e.mirror.Apply(u)
-	e.publishSnapshot()
-	e.notify(e.updatesPending)
+	e.applyWritten(written, fleet.Item{Key: key, Value: bytes.Clone(value)})
 	e.log.Info("key table written", "service", string(next.Service), "ranges", len(next.Ranges), "fence", int64(next.Fence), "revision", written.Number(), "era", uint64(written.Era()))
 	return true
 }
