Report each request whose connection ends without its response

Change: transport/http1server tracks callers' connections; the log line 'a connection ended without the response' names the request, its age and the cause; metrics LostResponses and CallerConnections. No connection is closed at another moment than before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -46,6 +46,7 @@
 	"github.com/hickorylug/hickorylug/transport/entry"
 	"github.com/hickorylug/hickorylug/transport/gossip"
 	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
@@ -74,6 +75,7 @@
 	crashes    *poison.Ledger
 	splitter   *trafficSplitter
 	handler    *entry.Handler
+	callers    *http1server.Server
 	metrics    *metrics
 	keys       *keyManager
 	allotments *allotments
@@ -180,6 +182,7 @@
 		Bodies: e.bodies, View: e.view, MayHoldRevokedKeys: e.mayHoldRevokedKeys, PickService: e.splitter.pick, Admit: e.allotments.admit,
 		Forward: e.forwarder.Forward, Observe: e.observeRequest,
 	})
+	e.callers = e.newCallerServer()
 	e.keys = newKeyManager(e)
 	return e, nil
 }
@@ -245,11 +248,10 @@
 	}
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	server := newCallerServer(e.handler)
 	supervisor := suture.New("edge", suture.Spec{EventHook: func(s suture.Event) { e.log.Warn("supervisor event", "event", s.String()) }})
 	for _, c := range []component{
 		{"gossip", func(ctx context.Context) error { return <-e.socket.Serve(ctx, e.receive) }},
-		{"callers", func(ctx context.Context) error { return serve(ctx, server.Server, callers) }},
+		{"callers", func(ctx context.Context) error { return serve(ctx, e.callers, callers) }},
 		{"readiness", func(ctx context.Context) error { return serve(ctx, e.readinessServer(), ready) }},
 		{"metrics", func(ctx context.Context) error { return serve(ctx, e.metrics.server(), metricsListener) }},
 		{"store", e.synchronize},
@@ -268,7 +270,7 @@
 	e.log.Info("entry VM started", "incarnation", string(e.incarnation), "callers", e.settings.CallerAddress, "store", e.settings.Store)
 	select {
 	case <-ctx.Done():
-		e.drain(serveCtx, server, callers)
+		e.drain(serveCtx, callers)
 	case err := <-ended:
 		return err
 	}
@@ -291,8 +293,14 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLogger()}
 }
 
+// httpServer is a server of HTTP connections.
+type httpServer interface {
+	Serve(l net.Listener) error
+	Close() error
+}
+
 // serve runs a server until the context ends or the server is shut down.
-func serve(ctx context.Context, s *http.Server, l net.Listener) error {
+func serve(ctx context.Context, s httpServer, l net.Listener) error {
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	select {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/allotment"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
@@ -22,6 +25,7 @@
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
 // metrics holds the counters and histograms of one VM.
@@ -32,8 +36,10 @@
 	store        *expvar.Map
 	requests     *expvar.Map
 	attempts     *expvar.Map
-	customers    *customerCounters
-	lines        *lineLimiter
+	// lost counts the responses that were not written completely, by cause.
+	lost      *expvar.Map
+	customers *customerCounters
+	lines     *lineLimiter
 	// leaving counts the incarnations of backend servers that announced that they leave, and pauses the times that one wanted no requests.
 	leaving, pauses atomic.Int64
 
@@ -49,7 +55,7 @@
 
 func newMetrics(e *Edge) *metrics {
 	return &metrics{
-		edge: e, store: new(expvar.Map).Init(), requests: new(expvar.Map).Init(), attempts: new(expvar.Map).Init(),
+		edge: e, store: new(expvar.Map).Init(), requests: new(expvar.Map).Init(), attempts: new(expvar.Map).Init(), lost: new(expvar.Map).Init(),
 		latencies: map[string]*hdrhistogram.Histogram{}, customers: newCustomerCounters(), lines: newLineLimiter(e.clock, e.log),
 	}
 }
@@ -126,6 +132,21 @@
 	}
 }
 
+// observeLost counts and logs a request whose connection ended before its response was written.
+func (e *Edge) observeLost(l http1server.Lost) {
+	level, cause := slog.LevelError, "closed here"
+	switch {
+	case errors.Is(l.Cause, http1server.ErrClosedHere):
+	case errors.Is(l.Cause, http1server.ErrAborted):
+		cause = "aborted"
+	default:
+		// The caller has left, which is not a failure of this system.
+		level, cause = slog.LevelDebug, "caller"
+	}
+	e.metrics.lost.Add(cause, 1)
+	e.log.Log(context.Background(), level, "a connection ended without the response", "request", l.Request, "ageMs", l.Age.Milliseconds(), "cause", l.Cause.Error(), "stopping", e.leaving.Load())
+}
+
 // observeDroppedSuspects logs that a crash no longer counts against requests.
 func (e *Edge) observeDroppedSuspects(p fleet.Incarnation, cause poison.Cause, suspects []poison.Fingerprint) {
 	if len(suspects) == 0 {
@@ -197,6 +218,7 @@
 		"BlockedRequests": crashes.Blocked, "Crashes": crashes, "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
 		"Customers": m.customerValues(allotments), "Granted": allotments.Granted,
 		"Leaving": m.leaving.Load(), "Pauses": m.pauses.Load(),
+		"CallerConnections": e.callers.Open(), "LostResponses": json.RawMessage(m.lost.String()),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -4,11 +4,12 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/hickorylug/hickorylug/coordination/drain"
 	"github.com/hickorylug/hickorylug/coordination/forward"
+	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
 // Times of a graceful shutdown.
@@ -28,7 +29,7 @@
 }
 
 // drain completes the requests in flight and gives up the leadership, within the grace time.
-func (e *Edge) drain(ctx context.Context, server *callerServer, callers net.Listener) {
+func (e *Edge) drain(ctx context.Context, callers net.Listener) {
 	startedAt := e.clock.Boot()
 	grace := e.settings.GraceTime.Std() - graceMargin
 	settle := min(balancerDetectionTime, grace/2)
@@ -41,14 +42,17 @@
 	<-e.clock.After(settle - e.clock.Boot().Sub(startedAt))
 	drainCtx, cancel := context.WithTimeout(ctx, max(0, grace-e.clock.Boot().Sub(startedAt)))
 	defer cancel()
-	server.closeIdle(callers)
-	for (server.open.Load() > 0 || e.handler.InFlight() > 0) && drainCtx.Err() == nil {
+	// The listener is closed in any case.
+	_ = callers.Close()
+	e.log.Info("idle connections of callers are closed", "open", e.callers.Open(), "inFlight", e.handler.InFlight())
+	e.callers.CloseIdle()
+	for (e.callers.Open() > 0 || e.handler.InFlight() > 0) && drainCtx.Err() == nil {
 		<-e.clock.After(drainPollPeriod)
 	}
 	if n := e.handler.InFlight(); n > 0 {
 		e.log.Warn("requests were still in flight at the end of the grace time", "inFlight", n)
 	}
-	_ = server.Close()
+	_ = e.callers.Close()
 	e.drainRelayed(drainCtx, drainPollPeriod)
 	// Key grants expire without a leader, so a leader that can't be replaced keeps renewing them until the end of the grace time.
 	for !resigned && drainCtx.Err() == nil {
@@ -64,31 +68,9 @@
 	maxHeaderBytes = 256 << 10
 )
 
-// callerServer is the server of callers' connections.
-type callerServer struct {
-	*http.Server
-	// open is the number of open connections.
-	open atomic.Int64
-}
-
-func newCallerServer(h http.Handler) *callerServer {
-	s := &callerServer{Server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLogger()}}
-	s.ConnState = func(_ net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			s.open.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			s.open.Add(-1)
-		case http.StateActive, http.StateIdle:
-		}
-	}
-	return s
-}
-
-// closeIdle closes the listener and the idle connections. Requests that come on the others are still answered, each as the last one of its
-// connection. Server.Shutdown would close connections on which a request has just come, without an answer.
-func (s *callerServer) closeIdle(l net.Listener) {
-	// The listener is closed in any case.
-	_ = l.Close()
-	s.SetKeepAlivesEnabled(false)
+// newCallerServer returns the server of callers' connections.
+func (e *Edge) newCallerServer() *http1server.Server {
+	return http1server.New(e.handler, http1server.WithClock(e.clock), http1server.WithTimeouts(headerTimeout, 0, idleTimeout), http1server.WithMaxHeaderBytes(maxHeaderBytes),
+		http1server.WithRequestID(func(r *http.Request) string { return r.Header.Get(platform.HeaderRequestID) }),
+		http1server.WithOnLost(e.observeLost), http1server.WithOnPanic(e.observePanic))
 }
--- /dev/null
+++ b/transport/http1server/connection.go
@@ -0,0 +1,103 @@
+package http1server
+
+import (
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorylug/hickorylug/state/clock"
+)
+
+// listener accepts connections that a server tracks.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept waits for the next connection.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: c, server: l.server}, nil
+}
+
+// connection is a caller's connection with the request that is being handled.
+type connection struct {
+	net.Conn
+	server *Server
+
+	mu sync.Mutex
+	// handling is set from the beginning of a request until its connection is idle or closed.
+	handling bool
+	request  string
+	beganAt  clock.Instant
+	// finished is set when the handler has returned; the end of the response may still be in a buffer.
+	finished bool
+	// writeErr is the first error of a write of the response.
+	writeErr error
+}
+
+// Write writes a part of a response.
+func (c *connection) Write(p []byte) (n int, err error) {
+	n, err = c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.writeErr == nil {
+			c.writeErr = err
+		}
+	}
+	return n, err
+}
+
+// begin records that a request is being handled.
+func (c *connection) begin(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling, c.request, c.beganAt, c.finished = true, request, c.server.options.Clock.Boot(), false
+}
+
+// finish records that the handler has returned.
+func (c *connection) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished = true
+}
+
+// end ends the request that is being handled, after the last write of its response, and reports it if the response isn't complete.
+func (c *connection) end() {
+	c.mu.Lock()
+	var cause error
+	switch {
+	case errors.Is(c.writeErr, net.ErrClosed):
+		cause = ErrClosedHere
+	case c.writeErr != nil:
+		cause = c.writeErr
+	case !c.finished:
+		cause = ErrAborted
+	}
+	c.report(cause)
+}
+
+// closeHere reports the request that is being handled, since its connection is about to be closed.
+func (c *connection) closeHere() {
+	c.mu.Lock()
+	c.report(ErrClosedHere)
+}
+
+// report ends the request, reports it as lost unless cause is nil, and releases the lock.
+func (c *connection) report(cause error) {
+	lost := Lost{Request: c.request, Cause: cause}
+	if c.handling {
+		lost.Age = c.server.options.Clock.Boot().Sub(c.beganAt)
+	}
+	isLost := c.handling && cause != nil
+	c.handling = false
+	c.mu.Unlock()
+	if isLost {
+		c.server.options.OnLost(lost)
+	}
+}
