--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -113,3 +115,117 @@
 		})
 	}
 }
+
+// heldListener accepts connections whose reads return some time after they have taken the bytes, as on a machine that is short of processor.
+type heldListener struct {
+	net.Listener
+	// taken receives a value for each read that has taken bytes, and the read returns after it has received one from release.
+	taken, release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConnection{Conn: c, listener: l}, nil
+}
+
+type heldConnection struct {
+	net.Conn
+	listener *heldListener
+}
+
+func (c *heldConnection) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if n > 0 {
+		c.listener.taken <- struct{}{}
+		<-c.listener.release
+	}
+	return n, err
+}
+
+// A request that was read from a connection just before it would have been closed as idle must be answered.
+func TestRequestReadBeforeIdleConnectionsCloseIsAnswered(t *testing.T) {
+	tests := map[string]struct {
+		// parts are the reads of the second request, of which the first one is held while the idle connections are closed.
+		parts  []string
+		status int
+	}{
+		"whole":               {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
+		"a body that follows": {parts: []string{"POST /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\n", "body"}, status: http.StatusOK},
+		"a part of its head":  {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.ex"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			held := &heldListener{taken: make(chan struct{}, 16), release: make(chan struct{}, 16)}
+			handled := make(chan string, 2)
+			s := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+				body, err := io.ReadAll(r.Body)
+				is.NoErr(err)
+				handled <- r.Header.Get("X-Id") + string(body)
+			}, func(l net.Listener) net.Listener { held.Listener = l; return held })
+			c := s.dial(t)
+			held.release <- struct{}{}
+			is.NoErr(c.write("1"))
+			status, _ := c.read()
+			is.Equal(status, http.StatusOK)
+			is.Equal(<-handled, "1")
+			<-held.taken
+			for i, part := range test.parts {
+				_, err := io.WriteString(c, part)
+				is.NoErr(err)
+				if i == 0 {
+					<-held.taken
+					s.server.CloseIdle()
+				}
+				held.release <- struct{}{}
+			}
+			status, closes := c.read()
+			is.Equal(status, test.status)
+			is.True(closes)
+			is.Equal(len(handled) > 0, test.status != 0)
+			is.Equal(len(s.lost), 0)
+		})
+	}
+}
+
+// Idle connections must end, and requests on the others must still be answered.
+func TestCloseIdle(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			close(started)
+			<-release
+		}
+	}, nil)
+	idle, busy, fresh := s.dial(t), s.dial(t), s.dial(t)
+	for _, c := range []*caller{idle, busy} {
+		is.NoErr(c.write("1"))
+		status, closes := c.read()
+		is.Equal(status, http.StatusOK)
+		is.True(!closes)
+	}
+	is.NoErr(busy.write("slow"))
+	<-started
+	for s.server.Open() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	s.server.CloseIdle()
+	status, closes := idle.read()
+	is.Equal(status, 0)
+	is.True(closes)
+	close(release)
+	status, _ = busy.read()
+	is.Equal(status, http.StatusOK)
+	is.NoErr(fresh.write("2"))
+	status, closes = fresh.read()
+	is.Equal(status, http.StatusOK)
+	is.True(closes)
+	for s.server.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(len(s.lost), 0)
+}
