Soak: a response that a VM hasn't written breaks a guarantee of planned work

Cause: net/http's client sends an idempotent request again if its connection ends, so the soak's callers don't see each lost response. Change: with planned work alone, the VMs' logs must hold no line 'a connection ended without the response' of level error.

--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -113,6 +114,9 @@
 			r.addViolation("request %s has run, but its connection was cut off, although only planned work took place", id)
 		}
 	}
+	if isPlannedWork {
+		e.checkLostResponses(r)
+	}
 	for _, id := range r.refusedNotRun {
 		if e.journal.Runs(id) > 0 {
 			r.addViolation("request %s was refused as not run, but has run", id)
@@ -128,6 +132,22 @@
 	}
 }
 
+// checkLostResponses adds a violation for each response that a VM says it has not written. Callers don't see all of them: net/http's client sends
+// an idempotent request again if its connection ends.
+func (e *environment) checkLostResponses(r *result) {
+	for _, v := range e.vms {
+		data, err := os.ReadFile(v.log.Name())
+		if err != nil {
+			r.addViolation("the log of %s can't be read: %v", v.name, err)
+		}
+		for line := range bytes.Lines(data) {
+			if bytes.Contains(line, []byte(`"level":"ERROR"`)) && bytes.Contains(line, []byte("a connection ended without the response")) {
+				r.addViolation("%s lost a response: %s", v.name, bytes.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // waitUntilServing sends requests of both kinds to the VMs in turn until requiredSuccesses consecutive ones are answered
 // with status 200; it reports false after serveTimeout.
 func (e *environment) waitUntilServing(r *result) bool {
