Refuse queued requests before the connections of a planned stop are closed

What callers saw: a request that waits for a free backend server at the end of the grace time got no answer (LOST): its connection was closed 5.6 s after SIGTERM. Cause: only a free slot or the end of its own wait ends a queued request; requests that the stop no longer sends waited all the same. Change: a request that the stop would no longer send is refused at once as not run, and each that still waits 0.2 s before the end: drain.Window.MayWait decides, the dispatcher asks it whenever it looks at its queue and before it queues a request. Requests at which a backend server works are as before. Tests of coordination/... pass.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -56,6 +56,8 @@
 	ExcludedVersions []id.SoftwareVersion
 	// AvoidedVersions are versions that run the request only while no other one has capacity.
 	AvoidedVersions []id.SoftwareVersion
+	// Idempotent says that the request may run more than once.
+	Idempotent bool
 	// Retry says that the request was sent before, so that it is queued ahead of first attempts.
 	Retry bool
 }
@@ -256,6 +258,9 @@
 		}
 	}
 	until, refusal := d.waitLimit(now, s, w)
+	if !d.options.MayWait(demand) {
+		refusal = &Refusal{Reason: Stopping, Waiting: len(s.waiting), ServiceTime: s.serviceTime, Final: true}
+	}
 	if refusal != nil {
 		d.mu.Unlock()
 		return nil, refusal
@@ -326,6 +331,11 @@
 	// blocked says that no request gets a slot, and exceedingBlocked that none of a customer beyond its share does.
 	blocked, exceedingBlocked := false, false
 	for _, w := range s.waiting {
+		if !d.options.MayWait(w.demand) {
+			s.order.Dequeue(w.demand.Customer)
+			w.ready <- decision{refusal: &Refusal{Reason: Stopping, Waiting: len(s.waiting), ServiceTime: s.serviceTime, Final: true}}
+			continue
+		}
 		if !w.demand.Keyed && (blocked || exceedingBlocked && d.exceedsShare(now, s, w.demand)) {
 			kept = append(kept, w)
 			continue
@@ -346,7 +356,8 @@
 	s.waiting = kept
 }
 
-// Tick retries the queued requests, since pauses, ejections and token buckets free capacity by time alone.
+// Tick retries the queued requests, since pauses, ejections and token buckets free capacity by time alone, and refuses those that may no
+// longer wait.
 func (d *Dispatcher) Tick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/coordination/dispatch/options.go
+++ b/coordination/dispatch/options.go
@@ -19,6 +19,9 @@
 	// WarmOverage and WarmSlack are how far a cold backend server's load may exceed its warm-up rate: a factor, and a number of requests.
 	WarmOverage float64
 	WarmSlack   float64
+	// MayWait reports whether a request may be queued or stay queued; it is false where the VM stops before the answer may come. It must not
+	// call the dispatcher.
+	MayWait func(d Demand) bool
 	// OnEject is called for each backend server that this VM ejects, with the share of failures among its answers and the time of the
 	// ejection. It must not call the dispatcher.
 	OnEject func(server id.Server, share float64, duration time.Duration)
@@ -47,6 +50,9 @@
 	return func(o *Options) { o.WarmOverage, o.WarmSlack = overage, slack }
 }
 
+// WithMayWait sets the function that reports whether a request may be queued or stay queued.
+func WithMayWait(f func(d Demand) bool) Option { return func(o *Options) { o.MayWait = f } }
+
 // WithOnEject sets the function that is called for each backend server that this VM ejects.
 func WithOnEject(f func(server id.Server, share float64, duration time.Duration)) Option {
 	return func(o *Options) { o.OnEject = f }
@@ -65,6 +71,7 @@
 func newOptions(opts []Option) Options {
 	o := Options{
 		Clock: clock.System{}, Random: rand.Float64, Peers: func() int { return 1 }, WarmOverage: 1, WarmSlack: 0,
+		MayWait: func(Demand) bool { return true },
 		OnEject: func(id.Server, float64, time.Duration) {}, OnRequestLimit: func(id.Server, ratelimit.Rate) {},
 		OnPause: func(id.Server, time.Duration) {},
 	}
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -21,6 +21,8 @@
 	NoOwner Reason = "no owner"
 	// VersionExcluded means that the owner of the key runs a version of its software that must not run the request.
 	VersionExcluded Reason = "version excluded"
+	// Stopping means that this VM stops and the request may no longer wait.
+	Stopping Reason = "stopping"
 	// CallerGone means that the caller disconnected or timed out while the request was queued.
 	CallerGone Reason = "caller gone"
 )
--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -11,6 +11,9 @@
 //	if !w.Accepts(now, r.Deadline, r.Objective, r.Idempotent) {
 //		// Refuse as not run; the caller's next connection goes to another VM.
 //	}
+//	if !w.MayWait(now, r.Deadline, r.Objective, r.Idempotent) {
+//		// The same for a request that waits for a backend server.
+//	}
 package drain
 
 import (
@@ -43,3 +46,16 @@
 	}
 	return idempotent && now < w.settled && max(objective, now) < w.ends
 }
+
+// answerTime is the time before the end in which requests that still wait are answered.
+const answerTime = 200 * time.Millisecond
+
+// WaitEnds returns when requests that wait for a backend server are refused, so that their callers get the refusal before the end.
+func (w *Window) WaitEnds() clock.Instant { return w.ends.Add(-answerTime) }
+
+// MayWait reports whether a request that no backend server has may go on waiting for one. A nil window lets everything wait.
+//
+// A request that would no longer be accepted is refused at once, since its wait can't help.
+func (w *Window) MayWait(now, deadline, objective clock.Instant, idempotent bool) bool {
+	return w == nil || now < w.WaitEnds() && w.Accepts(now, deadline, objective, idempotent)
+}
--- a/coordination/drain/drain_test.go
+++ b/coordination/drain/drain_test.go
@@ -42,3 +42,33 @@
 		})
 	}
 }
+
+func TestMayWait(t *testing.T) {
+	const settle, grace = 3 * time.Second, 5 * time.Second
+	tests := map[string]struct {
+		running bool
+		// at is the time since the stop began, and objective and deadline are counted from then.
+		at, objective, deadline time.Duration
+		idempotent, want        bool
+	}{
+		"no stop":                           {running: true, objective: time.Hour, deadline: time.Hour, want: true},
+		"would be accepted":                 {at: 4 * time.Second, objective: 4500 * time.Millisecond, deadline: 5 * time.Second, want: true},
+		"would not be accepted":             {at: time.Second, objective: 2 * time.Second, deadline: 6 * time.Second},
+		"idempotent":                        {at: settle - 1, objective: 4 * time.Second, deadline: 6 * time.Second, idempotent: true, want: true},
+		"idempotent, no longer accepted":    {at: settle, objective: 4 * time.Second, deadline: 6 * time.Second, idempotent: true},
+		"just before the last answers":      {at: 4800*time.Millisecond - 1, objective: 4900 * time.Millisecond, deadline: 5 * time.Second, want: true},
+		"as the last answers are written":   {at: 4800 * time.Millisecond, objective: 4900 * time.Millisecond, deadline: 5 * time.Second},
+		"at the end, though it ends before": {at: 5 * time.Second, objective: 4900 * time.Millisecond, deadline: 4950 * time.Millisecond, idempotent: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			began := clock.Instant(time.Hour)
+			w := drain.NewWindow(began, settle, grace)
+			if test.running {
+				w = nil
+			}
+			is.Equal(w.MayWait(began.Add(test.at), began.Add(test.deadline), began.Add(test.objective), test.idempotent), test.want)
+		})
+	}
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -246,7 +246,7 @@
 	r := s.request
 	return dispatch.Demand{
 		Service: r.Service, Priority: r.Priority, Customer: r.Customer, Weight: r.Weight, Keyed: r.Keyed, Key: r.Key, Arrived: r.Arrived,
-		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, AvoidDomain: s.avoidDomain, ExcludedVersions: s.excluded, AvoidedVersions: s.avoided, Retry: s.attempts > 0,
+		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, AvoidDomain: s.avoidDomain, ExcludedVersions: s.excluded, AvoidedVersions: s.avoided, Idempotent: r.Route.Idempotent, Retry: s.attempts > 0,
 	}
 }
 
@@ -402,8 +402,12 @@
 	if !errors.As(err, &r) {
 		return outcome.NotRun(outcome.InternalError, "%v", err)
 	}
-	if r.Reason == dispatch.VersionExcluded {
+	switch r.Reason {
+	case dispatch.VersionExcluded:
 		return f.refusePoisonous(s)
+	case dispatch.Stopping:
+		return refuseStopping()
+	default:
 	}
 	reason := map[dispatch.Reason]outcome.Reason{
 		dispatch.Overloaded: outcome.Overloaded, dispatch.NoServer: outcome.NoServer,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -169,7 +169,7 @@
 	e.store.Observe, e.store.OnEra = e.metrics.observeStore, e.observeEra
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit),
-		dispatch.WithOnPause(e.observePause))
+		dispatch.WithOnPause(e.observePause), dispatch.WithMayWait(e.mayWait))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
 		forward.WithOnSuspect(e.observeSuspect), forward.WithProbe(e.probeServer), forward.WithAccepts(e.accepts), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.allotments = newAllotments(e)
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/drain"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/platform"
@@ -28,26 +29,39 @@
 	return e.stop.Load().Accepts(e.clock.Boot(), r.Deadline, r.Objective, r.Route.Idempotent)
 }
 
+// mayWait reports whether a request may wait for a backend server, with regard to a planned stop of this VM.
+func (e *Edge) mayWait(d dispatch.Demand) bool {
+	return e.stop.Load().MayWait(e.clock.Boot(), d.Deadline, d.Objective, d.Idempotent)
+}
+
 // drain completes the requests in flight and gives up the leadership, within the grace time.
 func (e *Edge) drain(ctx context.Context, callers net.Listener) {
 	startedAt := e.clock.Boot()
 	grace := e.settings.GraceTime.Std() - graceMargin
 	settle := min(balancerDetectionTime, grace/2)
-	e.stop.Store(drain.NewWindow(startedAt, settle, grace))
+	window := drain.NewWindow(startedAt, settle, grace)
+	e.stop.Store(window)
 	e.leaving.Store(true)
 	e.handler.Drain()
 	e.relayHandler.Drain()
 	e.log.Info("graceful shutdown began", "inFlight", e.handler.InFlight())
+	e.dispatcher.Tick()
 	resigned := e.resign()
 	<-e.clock.After(settle - e.clock.Boot().Sub(startedAt))
+	e.dispatcher.Tick()
 	drainCtx, cancel := context.WithTimeout(ctx, max(0, grace-e.clock.Boot().Sub(startedAt)))
 	defer cancel()
 	// The listener is closed in any case.
 	_ = callers.Close()
 	e.log.Info("idle connections of callers are closed", "open", e.callers.Open(), "inFlight", e.handler.InFlight())
 	e.callers.CloseIdle()
+	waitEnds := e.clock.After(window.WaitEnds().Sub(e.clock.Boot()))
 	for (e.callers.Open() > 0 || e.handler.InFlight() > 0) && drainCtx.Err() == nil {
-		<-e.clock.After(drainPollPeriod)
+		select {
+		case <-waitEnds:
+			e.dispatcher.Tick()
+		case <-e.clock.After(drainPollPeriod):
+		}
 	}
 	if n := e.handler.InFlight(); n > 0 {
 		e.log.Warn("requests were still in flight at the end of the grace time", "inFlight", n)
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +86,74 @@
 		})
 	}
 }
+
+// A request that no backend server has at the end of the grace time of a planned stop must get an answer.
+func TestWaitingRequestsAreAnsweredInAPlannedStop(t *testing.T) {
+	// Of the grace time, 0.4 s are a reserve. The work and the waits are longer.
+	const grace, work = time.Second, 3 * time.Second
+	tests := map[string]struct {
+		// requests is the number of requests, which the backend servers have no room for, and body the part of each body that is sent.
+		requests int
+		body     string
+		length   int
+	}{
+		"queued": {requests: 3*worker.Slots + 8},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var reached sync.Map
+			s := newSite(t, 1, withGraceTime(grace), func(s *site) {
+				s.billing = []worker.Option{worker.WithServiceTime(work), worker.WithOnRequest(func(r *http.Request) { reached.Store(r.Header.Get("Attempt-Id"), true) })}
+			})
+			s.awaitAll("/view/")
+			statuses := make([]int, test.requests)
+			var answered atomic.Int64
+			var requests sync.WaitGroup
+			for i := range test.requests {
+				c := dialCaller(t, s.callerAddresses[0])
+				requests.Go(func() {
+					statuses[i] = c.sendPart("/renew/x", fmt.Sprint("r", i), test.body, test.length)
+					answered.Add(1)
+				})
+			}
+			for s.inFlight(0)+answered.Load() < int64(test.requests) {
+				time.Sleep(pollPeriod)
+			}
+			s.stopVM(0)
+			requests.Wait()
+			waited := 0
+			for i, status := range statuses {
+				if _, ok := reached.Load(fmt.Sprint("r", i)); !ok {
+					is.Equal(status, http.StatusServiceUnavailable)
+					waited++
+				}
+			}
+			is.True(waited > 0)
+		})
+	}
+}
+
+// sendPart sends a request with a part of its body, and returns the status of its response, or 0 if the connection ends without one.
+func (c *lateCaller) sendPart(path, id, part string, length int) (status int) {
+	_, err := fmt.Fprintf(c.connection, "POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s", path, id, length, part)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// inFlight returns the number of requests in flight at a VM, from its metrics.
+func (s *site) inFlight(vm int) int64 {
+	s.t.Helper()
+	var values struct{ InFlight int64 }
+	if err := json.Unmarshal([]byte(s.metricsOf(vm)), &values); err != nil {
+		s.t.Fatal(err)
+	}
+	return values.InFlight
+}
