Refuse requests whose bodies are incomplete before the connections of a planned stop are closed

What callers saw: a request whose body was still being read at the end of the grace time got no answer. Cause: only its deadline ended the reading of a body. Reading that begins later takes only what has come already. Result: TestWaitingRequestsAreAnsweredInAPlannedStop, "their bodies come late", failed before (no answer instead of 503).

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -60,6 +60,7 @@
 		select {
 		case <-waitEnds:
 			e.dispatcher.Tick()
+			e.handler.StopReading()
 		case <-e.clock.After(drainPollPeriod):
 		}
 	}
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -97,7 +97,8 @@
 		body     string
 		length   int
 	}{
-		"queued": {requests: 3*worker.Slots + 8},
+		"queued":                 {requests: 3*worker.Slots + 8},
+		"their bodies come late": {requests: 2, body: "half", length: 8},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -103,6 +103,7 @@
 type Handler struct {
 	deps       Dependencies
 	waitLimits *waitLimits
+	bodyReads  bodyReads
 	inFlight   atomic.Int64
 	draining   atomic.Bool
 }
@@ -116,6 +117,9 @@
 // Drain makes all further responses carry "Connection: close", so that callers open other connections.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// StopReading refuses the requests whose bodies are not complete, now and later.
+func (h *Handler) StopReading() { h.bodyReads.stop() }
+
 // ServeHTTP parses a request, forwards it to a backend server and writes the response or a refusal.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
@@ -299,19 +303,13 @@
 	}
 	// A caller that sends its body slowly must not hold the request beyond its deadline.
 	connection := http.NewResponseController(w)
-	if err := connection.SetReadDeadline(time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := h.bodyReads.begin(connection, time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, outcome.NotRun(outcome.CallerDisconnected, "the connection is closed: %v", err)
 	}
 	body, err = http1.ReadBody(r.Body, int(allowed), h.deps.Bodies)
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, outcome.NotRun(outcome.BodyTimeout, "the body was not complete within %s", timeout)
-	case errors.Is(err, http1.ErrTooLarge):
-		return nil, outcome.NotRun(outcome.BodyTooLarge, "the body has more than %d bytes", allowed)
-	case errors.Is(err, http1.ErrQuota):
-		return nil, outcome.NotRun(outcome.Overloaded, "%v", err)
-	case err != nil:
-		return nil, outcome.NotRun(outcome.CallerDisconnected, "the body broke off: %v", err)
+	stopped := h.bodyReads.end(connection)
+	if err != nil {
+		return nil, bodyRefusal(err, stopped, timeout, allowed)
 	}
 	if err := connection.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, outcome.NotRun(outcome.CallerDisconnected, "the connection is closed: %v", err)
@@ -319,6 +317,22 @@
 	return body, nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read; stopped says that this VM reads no bodies any more.
+func bodyRefusal(err error, stopped bool, timeout time.Duration, allowed int64) *outcome.Error {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && stopped:
+		return outcome.NotRun(outcome.Stopping, "this VM stops, and the body was not complete")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.NotRun(outcome.BodyTimeout, "the body was not complete within %s", timeout)
+	case errors.Is(err, http1.ErrTooLarge):
+		return outcome.NotRun(outcome.BodyTooLarge, "the body has more than %d bytes", allowed)
+	case errors.Is(err, http1.ErrQuota):
+		return outcome.NotRun(outcome.Overloaded, "%v", err)
+	default:
+		return outcome.NotRun(outcome.CallerDisconnected, "the body broke off: %v", err)
+	}
+}
+
 // hopByHop are the header fields that apply to a single connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
