Write the result of an attempt for another VM before the attempt ends

What callers saw: a request that ran through another VM got 502 (or ran again, if idempotent) when that VM stopped in the moment of the answer. Cause: the handler's count of attempts fell when it returned; net/http writes a result of up to 4 kB, and the end of any longer one, only afterwards. A VM that stops waits for the count alone and then closes its connections to other VMs. Change: the result has its length and is flushed before the count falls. Refusals as well. Result: TestResultsAreWrittenBeforeAttemptsEnd failed before (a write with no attempt in flight, all cases).

--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -42,20 +43,27 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	inFlight := h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if inFlight > maxInFlight || h.draining.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	status, data := http.StatusServiceUnavailable, []byte(nil)
+	if inFlight <= maxInFlight && !h.draining.Load() {
+		status, data = h.serve(w, r)
 	}
+	// A VM that stops ends once no attempt is in flight, so the whole result is written before. If it can't be, the other VM has gone.
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// serve makes an attempt and returns its encoded result, or another status than 200.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) (status int, result []byte) {
 	data, err := http1.ReadBody(r.Body, maxAttemptBytes, h.quota)
 	var a Attempt
 	if err != nil || cbor.Unmarshal(data, &a) != nil || a.Server == "" || a.Timeout <= 0 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+		return http.StatusBadRequest, nil
 	}
 	// The server's read timeout is for the request only; it would end the attempt.
 	if http.NewResponseController(w).SetReadDeadline(time.Time{}) != nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return http.StatusServiceUnavailable, nil
 	}
 	ctx := r.Context()
 	if a.Detached {
@@ -63,15 +71,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
-	result, ok := h.send(ctx, a)
+	made, ok := h.send(ctx, a)
 	if !ok {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return http.StatusServiceUnavailable, nil
 	}
 	h.made.Add(1)
-	if data, err = cbor.Marshal(result); err != nil {
+	if result, err = cbor.Marshal(made); err != nil {
 		// Any status says that the attempt was not made, so the connection is broken off instead.
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = w.Write(data)
+	return http.StatusOK, result
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -112,3 +113,61 @@
 	is.NoErr(err)
 	is.Equal(after, before)
 }
+
+// countingConnection records how many attempts are in flight at each write of a response.
+type countingConnection struct {
+	net.Conn
+	handler *relay.Handler
+	counts  chan int64
+}
+
+func (c *countingConnection) Write(p []byte) (n int, err error) {
+	c.counts <- c.handler.InFlight()
+	return c.Conn.Write(p)
+}
+
+type countingListener struct {
+	net.Listener
+	handler *relay.Handler
+	counts  chan int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countingConnection{c, l.handler, l.counts}, err
+}
+
+// A VM that stops waits for the attempts in flight only, so a result that isn't written yet would be lost.
+func TestResultsAreWrittenBeforeAttemptsEnd(t *testing.T) {
+	tests := map[string]struct {
+		body     int
+		declined bool
+	}{
+		"short result": {body: 10},
+		"long result":  {body: 1 << 16},
+		"declined":     {declined: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			want := relay.Result{Status: http.StatusOK, Header: http.Header{}, Body: make([]byte, test.body)}
+			h := relay.NewHandler(nil, func(context.Context, relay.Attempt) (relay.Result, bool) { return want, !test.declined })
+			counts := make(chan int64, 100)
+			server := httptest.NewUnstartedServer(h)
+			server.Listener = &countingListener{server.Listener, h, counts}
+			server.Start()
+			defer server.Close()
+			got, err := relay.NewClient(nil).Do(t.Context(), "vm2", strings.TrimPrefix(server.URL, "http://"), relay.Attempt{Server: "s", Method: http.MethodGet, Timeout: time.Second})
+			is.Equal(errors.Is(err, relay.ErrDeclined), test.declined)
+			if !test.declined {
+				is.NoErr(err)
+				is.Equal(got, want)
+			}
+			server.Close()
+			close(counts)
+			for n := range counts {
+				is.Equal(n, int64(1))
+			}
+		})
+	}
+}
