Report requests of other VMs whose connections end without a response

Cause: an attempt for another VM whose result can't be encoded, or that is cut off, left no line; a panic in one was written by net/http to the standard error alone and not counted in Panics. Change: the TCP side of the socket to other VMs is served by http1server; one log line.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -231,7 +231,7 @@
 // Run serves until the context ends, then drains the requests in flight.
 func (e *Edge) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "entry VM %s", e.settings.VM) }()
-	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic), gossip.WithHandler(relay.Path, e.relayHandler)); err != nil {
+	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic), gossip.WithOnLost(e.observeLostByVM), gossip.WithHandler(relay.Path, e.relayHandler)); err != nil {
 		return err
 	}
 	callers, err := net.Listen("tcp", e.settings.CallerAddress)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -147,6 +147,13 @@
 	e.log.Log(context.Background(), level, "a connection ended without the response", "request", l.Request, "ageMs", l.Age.Milliseconds(), "cause", l.Cause.Error(), "stopping", e.leaving.Load())
 }
 
+// observeLostByVM logs a request of another VM whose connection ended before its response was written, unless that VM ended it.
+func (e *Edge) observeLostByVM(l http1server.Lost) {
+	if errors.Is(l.Cause, http1server.ErrClosedHere) || errors.Is(l.Cause, http1server.ErrAborted) {
+		e.log.Warn("a connection to another VM ended without the response", "request", l.Request, "ageMs", l.Age.Milliseconds(), "cause", l.Cause.Error(), "stopping", e.leaving.Load())
+	}
+}
+
 // observeDroppedSuspects logs that a crash no longer counts against requests.
 func (e *Edge) observeDroppedSuspects(p fleet.Incarnation, cause poison.Cause, suspects []poison.Fingerprint) {
 	if len(suspects) == 0 {
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -27,6 +27,7 @@
 
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
 const (
@@ -57,16 +58,20 @@
 	// fragmented is the number of messages that were sent in fragments.
 	fragmented atomic.Uint64
 	onPanic    func(value any, stack []byte)
+	onLost     func(l http1server.Lost)
 	mux        *http.ServeMux
 }
 
 // Option sets an option of a Socket.
 type Option func(*Socket)
 
-// WithOnPanic sets the function that is called with the value and the stack of a panic while a message is handled. The panic ends only the
-// handling of that message; without the function it ends the process.
+// WithOnPanic sets the function that is called with the value and the stack of a panic while a message or a request is handled. The panic
+// ends only its handling; without the function one in a message ends the process.
 func WithOnPanic(f func(value any, stack []byte)) Option { return func(s *Socket) { s.onPanic = f } }
 
+// WithOnLost sets the function that is called for each request of another VM whose connection ends before its response is written.
+func WithOnLost(f func(l http1server.Lost)) Option { return func(s *Socket) { s.onLost = f } }
+
 // WithHandler makes the socket serve a path over TCP, too.
 func WithHandler(path string, h http.Handler) Option {
 	return func(s *Socket) { s.mux.Handle(path, h) }
@@ -80,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Socket{since: since, mux: http.NewServeMux(), client: &http.Client{
+	s = &Socket{since: since, onLost: func(http1server.Lost) {}, mux: http.NewServeMux(), client: &http.Client{
 		Timeout:   fetchTimeout,
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 	}}
@@ -101,7 +106,13 @@
 // Serve calls receive for each message until the context is done or the socket fails, and then sends the result on the channel.
 func (s *Socket) Serve(ctx context.Context, receive func(Message)) <-chan error {
 	done := make(chan error, 1)
-	server := &http.Server{Handler: s.mux, ReadHeaderTimeout: fetchTimeout, ReadTimeout: fetchTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	options := []http1server.Option{
+		http1server.WithTimeouts(fetchTimeout, fetchTimeout, idleTimeout), http1server.WithMaxHeaderBytes(maxHeaderBytes), http1server.WithOnLost(s.onLost),
+	}
+	if s.onPanic != nil {
+		options = append(options, http1server.WithOnPanic(s.onPanic))
+	}
+	server := http1server.New(s.mux, options...)
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
