Don't take late probes for a sign that this VM is cut off

What callers saw: an idempotent request at which its backend server was at work could be given up, with an answer of this VM in its place or a second run. Cause: probes have 0.3 s by a timer. A VM without a processor in that time (frozen, or short of it) finds all probes timed out in the instant in which it goes on, before it reads what has come meanwhile. Change: failed probes that took over 10 % longer than their limit say nothing, and are made again at once. What they reached counts as before. Limits: a halt that ends within 30 ms after the limit isn't seen.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -34,6 +34,9 @@
 	ProbeCount = 4
 	// ProbeTimeout limits the time of a probe. It allows for no lost packet, as one probe of several has to succeed.
 	ProbeTimeout = 300 * time.Millisecond
+	// maxProbeDelay is how much longer probes may take. Beyond it this VM had no processor when their time ran out, so that it may have missed
+	// what had come.
+	maxProbeDelay = ProbeTimeout / 10
 	// minSuspects is the number of backend servers that must have failed in a row, or are silent, before the VM itself is suspected.
 	minSuspects = 2
 	// suspicionTime is how long a failed connection supports a suspicion.
@@ -45,6 +48,9 @@
 	cutOffProbePeriod = 250 * time.Millisecond
 )
 
+// neverProbed is a time that lies longer ago than any period.
+const neverProbed = clock.Instant(math.MinInt64 / 2)
+
 // Detector decides whether this VM reaches any backend server. It is safe for concurrent use.
 type Detector struct {
 	options Options
@@ -56,7 +62,9 @@
 	waiting    map[*Wait]bool
 	answeredAt clock.Instant
 	probedAt   clock.Instant
-	cutOff     bool
+	// probing is set from NeedsProbe until the result of the probes.
+	probing bool
+	cutOff  bool
 }
 
 // Wait is a request that waits for an answer of a backend server.
@@ -68,7 +76,7 @@
 
 // NewDetector returns a detector of a VM that isn't cut off.
 func NewDetector(opts ...Option) *Detector {
-	return &Detector{options: newOptions(opts), failed: map[id.Server]clock.Instant{}, waiting: map[*Wait]bool{}, probedAt: math.MinInt64 / 2}
+	return &Detector{options: newOptions(opts), failed: map[id.Server]clock.Instant{}, waiting: map[*Wait]bool{}, probedAt: neverProbed}
 }
 
 // RecordDial records whether a connection to a backend server could be opened.
@@ -114,28 +122,35 @@
 	if now.Sub(d.probedAt) < period || !d.cutOff && !d.isSuspected(now) && !d.isSilent(now) {
 		return false
 	}
-	d.probedAt = now
+	d.probedAt, d.probing = now, true
 	return true
 }
 
 // RecordProbes records how many of the probed backend servers were reached. It reports whether the VM is newly cut off, or no longer.
 //
 // One backend server that is reached refutes a suspicion. Half of them end a
-// cut, since links that come back may fail again at first.
+// cut, since links that come back may fail again at first. That probes which
+// took too long have failed says nothing; they may be made again at once.
 func (d *Detector) RecordProbes(reached, probed int) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	before := d.cutOff
+	before, now := d.cutOff, d.options.Clock.Boot()
+	isLate := d.probing && now.Sub(d.probedAt) > ProbeTimeout+maxProbeDelay
+	d.probing = false
 	switch {
 	case d.cutOff:
 		d.cutOff = 2*reached < probed || probed == 0
 	default:
 		d.cutOff = reached == 0 && probed >= minSuspects
 	}
+	if isLate && d.cutOff {
+		d.cutOff, d.probedAt = before, neverProbed
+		return false
+	}
 	if reached > 0 && !d.cutOff {
 		clear(d.failed)
 	}
-	d.abandonHanging(d.options.Clock.Boot())
+	d.abandonHanging(now)
 	return d.cutOff != before
 }
 
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -55,6 +55,48 @@
 	}
 }
 
+// Probes whose time ran out while this VM had no processor say nothing: sound requests must not be given up, nor the links be taken for cut.
+func TestLateProbesSayNothing(t *testing.T) {
+	tests := map[string]struct {
+		// cutOff says that the VM is cut off before, and took is the time of the probes.
+		cutOff  bool
+		took    time.Duration
+		reached int
+		want    bool
+		// abandoned is the number of requests that are given up, and again says that probes are made again at once.
+		abandoned int
+		again     bool
+	}{
+		"in time, none reached":              {took: reach.ProbeTimeout, want: true, abandoned: 2, again: true},
+		"in time, one reached":               {took: reach.ProbeTimeout, reached: 1},
+		"late, none reached":                 {took: reach.ProbeTimeout + 100*time.Millisecond, again: true},
+		"late, one reached":                  {took: reach.ProbeTimeout + 100*time.Millisecond, reached: 1},
+		"cut off, in time, none reached":     {cutOff: true, took: reach.ProbeTimeout, want: true, abandoned: 2, again: true},
+		"cut off, late, none reached":        {cutOff: true, took: reach.ProbeTimeout + 100*time.Millisecond, want: true, again: true},
+		"cut off, late, all but one reached": {cutOff: true, took: reach.ProbeTimeout + 100*time.Millisecond, reached: 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &manualClock{now: clock.Instant(time.Hour)}
+			d := reach.NewDetector(reach.WithClock(c))
+			if test.cutOff {
+				d.RecordProbes(0, reach.ProbeCount)
+			}
+			abandoned := 0
+			d.Begin("a", func() { abandoned++ })
+			d.Begin("b", func() { abandoned++ })
+			c.now = c.now.Add(time.Second)
+			is.True(d.NeedsProbe())
+			c.now = c.now.Add(test.took)
+			is.Equal(d.RecordProbes(test.reached, reach.ProbeCount), test.want != test.cutOff)
+			is.Equal(d.IsCutOff(), test.want)
+			is.Equal(abandoned, test.abandoned)
+			is.Equal(d.NeedsProbe(), test.again)
+		})
+	}
+}
+
 func TestDetector(t *testing.T) {
 	fail := func(d *reach.Detector, names ...id.Server) {
 		for _, n := range names {
