Answer a request whose handling panics

What callers saw: the connection closed without an answer after a fault of this program in the handling of a request, also after the answer was made: LOST on kept connections. Cause: net/http closes the connection after a panic of the handler, and holds back an answer of up to 4 kB until the handler returns. Change: a panic is answered by 502, or by 503 if the request was not passed on yet, and one after the answer no longer takes it back. It is logged with the request's id and its stack, and counted in Panics.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -178,6 +178,12 @@
 	e.log.Error("a panic ended the handling of one message or task", "value", fmt.Sprint(value), "stack", string(stack))
 }
 
+// observeRequestPanic counts and logs a panic in the handling of a caller's request.
+func (e *Edge) observeRequestPanic(request string, value any, stack []byte) {
+	e.metrics.panics.Add(1)
+	e.log.Error("a panic ended the handling of a request", "request", request, "value", fmt.Sprint(value), "stack", string(stack))
+}
+
 // observeEjection counts and logs the ejection of a backend server.
 func (e *Edge) observeEjection(server id.Server, share float64, duration time.Duration) {
 	e.metrics.attempts.Add("ejected", 1)
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/textproto"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -63,6 +64,8 @@
 	Forward func(ctx context.Context, r *forward.Request) (*forward.Answer, error)
 	// Observe is called once for each request, after it was answered.
 	Observe func(e Event)
+	// OnPanic is called with the id of a request, and the value and the stack of a panic while it was handled.
+	OnPanic func(request string, value any, stack []byte)
 }
 
 // Ticket is a request's charge against its customer's allotment.
@@ -109,7 +112,12 @@
 }
 
 // NewHandler returns a handler that uses the given dependencies.
-func NewHandler(d Dependencies) *Handler { return &Handler{deps: d, waitLimits: newWaitLimits()} }
+func NewHandler(d Dependencies) *Handler {
+	if d.OnPanic == nil {
+		d.OnPanic = func(string, any, []byte) {}
+	}
+	return &Handler{deps: d, waitLimits: newWaitLimits()}
+}
 
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
@@ -126,11 +134,7 @@
 	defer h.inFlight.Add(-1)
 	started := h.deps.Clock.Boot()
 	e := Event{ID: r.Header.Get(h.deps.Headers.RequestID)}
-	request, customer, err := h.parseRequest(w, r, started, &e)
-	var response *forward.Answer
-	if err == nil {
-		response, err = h.forward(r, request, customer)
-	}
+	response, err := h.handle(w, r, started, &e)
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -143,9 +147,33 @@
 		h.writeResponse(w, response)
 	}
 	e.Duration = h.deps.Clock.Boot().Sub(started)
+	// net/http writes the end of the response only after this, and after a panic not at all.
+	defer h.survive(e.ID, func() {})
 	h.deps.Observe(e)
 }
 
+// handle parses a request and forwards it to a backend server. After a panic its outcome is unknown, unless it was not forwarded yet.
+func (h *Handler) handle(w http.ResponseWriter, r *http.Request, started clock.Instant, e *Event) (response *forward.Answer, err error) {
+	fault := outcome.NotRun
+	defer h.survive(e.ID, func() {
+		response, err = nil, fault(outcome.InternalError, "an unexpected error ended the handling of the request")
+	})
+	request, customer, err := h.parseRequest(w, r, started, e)
+	if err != nil {
+		return nil, err
+	}
+	fault = outcome.Unknown
+	return h.forward(r, request, customer)
+}
+
+// survive is to be deferred. It reports a panic of the function that defers it and calls then.
+func (h *Handler) survive(request string, then func()) {
+	if value := recover(); value != nil {
+		h.deps.OnPanic(request, value, debug.Stack())
+		then()
+	}
+}
+
 // forward charges a request to its customer's allotment and sends it to a backend server.
 func (h *Handler) forward(r *http.Request, request *forward.Request, customer *fleet.Customer) (response *forward.Answer, err error) {
 	parent := r.Context()
