Release the slot of an attempt that panics

What callers saw: after a panic in an attempt, its backend server's slot stayed taken at this VM for good; requests were refused as overloaded in the end. Change: a slot is released in any case, in one place. Result: TestPanicsReleaseSlots failed before (refused as overloaded after 10 panics).

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -192,32 +192,42 @@
 		if err != nil {
 			return nil, s.finalError(f.translateRefusal(s, err))
 		}
-		if !f.options.Accepts(r) {
-			slot.Done(dispatch.Cancelled, dispatch.Report{})
-			return nil, s.finalError(refuseStopping())
-		}
-		if !f.mayRun(s, slot.Server.Version) {
-			// Crashes may have become known during the wait in the queue.
-			slot.Done(dispatch.Cancelled, dispatch.Report{})
-			if s.request.Keyed {
-				return nil, s.finalError(f.refusePoisonous(s))
-			}
-			s.tried = append(s.tried, slot.Server.Server)
-			continue
-		}
-		if s.received > 0 && !f.budget(r.Service).trySpend() {
-			slot.Done(dispatch.Cancelled, dispatch.Report{})
-			return nil, s.finalError(outcome.NotRun(outcome.Overloaded, "the retry budget of service %s is used up", r.Service).WithRetryAfter(retryAfterShed))
+		answer, retry, err := f.useSlot(ctx, s, slot)
+		if !retry {
+			return answer, err
 		}
-		if !s.chargeAttempt() {
+	}
+}
+
+// useSlot makes an attempt with a slot, if that is still allowed, and releases the slot in any case; retry says that another attempt may follow.
+func (f *Forwarder) useSlot(ctx context.Context, s *requestState, slot *dispatch.Slot) (answer *Answer, retry bool, err error) {
+	r, released := s.request, false
+	defer func() {
+		if !released {
+			// No attempt was made, or a panic ended it.
 			slot.Done(dispatch.Cancelled, dispatch.Report{})
-			return nil, s.notRepeated()
 		}
-		answer, retry, err := f.attempt(ctx, s, slot)
-		if !retry {
-			return answer, err
+	}()
+	if !f.options.Accepts(r) {
+		return nil, false, s.finalError(refuseStopping())
+	}
+	if !f.mayRun(s, slot.Server.Version) {
+		// Crashes may have become known during the wait in the queue.
+		if r.Keyed {
+			return nil, false, s.finalError(f.refusePoisonous(s))
 		}
+		s.tried = append(s.tried, slot.Server.Server)
+		return nil, true, nil
+	}
+	if s.received > 0 && !f.budget(r.Service).trySpend() {
+		return nil, false, s.finalError(outcome.NotRun(outcome.Overloaded, "the retry budget of service %s is used up", r.Service).WithRetryAfter(retryAfterShed))
+	}
+	if !s.chargeAttempt() {
+		return nil, false, s.notRepeated()
 	}
+	answer, retry, err = f.attempt(ctx, s, slot)
+	released = true
+	return answer, retry, err
 }
 
 // chargeAttempt charges the next attempt to the customer's allotment if all charges so far belong to attempts that may have run, and reports
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -161,3 +161,39 @@
 		})
 	}
 }
+
+// A panic in an attempt must not keep its backend server's slot.
+func TestPanicsReleaseSlots(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		c := clock.Runtime{Origin: time.Now().Add(-time.Hour)}
+		servers := map[id.Server]fleet.Server{"a": {Incarnation: fleet.Incarnation{Server: "a", Born: 1}, Service: service, Domain: "east", Slots: 1}}
+		d := dispatch.NewDispatcher("vm1", "east", dispatch.WithClock(c))
+		d.Update(&fleet.Snapshot{
+			Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service}}, fleet.Limits{}),
+			Servers:       servers, ByService: fleet.ByService(servers),
+		})
+		panicking := true
+		f := forward.NewForwarder(d, forward.WithClock(c), forward.WithSend(func(context.Context, forward.Attempt) (*forward.Reply, *forward.Failure) {
+			if panicking {
+				panic("a fault")
+			}
+			return &forward.Reply{Answer: forward.Answer{Status: 200}}, nil
+		}))
+		send := func() (answer *forward.Answer, err error) {
+			defer func() { _ = recover() }()
+			now := c.Boot()
+			return f.Forward(context.Background(), &forward.Request{
+				Service: service, Arrived: now, Deadline: now.Add(time.Second), Objective: now.Add(400 * time.Millisecond), Route: &fleet.Route{Name: "r"},
+			})
+		}
+		for range 10 {
+			_, _ = send()
+		}
+		panicking = false
+		answer, err := send()
+		is.NoErr(err)
+		is.True(answer != nil)
+		is.Equal(len(d.Loads()), 0)
+	})
+}
