Hold no lock on after a panic in the dispatcher

What callers saw: after a panic while a request looks for a backend server, no request through this VM had an answer any more. Cause: Acquire released the dispatcher's lock by hand. A panic while the queue is worked off left requests twice in it, and the second decision on one blocks with the lock held. Change: Acquire's locked part is a function of its own that releases the lock in any case; the queue stays whole, without the request that caused the panic. Result: TestPanicsEndOneRequest hung before (ended after 60 s), passes.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -102,7 +102,10 @@
 
 // waiter is a queued request.
 type waiter struct {
-	demand Demand
+	demand  Demand
+	service *service
+	// until is when its wait ends.
+	until clock.Instant
 	// rank orders it among the requests of other customers.
 	rank  fairshare.Rank
 	ready chan decision
@@ -227,7 +230,17 @@
 
 // Acquire returns a slot at a backend server, after a wait in the queue if needed, or a *Refusal.
 func (d *Dispatcher) Acquire(ctx context.Context, demand Demand) (slot *Slot, err error) {
+	slot, w, err := d.acquireOrQueue(demand)
+	if w == nil {
+		return slot, err
+	}
+	return d.await(ctx, w)
+}
+
+// acquireOrQueue returns a slot, a refusal, or the waiter of a request that it has queued.
+func (d *Dispatcher) acquireOrQueue(demand Demand) (slot *Slot, queued *waiter, err error) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	s := d.service(demand.Service)
 	now := d.options.Clock.Boot()
 	if !demand.Retry {
@@ -236,11 +249,10 @@
 	if demand.Keyed && !demand.Retry {
 		d.countKey(demand)
 		if !d.admits(now, demand) {
-			defer d.mu.Unlock()
-			return nil, &Refusal{Reason: Overloaded, RetryAfter: throttledRetryAfter, ServiceTime: s.serviceTime, Final: true}
+			return nil, nil, &Refusal{Reason: Overloaded, RetryAfter: throttledRetryAfter, ServiceTime: s.serviceTime, Final: true}
 		}
 	}
-	w := &waiter{demand: demand, rank: d.rank(now, s, demand), ready: make(chan decision, 1)}
+	w := &waiter{demand: demand, service: s, rank: d.rank(now, s, demand), ready: make(chan decision, 1)}
 	if d.mayOvertake(now, s, w) {
 		slot, refusal := d.choose(now, s, demand)
 		d.observeTolerance(now, s, demand, slot != nil)
@@ -248,8 +260,7 @@
 			s.saturation.observe(now, slot != nil)
 		}
 		if slot != nil || refusal != nil && refusal.Final {
-			d.mu.Unlock()
-			return slot, refusal.err()
+			return slot, nil, refusal.err()
 		}
 	} else {
 		d.observeTolerance(now, s, demand, false)
@@ -262,17 +273,17 @@
 		refusal = &Refusal{Reason: Stopping, Waiting: len(s.waiting), ServiceTime: s.serviceTime, Final: true}
 	}
 	if refusal != nil {
-		d.mu.Unlock()
-		return nil, refusal
+		return nil, nil, refusal
 	}
+	w.until = until
 	d.enqueue(now, s, w)
-	d.mu.Unlock()
-	return d.await(ctx, s, w, until)
+	return nil, w, nil
 }
 
-// await waits for a decision on a queued request until the given time or until ctx ends.
-func (d *Dispatcher) await(ctx context.Context, s *service, w *waiter, until clock.Instant) (slot *Slot, err error) {
-	timer := d.options.Clock.After(until.Sub(d.options.Clock.Boot()))
+// await waits for a decision on a queued request until its wait ends or until ctx ends.
+func (d *Dispatcher) await(ctx context.Context, w *waiter) (slot *Slot, err error) {
+	s := w.service
+	timer := d.options.Clock.After(w.until.Sub(d.options.Clock.Boot()))
 	select {
 	case got := <-w.ready:
 		return got.slot, got.refusal.err()
@@ -327,10 +338,17 @@
 		return
 	}
 	now := d.options.Clock.Boot()
-	kept := s.waiting[:0]
+	all, rest, kept := s.waiting, s.waiting, s.waiting[:0]
+	defer func() {
+		// After a panic, the requests behind the one that caused it stay queued. That one is decided by the end of its wait.
+		s.waiting = append(kept, rest...)
+		clear(all[len(s.waiting):])
+	}()
 	// blocked says that no request gets a slot, and exceedingBlocked that none of a customer beyond its share does.
 	blocked, exceedingBlocked := false, false
-	for _, w := range s.waiting {
+	for len(rest) > 0 {
+		w := rest[0]
+		rest = rest[1:]
 		if !d.options.MayWait(w.demand) {
 			s.order.Dequeue(w.demand.Customer)
 			w.ready <- decision{refusal: &Refusal{Reason: Stopping, Waiting: len(s.waiting), ServiceTime: s.serviceTime, Final: true}}
@@ -352,8 +370,6 @@
 		s.order.Dequeue(w.demand.Customer)
 		w.ready <- decision{slot, refusal}
 	}
-	clear(s.waiting[len(kept):])
-	s.waiting = kept
 }
 
 // Tick retries the queued requests, since pauses, ejections and token buckets free capacity by time alone, and refuses those that may no
