Serve callers of `hickorylug serve` by http1server, too

What callers saw: a request that was read from a kept connection just before a stop got no answer. Cause: SetKeepAlivesEnabled(false) and Shutdown of net/http close each connection in the state idle, which it leaves only after the next request's head was parsed. Change: transport/caller uses http1server, as entry VMs of the users' platform do; lost responses and panics of the handler are logged.

--- a/hickorylug.go
+++ b/hickorylug.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -45,6 +46,7 @@
 	"github.com/hickorylug/hickorylug/state/task"
 	"github.com/hickorylug/hickorylug/transport/backend"
 	"github.com/hickorylug/hickorylug/transport/caller"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 	"github.com/hickorylug/hickorylug/transport/operator"
 	"github.com/hickorylug/hickorylug/transport/peer"
 	"github.com/hickorylug/hickorylug/transport/platform"
@@ -245,7 +247,8 @@
 	handler := caller.NewHandler(vm.directory, vm.router.Serve,
 		caller.WithClock(vm.options.Clock), caller.WithTracer(vm.options.Tracer), caller.WithObserve(vm.metrics.Observe))
 	callers := caller.NewServer(vm.metrics.TrackInFlight(handler), caller.WithIdleTimeout(set.IdleTimeout.Std()),
-		caller.WithMaxHeaderBytes(int(set.MaxHeader)), caller.WithDrainTimeout(set.DrainTimeout.Std()))
+		caller.WithMaxHeaderBytes(int(set.MaxHeader)), caller.WithDrainTimeout(set.DrainTimeout.Std()),
+		caller.WithOnLost(vm.observeLost), caller.WithOnPanic(vm.observePanic))
 	peers := peer.NewServer(vm.handlers(), peer.WithClock(vm.options.Clock))
 	vm.datagrams = peer.NewDatagrams(sockets.datagrams)
 	if vm.options.Drop != nil {
@@ -278,6 +281,18 @@
 	vm.log.Warn("supervision", "event", e.String())
 }
 
+// observeLost logs a request whose connection ended before its response was written, unless its caller ended it.
+func (vm *VM) observeLost(l http1server.Lost) {
+	if errors.Is(l.Cause, http1server.ErrClosedHere) || errors.Is(l.Cause, http1server.ErrAborted) {
+		vm.log.Error("a connection ended without the response", "request", l.Request, "age", l.Age.String(), "cause", l.Cause.Error())
+	}
+}
+
+// observePanic logs a panic in the handling of a request.
+func (vm *VM) observePanic(value any, stack []byte) {
+	vm.log.Error("a panic ended the handling of a request", "value", fmt.Sprint(value), "stack", string(stack))
+}
+
 // localHandler returns the handler of a group that this VM serves; ok is false for other groups.
 func (vm *VM) localHandler(g id.Group) (h exchange.Handler, ok bool) {
 	vm.mu.Lock()
--- a/transport/caller/options.go
+++ b/transport/caller/options.go
@@ -7,6 +7,7 @@
 	"github.com/hickorylug/hickorylug/protocol/trace"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
 // Default settings of a handler and a server.
@@ -29,6 +30,10 @@
 	// MaxHeaderBytes bounds the size of a request's header.
 	MaxHeaderBytes int
 	DrainTimeout   time.Duration
+	// OnLost is called for each request whose connection ends before its response is written.
+	OnLost func(l http1server.Lost)
+	// OnPanic is called with the value and the stack of a panic while a request is handled.
+	OnPanic func(value any, stack []byte)
 }
 
 // Option sets one of the options.
@@ -54,6 +59,12 @@
 // WithDrainTimeout bounds the time for which a graceful shutdown waits for requests in flight.
 func WithDrainTimeout(d time.Duration) Option { return func(o *Options) { o.DrainTimeout = d } }
 
+// WithOnLost sets the function that is called for each request whose connection ends before its response is written.
+func WithOnLost(f func(l http1server.Lost)) Option { return func(o *Options) { o.OnLost = f } }
+
+// WithOnPanic sets the function that is called with the value and the stack of a panic while a request is handled.
+func WithOnPanic(f func(value any, stack []byte)) Option { return func(o *Options) { o.OnPanic = f } }
+
 func newOptions(opts []Option) Options {
 	o := Options{
 		Clock:          clock.System{},
@@ -63,6 +74,8 @@
 		IdleTimeout:    defaultIdleTimeout,
 		MaxHeaderBytes: defaultMaxHeaderBytes,
 		DrainTimeout:   defaultDrainTimeout,
+		OnLost:         func(http1server.Lost) {},
+		OnPanic:        func(any, []byte) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
