Wait for the ends of the last responses before `hickorylug serve` closes its connections

What callers saw: the end of a response could be cut off at a stop. Found by reading; not seen. Cause: the stop waited for the number of requests in flight, which falls when the handler returns; net/http writes the end of the response after that. Change: the stop waits up to 1 s more until callers' connections are closed, which each is after its response. Tests of the root package pass.

--- a/hickorylug.go
+++ b/hickorylug.go
@@ -321,8 +321,15 @@
 	}
 	stopAccepting()
 	vm.awaitIdle(ctx, set.DrainTimeout.Std())
+	// The ends of the last responses may not be written yet. Connections that have never carried a request may stay open.
+	lastCtx, cancel := context.WithTimeout(ctx, lastResponseTime)
+	defer cancel()
+	_ = callers.AwaitClosed(lastCtx)
 }
 
+// lastResponseTime limits the wait for the ends of responses whose handling has ended.
+const lastResponseTime = time.Second
+
 // awaitIdle waits until no caller's request is in flight, at most for timeout.
 func (vm *VM) awaitIdle(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
