Survive SIGHUP at the start, and at any time in `hickorylug serve`

What operators saw: a SIGHUP before the settings were read ended the process; `serve` ended by it at any time, with the requests in flight. Cause: `edge` registered its signals after it had read its settings; `serve` left SIGHUP its default action. Change: `edge` registers its signals first, so that they also stay until the last log line; `serve` ignores SIGHUP.

--- a/cmd/hickorylug/edge.go
+++ b/cmd/hickorylug/edge.go
@@ -35,6 +35,12 @@
 
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully.
 func (c *edgeCommand) Run() (err error) {
+	// No signal ends the process by its default action, from the start to the last log line.
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	s, err := c.read()
 	if err != nil {
 		return err
@@ -57,11 +63,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	watchDone := make(chan error, 1)
 	watchCtx, stopWatch := context.WithCancel(context.Background())
 	go func() { watchDone <- c.watchSettings(watchCtx, reloads, log, &level) }()
--- a/cmd/hickorylug/serve.go
+++ b/cmd/hickorylug/serve.go
@@ -27,8 +27,9 @@
 	TraceShare      *float64 `help:"Share of requests that are traced, from 0 to 1." env:"HICKORYLUG_TRACE_SHARE"`
 }
 
-// Run serves until SIGTERM or SIGINT, then shuts down gracefully.
+// Run serves until SIGTERM or SIGINT, then shuts down gracefully. No setting changes while it runs, so SIGHUP has no effect.
 func (c *serveCommand) Run() (err error) {
+	signal.Ignore(syscall.SIGHUP)
 	s, err := c.read()
 	if err != nil {
 		return err
