Pass on header fields that aren't UTF-8 through another VM

What callers saw: a request that had run through another VM was answered 502 if the answer had a field value with a byte that isn't UTF-8; one with such a field itself was declined by all other VMs. Cause: the decoder of attempts and results refuses such text by default. Change: it takes it as it is. The encoding is as before, so that VMs of both builds understand each other as far as they did. Result: TestOutcomesOfRelayedAttempts, both new cases failed before.

--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -58,7 +58,7 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) (status int, result []byte) {
 	data, err := http1.ReadBody(r.Body, maxAttemptBytes, h.quota)
 	var a Attempt
-	if err != nil || cbor.Unmarshal(data, &a) != nil || a.Server == "" || a.Timeout <= 0 {
+	if err != nil || decode(data, &a) != nil || a.Server == "" || a.Timeout <= 0 {
 		return http.StatusBadRequest, nil
 	}
 	// The server's read timeout is for the request only; it would end the attempt.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -40,6 +40,15 @@
 // ErrDeclined marks errors after which the attempt was certainly not made.
 var ErrDeclined = errors.New("the attempt was not made")
 
+// decode decodes an attempt or a result. Header fields and targets may hold bytes that are no UTF-8.
+func decode(data []byte, v any) error {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		return err
+	}
+	return mode.Unmarshal(data, v)
+}
+
 // Attempt is one attempt to send a request to a backend server.
 type Attempt struct {
 	Server  id.Server       `cbor:"1,keyasint"`
@@ -121,5 +130,5 @@
 	if data, err = http1.ReadBody(response.Body, maxResultBytes, c.quota); err != nil {
 		return r, err
 	}
-	return r, cbor.Unmarshal(data, &r)
+	return r, decode(data, &r)
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -21,6 +21,8 @@
 func TestOutcomesOfRelayedAttempts(t *testing.T) {
 	quota := http1.NewQuota(1 << 20)
 	answer := relay.Result{Status: http.StatusTeapot, Header: http.Header{"A": {"b"}}, Body: []byte("body")}
+	// Field values and targets may hold any bytes, not only UTF-8.
+	latin := relay.Result{Status: http.StatusOK, Header: http.Header{"A": {"caf\xe9"}}, Body: []byte("body")}
 	unsent := relay.Result{Failure: &relay.Failure{Refused: true, Cause: "refused"}}
 	send := func(r relay.Result, ok bool) http.Handler {
 		return relay.NewHandler(quota, func(context.Context, relay.Attempt) (relay.Result, bool) { return r, ok })
@@ -36,6 +38,8 @@
 	}{
 		"answered":                 {handler: send(answer, true), want: answer},
 		"not sent":                 {handler: send(unsent, true), want: unsent},
+		"answered in Latin-1":      {handler: send(latin, true), want: latin},
+		"asked in Latin-1":         {handler: send(answer, true), attempt: relay.Attempt{Server: "s", Method: http.MethodGet, Timeout: time.Second, Header: latin.Header}, want: answer},
 		"declined":                 {handler: send(answer, false), declined: true},
 		"a VM that stops":          {handler: draining, declined: true},
 		"a VM that knows no relay": {handler: http.NotFoundHandler(), declined: true},
