--- a/edge/edge.go
+++ b/edge/edge.go
@@ -169,7 +169,7 @@
 	e.store.Observe, e.store.OnEra = e.metrics.observeStore, e.observeEra
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit),
-		dispatch.WithOnPause(e.observePause))
+		dispatch.WithOnPause(e.observePause), dispatch.WithMayWait(e.mayWait))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
 		forward.WithOnSuspect(e.observeSuspect), forward.WithProbe(e.probeServer), forward.WithAccepts(e.accepts), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.allotments = newAllotments(e)
@@ -180,7 +180,7 @@
 			APIKey: platform.HeaderAPIKey, Customer: platform.HeaderCustomer,
 		},
 		Bodies: e.bodies, View: e.view, MayHoldRevokedKeys: e.mayHoldRevokedKeys, PickService: e.splitter.pick, Admit: e.allotments.admit,
-		Forward: e.forwarder.Forward, Observe: e.observeRequest,
+		Forward: e.forwarder.Forward, Observe: e.observeRequest, OnPanic: e.observeRequestPanic,
 	})
 	e.callers = e.newCallerServer()
 	e.keys = newKeyManager(e)
@@ -231,7 +231,7 @@
 // Run serves until the context ends, then drains the requests in flight.
 func (e *Edge) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "entry VM %s", e.settings.VM) }()
-	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic), gossip.WithHandler(relay.Path, e.relayHandler)); err != nil {
+	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic), gossip.WithOnLost(e.observeLostByVM), gossip.WithHandler(relay.Path, e.relayHandler)); err != nil {
 		return err
 	}
 	callers, err := net.Listen("tcp", e.settings.CallerAddress)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -147,6 +147,13 @@
 	e.log.Log(context.Background(), level, "a connection ended without the response", "request", l.Request, "ageMs", l.Age.Milliseconds(), "cause", l.Cause.Error(), "stopping", e.leaving.Load())
 }
 
+// observeLostByVM logs a request of another VM whose connection ended before its response was written, unless that VM ended it.
+func (e *Edge) observeLostByVM(l http1server.Lost) {
+	if errors.Is(l.Cause, http1server.ErrClosedHere) || errors.Is(l.Cause, http1server.ErrAborted) {
+		e.log.Warn("a connection to another VM ended without the response", "request", l.Request, "ageMs", l.Age.Milliseconds(), "cause", l.Cause.Error(), "stopping", e.leaving.Load())
+	}
+}
+
 // observeDroppedSuspects logs that a crash no longer counts against requests.
 func (e *Edge) observeDroppedSuspects(p fleet.Incarnation, cause poison.Cause, suspects []poison.Fingerprint) {
 	if len(suspects) == 0 {
@@ -171,6 +178,12 @@
 	e.log.Error("a panic ended the handling of one message or task", "value", fmt.Sprint(value), "stack", string(stack))
 }
 
+// observeRequestPanic counts and logs a panic in the handling of a caller's request.
+func (e *Edge) observeRequestPanic(request string, value any, stack []byte) {
+	e.metrics.panics.Add(1)
+	e.log.Error("a panic ended the handling of a request", "request", request, "value", fmt.Sprint(value), "stack", string(stack))
+}
+
 // observeEjection counts and logs the ejection of a backend server.
 func (e *Edge) observeEjection(server id.Server, share float64, duration time.Duration) {
 	e.metrics.attempts.Add("ejected", 1)
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/textproto"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -63,6 +64,8 @@
 	Forward func(ctx context.Context, r *forward.Request) (*forward.Answer, error)
 	// Observe is called once for each request, after it was answered.
 	Observe func(e Event)
+	// OnPanic is called with the id of a request, and the value and the stack of a panic while it was handled.
+	OnPanic func(request string, value any, stack []byte)
 }
 
 // Ticket is a request's charge against its customer's allotment.
@@ -103,12 +106,18 @@
 type Handler struct {
 	deps       Dependencies
 	waitLimits *waitLimits
+	bodyReads  bodyReads
 	inFlight   atomic.Int64
 	draining   atomic.Bool
 }
 
 // NewHandler returns a handler that uses the given dependencies.
-func NewHandler(d Dependencies) *Handler { return &Handler{deps: d, waitLimits: newWaitLimits()} }
+func NewHandler(d Dependencies) *Handler {
+	if d.OnPanic == nil {
+		d.OnPanic = func(string, any, []byte) {}
+	}
+	return &Handler{deps: d, waitLimits: newWaitLimits()}
+}
 
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
@@ -116,17 +125,16 @@
 // Drain makes all further responses carry "Connection: close", so that callers open other connections.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// StopReading refuses the requests whose bodies are not complete, now and later.
+func (h *Handler) StopReading() { h.bodyReads.stop() }
+
 // ServeHTTP parses a request, forwards it to a backend server and writes the response or a refusal.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	started := h.deps.Clock.Boot()
 	e := Event{ID: r.Header.Get(h.deps.Headers.RequestID)}
-	request, customer, err := h.parseRequest(w, r, started, &e)
-	var response *forward.Answer
-	if err == nil {
-		response, err = h.forward(r, request, customer)
-	}
+	response, err := h.handle(w, r, started, &e)
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -139,9 +147,33 @@
 		h.writeResponse(w, response)
 	}
 	e.Duration = h.deps.Clock.Boot().Sub(started)
+	// net/http writes the end of the response only after this, and after a panic not at all.
+	defer h.survive(e.ID, func() {})
 	h.deps.Observe(e)
 }
 
+// handle parses a request and forwards it to a backend server. After a panic its outcome is unknown, unless it was not forwarded yet.
+func (h *Handler) handle(w http.ResponseWriter, r *http.Request, started clock.Instant, e *Event) (response *forward.Answer, err error) {
+	fault := outcome.NotRun
+	defer h.survive(e.ID, func() {
+		response, err = nil, fault(outcome.InternalError, "an unexpected error ended the handling of the request")
+	})
+	request, customer, err := h.parseRequest(w, r, started, e)
+	if err != nil {
+		return nil, err
+	}
+	fault = outcome.Unknown
+	return h.forward(r, request, customer)
+}
+
+// survive is to be deferred. It reports a panic of the function that defers it and calls then.
+func (h *Handler) survive(request string, then func()) {
+	if value := recover(); value != nil {
+		h.deps.OnPanic(request, value, debug.Stack())
+		then()
+	}
+}
+
 // forward charges a request to its customer's allotment and sends it to a backend server.
 func (h *Handler) forward(r *http.Request, request *forward.Request, customer *fleet.Customer) (response *forward.Answer, err error) {
 	parent := r.Context()
@@ -299,19 +331,13 @@
 	}
 	// A caller that sends its body slowly must not hold the request beyond its deadline.
 	connection := http.NewResponseController(w)
-	if err := connection.SetReadDeadline(time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := h.bodyReads.begin(connection, time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, outcome.NotRun(outcome.CallerDisconnected, "the connection is closed: %v", err)
 	}
 	body, err = http1.ReadBody(r.Body, int(allowed), h.deps.Bodies)
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, outcome.NotRun(outcome.BodyTimeout, "the body was not complete within %s", timeout)
-	case errors.Is(err, http1.ErrTooLarge):
-		return nil, outcome.NotRun(outcome.BodyTooLarge, "the body has more than %d bytes", allowed)
-	case errors.Is(err, http1.ErrQuota):
-		return nil, outcome.NotRun(outcome.Overloaded, "%v", err)
-	case err != nil:
-		return nil, outcome.NotRun(outcome.CallerDisconnected, "the body broke off: %v", err)
+	stopped := h.bodyReads.end(connection)
+	if err != nil {
+		return nil, bodyRefusal(err, stopped, timeout, allowed)
 	}
 	if err := connection.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, outcome.NotRun(outcome.CallerDisconnected, "the connection is closed: %v", err)
@@ -319,6 +345,22 @@
 	return body, nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read; stopped says that this VM reads no bodies any more.
+func bodyRefusal(err error, stopped bool, timeout time.Duration, allowed int64) *outcome.Error {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && stopped:
+		return outcome.NotRun(outcome.Stopping, "this VM stops, and the body was not complete")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.NotRun(outcome.BodyTimeout, "the body was not complete within %s", timeout)
+	case errors.Is(err, http1.ErrTooLarge):
+		return outcome.NotRun(outcome.BodyTooLarge, "the body has more than %d bytes", allowed)
+	case errors.Is(err, http1.ErrQuota):
+		return outcome.NotRun(outcome.Overloaded, "%v", err)
+	default:
+		return outcome.NotRun(outcome.CallerDisconnected, "the body broke off: %v", err)
+	}
+}
+
 // hopByHop are the header fields that apply to a single connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +21,8 @@
 func TestOutcomesOfRelayedAttempts(t *testing.T) {
 	quota := http1.NewQuota(1 << 20)
 	answer := relay.Result{Status: http.StatusTeapot, Header: http.Header{"A": {"b"}}, Body: []byte("body")}
+	// Field values and targets may hold any bytes, not only UTF-8.
+	latin := relay.Result{Status: http.StatusOK, Header: http.Header{"A": {"caf\xe9"}}, Body: []byte("body")}
 	unsent := relay.Result{Failure: &relay.Failure{Refused: true, Cause: "refused"}}
 	send := func(r relay.Result, ok bool) http.Handler {
 		return relay.NewHandler(quota, func(context.Context, relay.Attempt) (relay.Result, bool) { return r, ok })
@@ -35,6 +38,8 @@
 	}{
 		"answered":                 {handler: send(answer, true), want: answer},
 		"not sent":                 {handler: send(unsent, true), want: unsent},
+		"answered in Latin-1":      {handler: send(latin, true), want: latin},
+		"asked in Latin-1":         {handler: send(answer, true), attempt: relay.Attempt{Server: "s", Method: http.MethodGet, Timeout: time.Second, Header: latin.Header}, want: answer},
 		"declined":                 {handler: send(answer, false), declined: true},
 		"a VM that stops":          {handler: draining, declined: true},
 		"a VM that knows no relay": {handler: http.NotFoundHandler(), declined: true},
@@ -102,10 +107,71 @@
 func TestRelayedIsNotSent(t *testing.T) {
 	is := is.New(t)
 	r := relay.Result{Status: http.StatusServiceUnavailable, Header: http.Header{"Server-Leaving": {"1"}, "Retry-After": {"2"}}}
-	before, err := cbor.Marshal(r)
+	// The order of a map's entries is random otherwise.
+	sorted, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode()
+	is.NoErr(err)
+	before, err := sorted.Marshal(r)
 	is.NoErr(err)
 	r.Relayed = true
-	after, err := cbor.Marshal(r)
+	after, err := sorted.Marshal(r)
 	is.NoErr(err)
 	is.Equal(after, before)
 }
+
+// countingConnection records how many attempts are in flight at each write of a response.
+type countingConnection struct {
+	net.Conn
+	handler *relay.Handler
+	counts  chan int64
+}
+
+func (c *countingConnection) Write(p []byte) (n int, err error) {
+	c.counts <- c.handler.InFlight()
+	return c.Conn.Write(p)
+}
+
+type countingListener struct {
+	net.Listener
+	handler *relay.Handler
+	counts  chan int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countingConnection{c, l.handler, l.counts}, err
+}
+
+// A VM that stops waits for the attempts in flight only, so a result that isn't written yet would be lost.
+func TestResultsAreWrittenBeforeAttemptsEnd(t *testing.T) {
+	tests := map[string]struct {
+		body     int
+		declined bool
+	}{
+		"short result": {body: 10},
+		"long result":  {body: 1 << 16},
+		"declined":     {declined: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			want := relay.Result{Status: http.StatusOK, Header: http.Header{}, Body: make([]byte, test.body)}
+			h := relay.NewHandler(nil, func(context.Context, relay.Attempt) (relay.Result, bool) { return want, !test.declined })
+			counts := make(chan int64, 100)
+			server := httptest.NewUnstartedServer(h)
+			server.Listener = &countingListener{server.Listener, h, counts}
+			server.Start()
+			defer server.Close()
+			got, err := relay.NewClient(nil).Do(t.Context(), "vm2", strings.TrimPrefix(server.URL, "http://"), relay.Attempt{Server: "s", Method: http.MethodGet, Timeout: time.Second})
+			is.Equal(errors.Is(err, relay.ErrDeclined), test.declined)
+			if !test.declined {
+				is.NoErr(err)
+				is.Equal(got, want)
+			}
+			server.Close()
+			close(counts)
+			for n := range counts {
+				is.Equal(n, int64(1))
+			}
+		})
+	}
+}
