End connections without a request before the grace time is over

What callers saw: nothing that was recorded; the same cause as for idle connections. net/http's Close drops a request that was just read, without an answer.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -61,6 +61,7 @@
 		case <-waitEnds:
 			e.dispatcher.Tick()
 			e.handler.StopReading()
+			e.callers.CloseUnused()
 		case <-e.clock.After(drainPollPeriod):
 		}
 	}
--- a/transport/http1server/connection.go
+++ b/transport/http1server/connection.go
@@ -35,8 +35,8 @@
 	state http.ConnState
 	// readDeadline is the read deadline that net/http or a handler has set.
 	readDeadline time.Time
-	// ending is set when the connection must end as soon as it is idle.
-	ending bool
+	// ending is set when the connection must end as soon as it is idle, and endingUnused when it must also end before its first request.
+	ending, endingUnused bool
 	// handling is set from the beginning of a request until its connection is idle or closed.
 	handling bool
 	request  string
@@ -82,23 +82,24 @@
 	}
 }
 
-// endWhenIdle makes the connection end once it is idle.
+// endWhenIdle makes the connection end once it is idle; unused says that it also ends before its first request.
 //
 // Its read fails, so that net/http's goroutine of the connection closes it. If
 // that goroutine has already read a request, the connection becomes active
 // instead. Closed from here, it could be one whose request was just read.
-func (c *connection) endWhenIdle() {
+func (c *connection) endWhenIdle(unused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ending {
-		c.ending = true
-		_ = c.applyReadDeadline()
+	if c.ending && (c.endingUnused || !unused) {
+		return
 	}
+	c.ending, c.endingUnused = true, c.endingUnused || unused
+	_ = c.applyReadDeadline()
 }
 
 // applyReadDeadline sets the deadline of the socket.
 func (c *connection) applyReadDeadline() error {
-	if c.ending && c.state == http.StateIdle {
+	if c.ending && c.state == http.StateIdle || c.endingUnused && c.state == http.StateNew {
 		return c.Conn.SetReadDeadline(past)
 	}
 	return c.Conn.SetReadDeadline(c.readDeadline)
--- a/transport/http1server/http1server.go
+++ b/transport/http1server/http1server.go
@@ -5,6 +5,8 @@
 //	s := http1server.New(handler, http1server.WithOnLost(func(l http1server.Lost) { log(l.Request, l.Cause) }))
 //	go s.Serve(listener)
 //	s.CloseIdle()
+//	// Wait until s.Open() is 0 or the grace time is almost over.
+//	s.CloseUnused()
 //	// Wait until s.Open() is 0 or the grace time is over.
 //	err := s.Close()
 package http1server
@@ -86,7 +88,15 @@
 func (s *Server) CloseIdle() {
 	s.closing.Store(true)
 	for _, c := range s.snapshot() {
-		c.endWhenIdle()
+		c.endWhenIdle(false)
+	}
+}
+
+// CloseUnused ends the connections that have carried no request, too.
+func (s *Server) CloseUnused() {
+	s.closing.Store(true)
+	for _, c := range s.snapshot() {
+		c.endWhenIdle(true)
 	}
 }
 
@@ -124,7 +134,7 @@
 		c.end()
 		c.follow(state)
 		if s.closing.Load() {
-			c.endWhenIdle()
+			c.endWhenIdle(false)
 		}
 	case http.StateClosed, http.StateHijacked:
 		c.end()
--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -208,7 +208,7 @@
 			<-release
 		}
 	}, nil)
-	idle, busy, fresh := s.dial(t), s.dial(t), s.dial(t)
+	idle, busy, fresh, unused := s.dial(t), s.dial(t), s.dial(t), s.dial(t)
 	for _, c := range []*caller{idle, busy} {
 		is.NoErr(c.write("1"))
 		status, closes := c.read()
@@ -217,7 +217,7 @@
 	}
 	is.NoErr(busy.write("slow"))
 	<-started
-	for s.server.Open() < 3 {
+	for s.server.Open() < 4 {
 		time.Sleep(time.Millisecond)
 	}
 	s.server.CloseIdle()
@@ -231,8 +231,39 @@
 	status, closes = fresh.read()
 	is.Equal(status, http.StatusOK)
 	is.True(closes)
+	s.server.CloseUnused()
+	status, closes = unused.read()
+	is.Equal(status, 0)
+	is.True(closes)
 	for s.server.Open() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(len(s.lost), 0)
 }
+
+// A first request that was read just before its connection would have been closed as unused must be answered.
+func TestRequestReadBeforeUnusedConnectionsCloseIsAnswered(t *testing.T) {
+	tests := map[string]struct {
+		end    func(s *http1server.Server)
+		status int
+	}{
+		"closed as unused": {end: (*http1server.Server).CloseUnused, status: http.StatusOK},
+		"closed as idle":   {end: (*http1server.Server).CloseIdle, status: http.StatusOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			held := &heldListener{waiting: make(chan struct{}, 16), taken: make(chan struct{}, 16), release: make(chan struct{}, 16)}
+			s := serve(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener { held.Listener = l; return held })
+			c := s.dial(t)
+			is.NoErr(c.write("1"))
+			<-held.taken
+			test.end(s.server)
+			held.release <- struct{}{}
+			status, closes := c.read()
+			is.Equal(status, test.status)
+			is.True(closes)
+			is.Equal(len(s.lost), 0)
+		})
+	}
+}
