Hold no lock on after a panic in allotments or in the ledger of crashes

What callers saw: after a panic while a request or a message was handled under one of these locks, no further request was answered: panics are survived, locks weren't. Change: the locks are released in any case; reports are still made without them. Result: TestPanicsReleaseAllotments failed before for requests, asks and messages. The ledger's sections can't be made to panic from outside; its tests pass.

--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -155,18 +155,23 @@
 // Only an answer to a request that was sent after the signs of a crash refutes
 // them: others may have been written before it.
 func (l *Ledger) Answered(now clock.Instant, p fleet.Incarnation, version id.SoftwareVersion, f Fingerprint, began clock.Instant, succeeded bool) {
+	if l.recordAnswer(now, p, version, f, began, succeeded) {
+		l.options.OnReport(Report{Version: version, Cleared: []Fingerprint{f}})
+	}
+}
+
+// recordAnswer is Answered without the report; isNews says that one is due.
+func (l *Ledger) recordAnswer(now clock.Instant, p fleet.Incarnation, version id.SoftwareVersion, f Fingerprint, began clock.Instant, succeeded bool) (isNews bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.endLocked(p, f)
 	l.refute(p, began)
-	isNews := succeeded && len(l.crashesOf[f]) > 0 && !l.hasRun(f, version)
+	isNews = succeeded && len(l.crashesOf[f]) > 0 && !l.hasRun(f, version)
 	// A crash of another process at which it is under way, or unanswered, isn't due to it either.
 	if isNews || succeeded && l.attempts[f] > 0 {
 		l.clear(f, version, now)
 	}
-	l.mu.Unlock()
-	if isNews {
-		l.options.OnReport(Report{Version: version, Cleared: []Fingerprint{f}})
-	}
+	return isNews
 }
 
 // End records the end of a request that says nothing of the process.
@@ -180,21 +185,26 @@
 // before its time had run out. probe says that the process's port has to be probed: a closed one confirms the crash before this VM or others
 // may forget the request.
 func (l *Ledger) Unanswered(now clock.Instant, p fleet.Incarnation, f Fingerprint, began clock.Instant, broken bool) (probe bool) {
+	probe, report := l.recordUnanswered(now, p, f, began, broken)
+	if report != nil {
+		l.options.OnReport(*report)
+	}
+	return probe
+}
+
+// recordUnanswered is Unanswered without the report, which it returns if one is due.
+func (l *Ledger) recordUnanswered(now clock.Instant, p fleet.Incarnation, f Fingerprint, began clock.Instant, broken bool) (probe bool, report *Report) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.endLocked(p, f)
 	if c := l.crashes[p]; c != nil {
-		added := l.addSuspect(p, c, f, began)
-		if added {
-			c.own, c.isOwn, c.ownAt, c.changedAt = append(c.own, f), true, now, now
-			c.repeated, c.repeatAt = 0, now.Add(repeatPeriod)
+		if !l.addSuspect(p, c, f, began) {
+			return false, nil
 		}
-		l.mu.Unlock()
-		if added {
-			l.options.OnReport(Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: []Fingerprint{f}})
-		}
-		return false
+		c.own, c.isOwn, c.ownAt, c.changedAt = append(c.own, f), true, now, now
+		c.repeated, c.repeatAt = 0, now.Add(repeatPeriod)
+		return false, &Report{Process: p, Version: c.version, Age: now.Sub(c.at), Suspects: []Fingerprint{f}}
 	}
-	defer l.mu.Unlock()
 	l.expire(now)
 	if l.unanswered[p] == nil {
 		l.unanswered[p] = map[Fingerprint]unanswered{}
@@ -207,32 +217,36 @@
 	}
 	probedAt, probed := l.probedAt[p]
 	if !broken || probed && now.Sub(probedAt) < probePeriod {
-		return false
+		return false, nil
 	}
 	l.probedAt[p] = now
-	return true
+	return true, nil
 }
 
 // RecordCrash records a sign that a process has ended without notice: its port is closed, another process has taken its place, or its
 // entry is gone. If isPublic is set, the other VMs see the sign too, and are told of the suspects only.
 func (l *Ledger) RecordCrash(now clock.Instant, s fleet.Server, isPublic bool) {
-	p := s.Incarnation
+	if report := l.addOwnCrash(now, s, isPublic); report != nil {
+		l.options.OnReport(*report)
+	}
+}
+
+// addOwnCrash is RecordCrash without the report, which it returns if one is due.
+func (l *Ledger) addOwnCrash(now clock.Instant, s fleet.Server, isPublic bool) (report *Report) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := s.Incarnation
 	if l.crashes[p] != nil {
-		l.mu.Unlock()
-		return
+		return nil
 	}
 	c := l.addCrash(now, p, s.Version, now)
 	if c == nil {
-		l.mu.Unlock()
-		return
+		return nil
 	}
-	c.isOwn = !isPublic || len(c.own) > 0
-	report, isOwn := Report{Process: p, Version: c.version, Suspects: slices.Clone(c.own)}, c.isOwn
-	l.mu.Unlock()
-	if isOwn {
-		l.options.OnReport(report)
+	if c.isOwn = !isPublic || len(c.own) > 0; !c.isOwn {
+		return nil
 	}
+	return &Report{Process: p, Version: c.version, Suspects: slices.Clone(c.own)}
 }
 
 // addCrash records a crash with the suspects of this VM; it returns nil if the crash is refuted.
--- a/coordination/poison/record.go
+++ b/coordination/poison/record.go
@@ -27,11 +27,18 @@
 
 // Restore merges the records in the store, which must not be modified afterwards. wall is the present time by the wall clock.
 func (l *Ledger) Restore(now clock.Instant, wall time.Time, stored map[fleet.Incarnation]fleet.Crash) {
+	for _, r := range l.restore(now, wall, stored) {
+		l.options.OnReport(r)
+	}
+}
+
+// restore is Restore without the reports, which it returns.
+func (l *Ledger) restore(now clock.Instant, wall time.Time, stored map[fleet.Incarnation]fleet.Crash) (reports []Report) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.stored = stored
 	l.changes++
 	clear(l.storedCrashes)
-	var reports []Report
 	for p, r := range stored {
 		for _, f := range r.Suspects {
 			l.storedCrashes[f]++
@@ -54,10 +61,7 @@
 			reports = append(reports, *own)
 		}
 	}
-	l.mu.Unlock()
-	for _, r := range reports {
-		l.options.OnReport(r)
-	}
+	return reports
 }
 
 // isStored reports whether the store's record of a crash holds the given suspects.
--- a/coordination/poison/report.go
+++ b/coordination/poison/report.go
@@ -49,20 +49,24 @@
 // Merge adds the report of another VM, and reports the requests that this VM had in flight at the process. It returns the suspects that
 // were not known.
 func (l *Ledger) Merge(now clock.Instant, r Report) (added []Fingerprint) {
+	added, own := l.mergeReport(now, r)
+	if own != nil {
+		l.options.OnReport(*own)
+	}
+	return added
+}
+
+// mergeReport is Merge without the report, which it returns if one is due.
+func (l *Ledger) mergeReport(now clock.Instant, r Report) (added []Fingerprint, own *Report) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, f := range r.Cleared {
 		l.clear(f, r.Version, now.Add(-r.Age))
 	}
 	if r.Process.Server == "" {
-		l.mu.Unlock()
-		return nil
-	}
-	added, own := l.mergeCrash(now, r.Process, r.Version, now.Add(-r.Age), r.Suspects)
-	l.mu.Unlock()
-	if own != nil {
-		l.options.OnReport(*own)
+		return nil, nil
 	}
-	return added
+	return l.mergeCrash(now, r.Process, r.Version, now.Add(-r.Age), r.Suspects)
 }
 
 // mergeCrash adds a crash with suspects that others have found. It returns the suspects that were not known and, if this VM has suspects of
@@ -94,8 +98,15 @@
 
 // Repeat reports again what other VMs may have missed. The leader also repeats what others have reported while the store is away.
 func (l *Ledger) Repeat(now clock.Instant, leads bool) {
+	for _, r := range l.dueReports(now, leads) {
+		l.options.OnReport(r)
+	}
+}
+
+// dueReports returns the reports to repeat.
+func (l *Ledger) dueReports(now clock.Instant, leads bool) (due []Report) {
 	l.mu.Lock()
-	var due []Report
+	defer l.mu.Unlock()
 	repeatAll := leads && now.Sub(l.repeatAllAt) >= repeatAllPeriod
 	if repeatAll {
 		l.repeatAllAt = now
@@ -116,10 +127,7 @@
 			}
 		}
 	}
-	l.mu.Unlock()
-	for _, r := range due {
-		l.options.OnReport(r)
-	}
+	return due
 }
 
 // mustRepeat reports whether the other VMs may not know yet what this VM has reported of a crash.
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -109,12 +109,7 @@
 	}
 	decided := make(chan allotment.Verdict, 1)
 	w := &allotment.Waiter{Settle: func(v allotment.Verdict) { decided <- v }}
-	now := m.edge.clock.Boot()
-	m.mu.Lock()
-	m.follow(now)
-	v := m.holder.Take(now, c.Name, w)
-	m.schedule(now)
-	m.mu.Unlock()
+	v := m.take(c, w)
 	if v.Waits {
 		v = m.await(ctx, c, deadline, w, decided)
 	}
@@ -128,6 +123,23 @@
 	return nil, m.refusal(c, v)
 }
 
+// take charges a request, or queues it for a decision.
+func (m *allotments) take(c *fleet.Customer, w *allotment.Waiter) allotment.Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.edge.clock.Boot()
+	m.follow(now)
+	defer m.schedule(now)
+	return m.holder.Take(now, c.Name, w)
+}
+
+// giveUp ends the wait of a request; given is false if it has a decision.
+func (m *allotments) giveUp(c *fleet.Customer, w *allotment.Waiter) (v allotment.Verdict, given bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holder.GiveUp(m.edge.clock.Boot(), c.Name, w)
+}
+
 // await waits for the decision on a request.
 func (m *allotments) await(ctx context.Context, c *fleet.Customer, deadline clock.Instant, w *allotment.Waiter, decided <-chan allotment.Verdict) allotment.Verdict {
 	timeout := make(chan struct{})
@@ -139,20 +151,23 @@
 	case <-timeout:
 	case <-ctx.Done():
 	}
-	m.mu.Lock()
-	v, given := m.holder.GiveUp(m.edge.clock.Boot(), c.Name, w)
-	m.mu.Unlock()
+	v, given := m.giveUp(c, w)
 	if !given {
 		return <-decided
 	}
 	return v
 }
 
+// answerAge returns the age of the latest answer; ok is false if there was none.
+func (m *allotments) answerAge() (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holder.AnswerAge(m.edge.clock.Boot())
+}
+
 // refusal returns the error of a request beyond its customer's allotment.
 func (m *allotments) refusal(c *fleet.Customer, v allotment.Verdict) error {
-	m.mu.Lock()
-	age, ok := m.holder.AnswerAge(m.edge.clock.Boot())
-	m.mu.Unlock()
+	age, ok := m.answerAge()
 	latest := "there was no answer yet"
 	if ok {
 		latest = "the latest answer is " + age.Round(time.Millisecond).String() + " old"
@@ -218,13 +233,21 @@
 
 // ask sends the asks that are due. The timer that was set for the given time has fired.
 func (m *allotments) ask(timer clock.Instant) {
+	if leader, ask, ok := m.nextAsk(timer); ok {
+		m.edge.sendToVM(leader, m.edge.withSender(gossip.Message{Ask: &ask}))
+	}
+}
+
+// nextAsk returns the ask that is due to another VM.
+func (m *allotments) nextAsk(timer clock.Instant) (leader id.VM, ask allotment.Ask, ok bool) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := m.edge.clock.Boot()
 	if m.timerAt == timer {
 		m.stopTimer = nil
 	}
-	leader := m.follow(now)
-	ask, ok := m.holder.NextAsk(now)
+	leader = m.follow(now)
+	ask, ok = m.holder.NextAsk(now)
 	if ok && leader == m.edge.settings.VM {
 		if answer, answered := m.answerAsk(now, leader, m.edge.incarnation, ask); answered {
 			m.holder.Receive(now, answer)
@@ -232,10 +255,7 @@
 		ok = false
 	}
 	m.schedule(now)
-	m.mu.Unlock()
-	if ok {
-		m.edge.sendToVM(leader, m.edge.withSender(gossip.Message{Ask: &ask}))
-	}
+	return leader, ask, ok
 }
 
 // stop ends all asks.
@@ -256,21 +276,24 @@
 	if msg.Ask == nil && msg.Answer == nil {
 		return
 	}
+	if answer, answered := m.handle(msg); answered {
+		m.edge.sendToVM(msg.From, m.edge.withSender(gossip.Message{Answer: &answer}))
+	}
+}
+
+// handle handles the ask and the answer in a message, and returns the answer to the ask.
+func (m *allotments) handle(msg gossip.Message) (answer allotment.Answer, answered bool) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := m.edge.clock.Boot()
 	if msg.Answer != nil {
 		m.holder.Receive(now, *msg.Answer)
 		m.schedule(now)
 	}
-	var answer allotment.Answer
-	answered := false
 	if msg.Ask != nil {
-		answer, answered = m.answerAsk(now, msg.From, msg.Incarnation, *msg.Ask)
-	}
-	m.mu.Unlock()
-	if answered {
-		m.edge.sendToVM(msg.From, m.edge.withSender(gossip.Message{Answer: &answer}))
+		return m.answerAsk(now, msg.From, msg.Incarnation, *msg.Ask)
 	}
+	return answer, false
 }
 
 // answerAsk answers an ask if this VM leads. The caller holds mu.
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/coordination/allotment"
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
@@ -184,3 +185,27 @@
 		e.tasks.Wait()
 	}
 }
+
+// A panic while a request is charged must not keep the lock of all allotments, without which no request of a limited customer is answered.
+func TestPanicsReleaseAllotments(t *testing.T) {
+	acme := fleet.Customer{Name: "acme", Allotment: fleet.Allotment{Rate: 500, Burst: 100}}
+	tests := map[string]func(m *allotments){
+		"a request":          func(m *allotments) { _, _ = m.admit(context.Background(), &acme, m.edge.clock.Boot().Add(time.Second)) },
+		"another attempt":    func(m *allotments) { ticket{m, acme.Name}.ChargeAttempt() },
+		"the end of a wait":  func(m *allotments) { m.giveUp(&acme, nil) },
+		"an ask":             func(m *allotments) { m.ask(0) },
+		"another VM's share": func(m *allotments) { m.receive(gossip.Message{From: "b", Answer: &allotment.Answer{}}) },
+	}
+	for name, call := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newAllotmentEdge(clock.System{}, acme)
+			e.allotments.holder = nil
+			func() {
+				defer func() { is.True(recover() != nil) }()
+				call(e.allotments)
+			}()
+			is.True(e.allotments.mu.TryLock())
+		})
+	}
+}
