Survive panics in probes, and in the tasks of `hickorylug serve`

What callers saw: a panic in one of these goroutines ended the process with all requests in flight. Result: TestPanicsInProbesAreSurvived ended the test program before; it and the tests of the root package pass.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -178,6 +179,13 @@
 	e.log.Error("a panic ended the handling of one message or task", "value", fmt.Sprint(value), "stack", string(stack))
 }
 
+// survivePanic is to be deferred by goroutines whose panic would end the process.
+func (e *Edge) survivePanic() {
+	if value := recover(); value != nil {
+		e.observePanic(value, debug.Stack())
+	}
+}
+
 // observeRequestPanic counts and logs a panic in the handling of a caller's request.
 func (e *Edge) observeRequestPanic(request string, value any, stack []byte) {
 	e.metrics.panics.Add(1)
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -60,6 +60,7 @@
 	var probes sync.WaitGroup
 	for _, server := range servers {
 		probes.Go(func() {
+			defer e.survivePanic()
 			if e.backends.Probe(ctx, server.Address, string(server.Server)) == nil {
 				reached.Add(1)
 			}
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"context"
+	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +17,7 @@
 	"github.com/hickorylug/hickorylug/coordination/reach"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
@@ -53,3 +57,13 @@
 		})
 	}
 }
+
+// A panic in a probe must not end the process, and the backend server counts as out of reach.
+func TestPanicsInProbesAreSurvived(t *testing.T) {
+	is := is.New(t)
+	e := &Edge{clock: clock.System{}, log: slog.New(slog.DiscardHandler), reach: reach.NewDetector()}
+	e.metrics = newMetrics(e)
+	e.backends = http1.NewClient(http1.WithDial(func(context.Context, string) (net.Conn, error) { panic("a fault") }))
+	is.Equal(e.countReachable(t.Context(), []fleet.Server{{Address: "10.0.0.1:1"}, {Address: "10.0.0.2:1"}}), 0)
+	is.Equal(e.metrics.panics.Load(), int64(2))
+}
--- a/hickorylug.go
+++ b/hickorylug.go
@@ -116,7 +116,6 @@
 		directory:      directory.New(s.Site),
 		poison:         poison.NewTracker(),
 		metrics:        operator.NewMetrics(),
-		tasks:          task.NewSet(),
 		groups:         map[id.Group]*runningGroup{},
 		handoverStates: map[id.Group]handoverState{},
 		claimTargets:   map[id.Group]claimTarget{},
@@ -124,6 +123,7 @@
 		knownServers:   map[id.Server]knownServer{},
 		killed:         make(chan struct{}),
 	}
+	vm.tasks = task.NewSet(task.WithOnPanic(vm.observePanic))
 	vm.members = member.NewView(vm.self())
 	vm.platform = platform.NewClient(s.Store,
 		platform.WithReadRate(s.StoreReads), platform.WithWriteRate(s.StoreWrites), platform.WithCallStats(&vm.storeCalls))
@@ -288,9 +288,9 @@
 	}
 }
 
-// observePanic logs a panic in the handling of a request.
+// observePanic logs a panic in the handling of a request or in one task.
 func (vm *VM) observePanic(value any, stack []byte) {
-	vm.log.Error("a panic ended the handling of a request", "value", fmt.Sprint(value), "stack", string(stack))
+	vm.log.Error("a panic ended the handling of one request or task", "value", fmt.Sprint(value), "stack", string(stack))
 }
 
 // localHandler returns the handler of a group that this VM serves; ok is false for other groups.
