Refuse what a stopping VM will not send before it waits for its allotment

What callers saw: a request of a customer with an allotment that came within 0.15 s before the end of a planned stop could wait beyond it and get no answer. Cause: whether the VM still sends a request was asked after the wait for the allotment. Queue, body and allotment are all the waits there are; the pause after a misplaced key takes 40 ms and is followed by that question. Change: it is asked before, too. Result: TestStoppingVMChargesNoRequests failed before in the case stopping.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -179,7 +179,7 @@
 			RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Key: platform.HeaderKey, Reserved: platform.ReservedHeaders(),
 			APIKey: platform.HeaderAPIKey, Customer: platform.HeaderCustomer,
 		},
-		Bodies: e.bodies, View: e.view, MayHoldRevokedKeys: e.mayHoldRevokedKeys, PickService: e.splitter.pick, Admit: e.allotments.admit,
+		Bodies: e.bodies, View: e.view, MayHoldRevokedKeys: e.mayHoldRevokedKeys, PickService: e.splitter.pick, Accepts: e.accepts, Admit: e.allotments.admit,
 		Forward: e.forwarder.Forward, Observe: e.observeRequest, OnPanic: e.observeRequestPanic,
 	})
 	e.callers = e.newCallerServer()
--- a/transport/entry/customers_test.go
+++ b/transport/entry/customers_test.go
@@ -31,6 +31,7 @@
 	configured   *fleet.Configuration
 	stale        bool
 	strict       bool
+	stopping     bool
 	forwarded    []*forward.Request
 	events       []entry.Event
 	admitted     []id.Customer
@@ -65,6 +66,7 @@
 		View:               func() (*fleet.Snapshot, bool) { return &fleet.Snapshot{Configuration: g.configured}, !g.stale },
 		MayHoldRevokedKeys: func() bool { return g.strict },
 		PickService:        func(r *fleet.Route) id.Service { return r.Targets[0].Service },
+		Accepts:            func(*forward.Request) bool { return !g.stopping },
 		Admit: func(_ context.Context, c *fleet.Customer, _ clock.Instant) (entry.Ticket, error) {
 			g.admitted = append(g.admitted, c.Name)
 			return ticket{g}, g.admitError
@@ -255,3 +257,23 @@
 		})
 	}
 }
+
+// A request that a VM which stops will not send must not wait for its allotment: the VM could end meanwhile.
+func TestStoppingVMChargesNoRequests(t *testing.T) {
+	for name, stopping := range map[string]bool{"stopping": true, "running": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate()
+			g.stopping = stopping
+			response, _ := g.send("/private/a", http.Header{"Key": {acmeKey}})
+			if !stopping {
+				is.Equal(response.Code, http.StatusOK)
+				is.Equal(len(g.admitted), 1)
+				return
+			}
+			is.Equal(response.Code, http.StatusServiceUnavailable)
+			is.Equal(len(g.admitted), 0)
+			is.Equal(len(g.forwarded), 0)
+		})
+	}
+}
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -57,6 +57,8 @@
 	MayHoldRevokedKeys func() bool
 	// PickService selects the service of a request from its route's targets.
 	PickService func(r *fleet.Route) id.Service
+	// Accepts reports whether a request may be sent to a backend server now; one that may not isn't charged to an allotment. Nil means always.
+	Accepts func(r *forward.Request) bool
 	// Admit charges a request to its customer's allotment, after a wait of some milliseconds if needed. The error is an *outcome.Error that
 	// says not run. Nil means that there are no allotments.
 	Admit func(ctx context.Context, c *fleet.Customer, deadline clock.Instant) (t Ticket, err error)
@@ -113,6 +115,9 @@
 
 // NewHandler returns a handler that uses the given dependencies.
 func NewHandler(d Dependencies) *Handler {
+	if d.Accepts == nil {
+		d.Accepts = func(*forward.Request) bool { return true }
+	}
 	if d.OnPanic == nil {
 		d.OnPanic = func(string, any, []byte) {}
 	}
@@ -187,6 +192,10 @@
 	if h.deps.Admit == nil || customer == nil || !customer.Allotment.IsLimited() {
 		return h.deps.Forward(ctx, request)
 	}
+	if !h.deps.Accepts(request) {
+		// Its wait for the allotment could outlast this VM.
+		return nil, outcome.NotRun(outcome.Stopping, "this VM stops, and the request may outlast it")
+	}
 	ticket, err := h.deps.Admit(ctx, customer, request.Deadline)
 	if err != nil {
 		return nil, err
