Send no request whose context ends since the reading of bodies was stopped

Cause: from the end of a body on, net/http reads for the next request. StopReading set a past deadline on connections whose body was complete but not yet taken from the list, and on those whose body had come before; that read then fails and cancels the request, which was sent meanwhile. Evidence: TestStopReadingAtTheEndOfABody failed before ("stops": 200 with a cancelled context instead of 503). Change: a request whose body ends after the reading was stopped is refused as not run. Result: the test passes, 20 times with -race.

--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -348,6 +348,10 @@
 	if err != nil {
 		return nil, bodyRefusal(err, stopped, timeout, allowed)
 	}
+	if stopped {
+		// From the end of the body on, net/http reads for the next request and cancels this one when that fails.
+		return nil, outcome.NotRun(outcome.Stopping, "this VM stops, and the body was only just complete")
+	}
 	if err := connection.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, outcome.NotRun(outcome.CallerDisconnected, "the connection is closed: %v", err)
 	}
