Close the writing side of a caller's connection after a response to an incomplete request

What callers saw: after a response to a request whose body wasn't read, the end of the connection came 0.5 s late, and together with a reset. Evidence: TestResponseBeforeTheEndOfABodyClosesTheWritingSide failed before (no call). Change: the connection passes CloseWrite on. Result: the test passes, 5 times with -race.

--- a/transport/http1server/connection.go
+++ b/transport/http1server/connection.go
@@ -60,6 +60,15 @@
 	return n, err
 }
 
+// CloseWrite closes the writing side, as net/http does after a response to a request that it hasn't read to its end.
+func (c *connection) CloseWrite() error {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return closer.CloseWrite()
+}
+
 // past is a deadline that has expired.
 var past = time.Unix(1, 0)
 
--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -267,3 +267,44 @@
 		})
 	}
 }
+
+// halfCloses is a listener whose connections report that their writing side was closed.
+type halfCloses struct {
+	net.Listener
+	closed chan struct{}
+}
+
+func (l halfCloses) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return halfCloser{c.(*net.TCPConn), l.closed}, nil
+}
+
+type halfCloser struct {
+	*net.TCPConn
+	closed chan struct{}
+}
+
+func (c halfCloser) CloseWrite() error {
+	c.closed <- struct{}{}
+	return c.TCPConn.CloseWrite()
+}
+
+// A response to a request whose body isn't read must end with the writing side of its connection, so that it isn't reset together with it.
+func TestResponseBeforeTheEndOfABodyClosesTheWritingSide(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{}, 1)
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		func(l net.Listener) net.Listener { return halfCloses{l, closed} })
+	c := s.dial(t)
+	_, err := fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000000\r\n\r\n")
+	is.NoErr(err)
+	status, closes := c.read()
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(closes)
+	_, err = c.reader.ReadByte()
+	is.True(err != nil)
+	is.Equal(len(closed), 1)
+}
