Read a request to its end that has begun when connections end

What callers saw: status 400 for a proper request on a kept connection, if 2.8 s after SIGTERM, or 0.2 s before the end of the grace time on a connection without a request, its head was read in two parts (one longer than 4 KB, or in several packets). If the parts met at the end of a line, the connection was closed without an answer. Cause: the past read deadline broke off the head. bufio.Reader.ReadLine returns the part of a line as a line, and net/http answers 400 to it; before the connection was closed already, so that no answer came. Evidence: TestRequestReadBeforeIdleConnectionsCloseIsAnswered ("a part of its head": no answer, "a part of its first line": 400) and TestRequestReadBeforeUnusedConnectionsCloseIsAnswered ("a part, closed as unused": 400) failed before. Change: a connection isn't idle from the first byte of a request on. The limits for the head and Close still end it. The case "a part of its head" expected a closed connection and now sends the rest and expects the answer, which is stricter.

--- a/transport/http1server/connection.go
+++ b/transport/http1server/connection.go
@@ -37,6 +37,8 @@
 	readDeadline time.Time
 	// ending is set when the connection must end as soon as it is idle, and endingUnused when it must also end before its first request.
 	ending, endingUnused bool
+	// reading is set from the first byte of a request until the connection is idle again.
+	reading bool
 	// handling is set from the beginning of a request until its connection is idle or closed.
 	handling bool
 	request  string
@@ -47,6 +49,23 @@
 	writeErr error
 }
 
+// Read reads a part of a request. Once one has begun, it is read to its end, since net/http answers a head that breaks off with status 400.
+func (c *connection) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reading {
+		c.reading = true
+		if c.ending {
+			_ = c.applyReadDeadline()
+		}
+	}
+	return n, err
+}
+
 // Write writes a part of a response.
 func (c *connection) Write(p []byte) (n int, err error) {
 	n, err = c.Conn.Write(p)
@@ -85,6 +104,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
+	if state == http.StateIdle {
+		c.reading = false
+	}
 	if c.ending {
 		// An error means that the connection is closed.
 		_ = c.applyReadDeadline()
@@ -94,7 +116,7 @@
 // endWhenIdle makes the connection end once it is idle; unused says that it also ends before its first request.
 //
 // Its read fails, so that net/http's goroutine of the connection closes it. If
-// that goroutine has already read a request, the connection becomes active
+// that goroutine has already read a part of a request, it goes on with it
 // instead. Closed from here, it could be one whose request was just read.
 func (c *connection) endWhenIdle(unused bool) {
 	c.mu.Lock()
@@ -108,7 +130,8 @@
 
 // applyReadDeadline sets the deadline of the socket.
 func (c *connection) applyReadDeadline() error {
-	if c.ending && c.state == http.StateIdle || c.endingUnused && c.state == http.StateNew {
+	isIdle := !c.reading && (c.state == http.StateIdle || c.endingUnused && c.state == http.StateNew)
+	if c.ending && isIdle {
 		return c.Conn.SetReadDeadline(past)
 	}
 	return c.Conn.SetReadDeadline(c.readDeadline)
--- a/transport/http1server/http1server.go
+++ b/transport/http1server/http1server.go
@@ -83,8 +83,8 @@
 	return len(s.connections)
 }
 
-// CloseIdle ends the connections that wait for another request, and each other one after its next response. A request that was read before is
-// answered. Connections that have carried no request stay open for one.
+// CloseIdle ends the connections that wait for another request, and each other one after its next response. A request of which a
+// part was read before is answered. Connections that have carried no request stay open for one.
 func (s *Server) CloseIdle() {
 	s.closing.Store(true)
 	for _, c := range s.snapshot() {
--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -157,9 +157,10 @@
 		parts  []string
 		status int
 	}{
-		"whole":               {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
-		"a body that follows": {parts: []string{"POST /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\n", "body"}, status: http.StatusOK},
-		"a part of its head":  {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.ex"}},
+		"whole":                    {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
+		"a body that follows":      {parts: []string{"POST /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\n", "body"}, status: http.StatusOK},
+		"a part of its head":       {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.ex", "ample\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
+		"a part of its first line": {parts: []string{"GET /2 HT", "TP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -243,12 +244,15 @@
 
 // A first request that was read just before its connection would have been closed as unused must be answered.
 func TestRequestReadBeforeUnusedConnectionsCloseIsAnswered(t *testing.T) {
+	const request = "GET /1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n\r\n"
 	tests := map[string]struct {
-		end    func(s *http1server.Server)
-		status int
+		end func(s *http1server.Server)
+		// first is the number of bytes of the request that are read before.
+		first int
 	}{
-		"closed as unused": {end: (*http1server.Server).CloseUnused, status: http.StatusOK},
-		"closed as idle":   {end: (*http1server.Server).CloseIdle, status: http.StatusOK},
+		"closed as unused":         {end: (*http1server.Server).CloseUnused, first: len(request)},
+		"closed as idle":           {end: (*http1server.Server).CloseIdle, first: len(request)},
+		"a part, closed as unused": {end: (*http1server.Server).CloseUnused, first: 9},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -256,12 +260,16 @@
 			held := &heldListener{waiting: make(chan struct{}, 16), taken: make(chan struct{}, 16), release: make(chan struct{}, 16)}
 			s := serve(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener { held.Listener = l; return held })
 			c := s.dial(t)
-			is.NoErr(c.write("1"))
+			_, err := io.WriteString(c, request[:test.first])
+			is.NoErr(err)
 			<-held.taken
 			test.end(s.server)
 			held.release <- struct{}{}
+			_, err = io.WriteString(c, request[test.first:])
+			is.NoErr(err)
+			held.release <- struct{}{}
 			status, closes := c.read()
-			is.Equal(status, test.status)
+			is.Equal(status, http.StatusOK)
 			is.True(closes)
 			is.Equal(len(s.lost), 0)
 		})
