End connections that are accepted while unused connections end

What callers saw: nothing; a planned stop could last until the end of the grace time for one connection. Cause: CloseUnused went through the known connections only. One that was just accepted became known after it. Change: such a connection ends as soon as it is known.

--- a/transport/http1server/http1server.go
+++ b/transport/http1server/http1server.go
@@ -49,6 +49,8 @@
 	http    *http.Server
 	// closing is set when connections end after their next response.
 	closing atomic.Bool
+	// closingUnused is set when connections also end before their first request.
+	closingUnused atomic.Bool
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
@@ -92,9 +94,10 @@
 	}
 }
 
-// CloseUnused ends the connections that have carried no request, too.
+// CloseUnused ends the connections that have carried no request, too, also those that are still accepted.
 func (s *Server) CloseUnused() {
 	s.closing.Store(true)
+	s.closingUnused.Store(true)
 	for _, c := range s.snapshot() {
 		c.endWhenIdle(true)
 	}
@@ -117,6 +120,12 @@
 	return out
 }
 
+func (s *Server) add(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections[c] = struct{}{}
+}
+
 // followState tracks the connections and ends the request of one that becomes idle or is closed.
 func (s *Server) followState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*connection)
@@ -125,9 +134,10 @@
 	}
 	switch state {
 	case http.StateNew:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.connections[c] = struct{}{}
+		s.add(c)
+		if s.closingUnused.Load() {
+			c.endWhenIdle(true)
+		}
 	case http.StateActive:
 		c.follow(state)
 	case http.StateIdle:
--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -316,3 +316,42 @@
 	is.True(err != nil)
 	is.Equal(len(closed), 1)
 }
+
+// heldAccepts is a listener whose first connection is passed on some time after it was accepted, and has only deadlines that have passed.
+type heldAccepts struct {
+	net.Listener
+	accepted, release chan struct{}
+}
+
+func (l heldAccepts) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted <- struct{}{}
+	<-l.release
+	return withoutTimeouts{c}, nil
+}
+
+type withoutTimeouts struct{ net.Conn }
+
+func (c withoutTimeouts) SetReadDeadline(t time.Time) error {
+	if t.After(time.Unix(1, 0)) {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// A connection that was accepted just before the unused ones end must end, too.
+func TestConnectionAcceptedWhileUnusedConnectionsClose(t *testing.T) {
+	is := is.New(t)
+	held := heldAccepts{accepted: make(chan struct{}), release: make(chan struct{})}
+	s := serve(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener { held.Listener = l; return held })
+	c := s.dial(t)
+	<-held.accepted
+	s.server.CloseUnused()
+	close(held.release)
+	status, closes := c.read()
+	is.Equal(status, 0)
+	is.True(closes)
+}
