Don't give up a response of which a part has come for the silence before it

Cause: the detector heard of an answer only once its whole body had been read. Until then the request counted as silent since it was sent. The failure also counted against the backend server, since it didn't say that this VM had given the attempt up. Evidence: TestResponseBeingReadIsNotAbandoned failed before, 20 of 20 times (read timeout instead of the response). Change: the beginning of a response counts as an answer, and its silence from then on; a body that is given up is reported as abandoned. Result: the test passes, 20 times with -race.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -100,6 +100,14 @@
 	return w
 }
 
+// Answered records that the beginning of a response has come; the request waits for its end from now on.
+func (d *Detector) Answered(w *Wait) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answeredAt = d.options.Clock.Boot()
+	w.since = d.answeredAt
+}
+
 // End records that a request no longer waits; answered says that its backend server has answered.
 func (d *Detector) End(w *Wait, answered bool) {
 	d.mu.Lock()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -81,10 +81,11 @@
 		}}
 	}
 	answered = true
+	e.reach.Answered(wait)
 	defer resp.Body.Close()
 	body, err := http1.ReadBody(resp.Body, maxResponseBytes, e.bodies)
 	if err != nil {
-		return relay.Result{Failure: &relay.Failure{Sent: true, Cause: "read the answer: " + err.Error()}}
+		return relay.Result{Failure: &relay.Failure{Sent: true, Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Cause: "read the answer: " + err.Error()}}
 	}
 	return relay.Result{Status: resp.Status, Header: resp.Header, Body: body}
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +24,54 @@
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
+// settableClock is a clock that stands still until it is set.
+type settableClock struct {
+	clock.System
+	boot atomic.Int64
+}
+
+func (c *settableClock) Boot() clock.Instant { return clock.Instant(c.boot.Load()) }
+
+// A response of which a part has come must not be given up for the silence before it.
+func TestResponseBeingReadIsNotAbandoned(t *testing.T) {
+	is := is.New(t)
+	body, release := strings.Repeat("x", 40<<10), make(chan struct{})
+	var now settableClock
+	now.boot.Store(int64(time.Hour))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/other" {
+			return
+		}
+		now.boot.Add(int64(time.Second))
+		_, _ = io.WriteString(w, body)
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	defer server.Close()
+	e := &Edge{
+		clock: clock.System{}, backends: http1.NewClient(), reach: reach.NewDetector(reach.WithClock(&now)), departures: departure.NewRecords(time.Second),
+		dispatcher: dispatch.NewDispatcher("a", "east"), bodies: http1.NewQuota(1 << 20),
+	}
+	done := make(chan relay.Result, 1)
+	go func() {
+		done <- e.attemptDirectly(t.Context(), relay.Attempt{
+			Server: "s", Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{}, Timeout: time.Minute, Command: true,
+		})
+	}()
+	for e.bodies.Used() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(e.reach.RecordProbes(0, reach.ProbeCount))
+	// An attempt that is given up ends before another request is answered.
+	other, err := http.Get(server.URL + "/other")
+	is.NoErr(err)
+	other.Body.Close()
+	close(release)
+	r := <-done
+	is.Equal(r.Failure, nil)
+	is.Equal(string(r.Body), body)
+}
+
 // A caller's request without an id must not be sent like a command, without a deadline and to whatever process has the address.
 func TestAttemptsNameTheirBackendServer(t *testing.T) {
 	tests := map[string]struct {
