Survive outputs whose reader has gone

Cause: Go ends a process by SIGPIPE that writes to a closed standard output or standard error; the writer of the log expected an error. Evidence: TestClosedOutputIsSurvived failed before (ended by the signal, both commands). Change: the program ignores SIGPIPE. Result: the test passes, 3 times.

--- a/cmd/hickorylug/main.go
+++ b/cmd/hickorylug/main.go
@@ -12,6 +12,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 )
@@ -23,6 +25,8 @@
 }
 
 func main() {
+	// By default, a write to an output whose reader has gone ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	var c commands
 	k := kong.Parse(&c, kong.Name("hickorylug"), kong.Description("A router for servers that own keys exclusively."), kong.UsageOnError())
 	if err := k.Run(); err != nil {
--- a/cmd/hickorylug/signal_test.go
+++ b/cmd/hickorylug/signal_test.go
@@ -46,3 +46,26 @@
 		})
 	}
 }
+
+// A reader of the program's output that has gone must not end the program.
+func TestClosedOutputIsSurvived(t *testing.T) {
+	for _, command := range []string{"edge", "serve"} {
+		t.Run(command, func(t *testing.T) {
+			is := is.New(t)
+			settings := filepath.Join(t.TempDir(), "settings.json")
+			is.NoErr(os.WriteFile(settings, []byte("no settings"), 0o600))
+			reader, output, err := os.Pipe()
+			is.NoErr(err)
+			is.NoErr(reader.Close())
+			program := exec.Command(os.Args[0], command, "--settings", settings)
+			program.Env, program.Stdout, program.Stderr = append(os.Environ(), asProgram+"=1"), output, output
+			is.NoErr(program.Start())
+			is.NoErr(output.Close())
+			_ = program.Wait()
+			status, ok := program.ProcessState.Sys().(syscall.WaitStatus)
+			is.True(ok)
+			is.True(!status.Signaled())
+			is.Equal(status.ExitStatus(), 1)
+		})
+	}
+}
