Count the grace time of a planned stop from when the process last ran

Cause: a VM that doesn't get its processor notices SIGTERM late, and counted the whole grace time from then. What it accepted could outlast the time at which the platform kills the process. The line 'graceful shutdown began' has noticedAfterMs.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	w := drain.NewWindow(now, 3*time.Second, 5*time.Second)
+//	w := drain.NewWindow(now, ranAt, 3*time.Second, 5*time.Second)
 //	if !w.Accepts(now, r.Deadline, r.Objective, r.Idempotent) {
 //		// Refuse as not run; the caller's next connection goes to another VM.
 //	}
@@ -28,10 +28,14 @@
 	settled, ends clock.Instant
 }
 
-// NewWindow returns the window of a stop that begins now. settle is the time after which no new connections come, and grace the time after
-// which requests are cut off.
-func NewWindow(now clock.Instant, settle, grace time.Duration) *Window {
-	return &Window{settled: now.Add(settle), ends: now.Add(grace)}
+// NewWindow returns the window of a stop that is noticed now, by a process that last ran at ranAt. settle is the time after which no new
+// connections come, and grace the time after which requests are cut off.
+//
+// The stop may have begun at any time since ranAt, as a process that doesn't
+// get its processor notices it late. Its grace time doesn't wait for that.
+func NewWindow(now, ranAt clock.Instant, settle, grace time.Duration) *Window {
+	began := min(now, ranAt)
+	return &Window{settled: began.Add(settle), ends: began.Add(grace)}
 }
 
 // Accepts reports whether a request may be sent to a backend server. A nil window accepts everything.
--- a/coordination/drain/drain_test.go
+++ b/coordination/drain/drain_test.go
@@ -34,7 +34,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			began := clock.Instant(time.Hour)
-			w := drain.NewWindow(began, settle, grace)
+			w := drain.NewWindow(began, began, settle, grace)
 			if test.running {
 				w = nil
 			}
@@ -64,7 +64,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			began := clock.Instant(time.Hour)
-			w := drain.NewWindow(began, settle, grace)
+			w := drain.NewWindow(began, began, settle, grace)
 			if test.running {
 				w = nil
 			}
@@ -72,3 +72,30 @@
 		})
 	}
 }
+
+// A stop that a VM notices late must not accept requests that outlast the grace time.
+func TestStopNoticedLateAcceptsNoRequestThatIsCutOff(t *testing.T) {
+	const settle, grace = 3 * time.Second, 5 * time.Second
+	tests := map[string]struct {
+		// late is the time for which the process didn't run before it noticed the stop. deadline is counted from then.
+		late, deadline time.Duration
+		idempotent     bool
+		want           bool
+	}{
+		"in time":                      {deadline: 5 * time.Second, want: true},
+		"late":                         {late: time.Second, deadline: 4*time.Second + 1},
+		"late, ends in time":           {late: time.Second, deadline: 4 * time.Second, want: true},
+		"late, idempotent":             {late: time.Second, deadline: time.Minute, idempotent: true, want: true},
+		"too late, idempotent":         {late: settle, deadline: time.Minute, idempotent: true},
+		"later than the grace time":    {late: time.Minute, deadline: time.Millisecond},
+		"a clock reading after it ran": {late: -time.Second, deadline: 5 * time.Second, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := clock.Instant(time.Hour)
+			w := drain.NewWindow(now, now.Add(-test.late), settle, grace)
+			is.Equal(w.Accepts(now, now.Add(test.deadline), now, test.idempotent), test.want)
+		})
+	}
+}
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -37,6 +37,7 @@
 	var renewedAt, heartbeatAt clock.Instant
 	for {
 		now := e.clock.Boot()
+		e.ranAt.Store(int64(now))
 		e.endEarlierEra(now)
 		e.mu.Lock()
 		vm, term, fresh := e.elector.Leader(now)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -123,6 +123,8 @@
 	pacesSentAt clock.Instant
 	// stop is the window of the planned stop, or nil before it.
 	stop atomic.Pointer[drain.Window]
+	// ranAt is when the component "coordination" last ran.
+	ranAt atomic.Int64
 	// leaving is set when the graceful shutdown begins, and resigned once this VM has also given up the leadership.
 	leaving  atomic.Bool
 	resigned atomic.Bool
@@ -231,6 +233,7 @@
 // Run serves until the context ends, then drains the requests in flight.
 func (e *Edge) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "entry VM %s", e.settings.VM) }()
+	e.ranAt.Store(int64(e.clock.Boot()))
 	if e.socket, err = gossip.Listen(e.settings.PeerAddress, e.mirror.Since, gossip.WithOnPanic(e.observePanic), gossip.WithOnLost(e.observeLostByVM), gossip.WithHandler(relay.Path, e.relayHandler)); err != nil {
 		return err
 	}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -10,6 +10,7 @@
 	"github.com/hickorylug/hickorylug/coordination/drain"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
@@ -39,12 +40,12 @@
 	startedAt := e.clock.Boot()
 	grace := e.settings.GraceTime.Std() - graceMargin
 	settle := min(balancerDetectionTime, grace/2)
-	window := drain.NewWindow(startedAt, settle, grace)
+	window := drain.NewWindow(startedAt, clock.Instant(e.ranAt.Load()), settle, grace)
 	e.stop.Store(window)
 	e.leaving.Store(true)
 	e.handler.Drain()
 	e.relayHandler.Drain()
-	e.log.Info("graceful shutdown began", "inFlight", e.handler.InFlight())
+	e.log.Info("graceful shutdown began", "inFlight", e.handler.InFlight(), "noticedAfterMs", startedAt.Sub(clock.Instant(e.ranAt.Load())).Milliseconds())
 	e.dispatcher.Tick()
 	resigned := e.resign()
 	<-e.clock.After(settle - e.clock.Boot().Sub(startedAt))
