Release the connection of an attempt that panics

What callers saw: each panic while a backend server's answer is read kept a connection for good; at the limit of connections requests were refused. Change: the connection is reset in any case but success. Result: TestPanicsReleaseConnections failed before (all connections in use).

--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -127,11 +127,17 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err = conn.roundTrip(ctx, r)
-	if err != nil {
-		conn.reset()
+	isSound := false
+	defer func() {
+		if !isSound {
+			// Also after a panic of a function of the request.
+			conn.reset()
+		}
+	}()
+	if response, err = conn.roundTrip(ctx, r); err != nil {
 		return nil, errors.Mark(err, errSent)
 	}
+	isSound = true
 	return response, nil
 }
 
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -324,3 +324,22 @@
 
 // late is a response to an earlier request.
 const late = "HTTP/1.1 503 Busy\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n"
+
+// A panic while a response is read must not keep its connection: at the limit of connections no further request could be sent.
+func TestPanicsReleaseConnections(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, response("1", "one"))
+	c := http1.NewClient()
+	r := request(s, "1")
+	r.MaxConnections = 1
+	faulty := r
+	faulty.OnHead = func(int, http.Header) { panic("a fault") }
+	func() {
+		defer func() { is.True(recover() != nil) }()
+		_, _ = c.Do(context.Background(), faulty)
+	}()
+	resp, err := c.Do(context.Background(), r)
+	body, err := read(t, resp, err)
+	is.NoErr(err)
+	is.Equal(body, "one")
+}
