--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -77,6 +77,8 @@
 	Leader *Leader
 	// SettledEra is the latest era of the store for which a leader has stored all key tables that were in force before.
 	SettledEra id.Era
+	// Unused holds, by key, why items of the store aren't used: they may come from another writer.
+	Unused map[string]string
 }
 
 // Peer is the registration of an entry VM.
