Log each item of the store that isn't used

Seen: nothing told an operator that an entry named no backend server, or why. Evidence: TestOddEntryIsLoggedOnce waited for the line in vain before (stopped after 30 s).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -113,6 +113,8 @@
 	departures *departure.Records
 	// pauseLogs bounds the log lines of pauses.
 	pauseLogs rate.Sometimes
+	// unusedLogs bounds the log lines of items of the store that aren't used.
+	unusedLogs rate.Sometimes
 	// keeper keeps what an outage of the store or an older copy of it would take back.
 	keeper *retention.Keeper
 
@@ -155,6 +157,7 @@
 		elector:        leader.NewElector(s.VM, o.Clock.Boot()),
 		departures:     departure.NewRecords(s.DrainTime.Std()),
 		pauseLogs:      rate.Sometimes{First: maxPauseLogs, Interval: pauseLogPeriod},
+		unusedLogs:     rate.Sometimes{First: maxUnusedLogs, Interval: unusedLogPeriod},
 		keeper:         retention.NewKeeper(),
 		resync:         make(chan struct{}, 1),
 		replan:         make(chan struct{}, 1),
--- /dev/null
+++ b/edge/odditems_test.go
@@ -0,0 +1,54 @@
+package edge_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// unusedItems returns the number of lines about each item that isn't used.
+func (l *logBuffer) unusedItems(t *testing.T) (lines map[string]int) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines = map[string]int{}
+	for line := range bytes.Lines(l.data.Bytes()) {
+		var fields map[string]any
+		if err := json.Unmarshal(line, &fields); err != nil {
+			t.Fatal(err)
+		}
+		if key, ok := fields["key"].(string); ok && fields["msg"] == "an item of the store is not used" && fields["problem"] != "" {
+			lines[key]++
+		}
+	}
+	return lines
+}
+
+// awaitUnused waits until there is a line about an item that isn't used.
+func (l *logBuffer) awaitUnused(t *testing.T, key string) {
+	t.Helper()
+	for l.unusedItems(t)[key] == 0 {
+		time.Sleep(pollPeriod)
+	}
+}
+
+// Operators must see which entry is odd, but an entry that is written again each second must not fill the log.
+func TestOddEntryIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	log := &logBuffer{}
+	s := newSite(t, 1, func(s *site) { s.log = slog.NewJSONHandler(log, nil) })
+	s.awaitStatus(0, "/view/x", http.StatusOK)
+	for n := range 5 {
+		s.store.Put("servers/odd", []byte(strings.Repeat(" ", n)+"[]"))
+		s.configure("/view/", "/more"+strings.Repeat("x", n)+"/")
+		s.awaitStatus(0, "/more"+strings.Repeat("x", n)+"/", http.StatusOK)
+	}
+	log.awaitUnused(t, "servers/odd")
+	is.Equal(log.unusedItems(t)["servers/odd"], 1)
+}
--- a/edge/store.go
+++ b/edge/store.go
@@ -252,6 +252,7 @@
 		e.options.OnScale(len(s.Servers))
 	}
 	e.logChanges(old, s)
+	e.logUnused(old, s)
 	e.logFindings(old.Configuration, s.Configuration)
 	select {
 	case e.replan <- struct{}{}:
@@ -314,6 +315,26 @@
 	}
 }
 
+// maxUnusedLogs is the number of items that aren't used that are logged each; of later ones, one per unusedLogPeriod is.
+const (
+	maxUnusedLogs   = 20
+	unusedLogPeriod = time.Second
+)
+
+// logUnused logs the items of the store that aren't used any more, or for another reason than before.
+func (e *Edge) logUnused(old, next *fleet.Snapshot) {
+	if fleet.IsSameMap(old.Unused, next.Unused) {
+		return
+	}
+	for key, problem := range next.Unused {
+		if old.Unused[key] != problem {
+			e.unusedLogs.Do(func() {
+				e.log.Warn("an item of the store is not used", "key", key, "problem", problem, "position", next.Position.Number())
+			})
+		}
+	}
+}
+
 func (e *Edge) notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
