Use a configuration in spite of odd fields

Seen: one field of another type, or a whole number written as 1e9 or 130.0, kept a whole accepted version out of force; a timeout of 1e300 s, weights and limits beyond integers became other figures on arm64 than on x86-64, among them negative ones. Cause: encoding/json refuses such numbers for integers, any type error was an error of the document, and figures were converted without bounds. Change: numbers are decoded as such and converted with saturation; fleet.NewConfiguration and Customers.Add move each figure into named bounds. A document is used without a field of another type, unless it says which requests go where, whose keys are exclusive, or who needs an API key.

--- a/state/fleet/check.go
+++ b/state/fleet/check.go
@@ -72,6 +72,7 @@
 // Check returns all problems of the customers and public routes. Paths are those of the operators' document. The window is the time over
 // which allotments are measured.
 func (c *Configuration) Check(window time.Duration) (f Findings) {
+	f.Problems = slices.Clone(c.Unused)
 	if c.Customers == nil {
 		c.checkPublicRoutes(&f)
 		return f
--- a/state/fleet/configuration.go
+++ b/state/fleet/configuration.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/strict"
 )
 
 // Configuration is the operators' configuration document, translated from the platform's format.
@@ -19,6 +20,8 @@
 	Customers *Customers
 	// SkippedCustomers is the number of customers in the document that can't be used, so that their keys are unknown.
 	SkippedCustomers int
+	// Unused are the fields of the document that aren't used as they are.
+	Unused strict.Problems
 
 	byHost map[string][]*Route
 }
@@ -73,8 +76,14 @@
 
 // NewConfiguration returns a configuration whose routes are indexed by host, with the longest prefix first.
 func NewConfiguration(version uint64, routes []Route, services map[id.Service]Service, limits Limits) *Configuration {
-	c := &Configuration{Version: version, Services: services, Limits: limits, byHost: map[string][]*Route{}}
+	c := &Configuration{Version: version, Services: map[id.Service]Service{}, Limits: limits, byHost: map[string][]*Route{}}
+	c.boundLimits()
+	for name, s := range services {
+		c.boundService(&s)
+		c.Services[name] = s
+	}
 	for i := range routes {
+		c.boundRoute(&routes[i])
 		host := strings.ToLower(routes[i].Host)
 		c.byHost[host] = append(c.byHost[host], &routes[i])
 	}
--- a/state/fleet/customers.go
+++ b/state/fleet/customers.go
@@ -66,6 +66,7 @@
 // Add adds a customer with its keys. A key that another customer has already stays with that one.
 func (c *Customers) Add(customer Customer, keys ...KeyDigest) {
 	at := int32(len(c.list))
+	customer.Allotment = customer.Allotment.bounded()
 	c.list = append(c.list, customer)
 	c.byName[customer.Name] = at
 	c.keyCounts = append(c.keyCounts, int32(len(keys)))
