Take no VM from an odd registration

Seen: a registration under one key that names another VM replaced that VM's address at all others, also one with port 0 or of no machine; one with a huge strength became the only source of copies of the store; a VM whose own registration was replaced never registered again. Cause: registrations were stored under the name that they hold and weren't checked; isRegistered asked only whether there is an item.

--- a/edge/odditems_test.go
+++ b/edge/odditems_test.go
@@ -52,3 +52,21 @@
 	log.awaitUnused(t, "servers/odd")
 	is.Equal(log.unusedItems(t)["servers/odd"], 1)
 }
+
+// A VM whose registration another writer has replaced must register again; the other VMs would never find it otherwise.
+func TestVMRegistersInPlaceOfOddRegistration(t *testing.T) {
+	s := newSite(t, 2)
+	s.awaitAll("/view/x")
+	const key = "hickorylug/vm/vm1"
+	registered := func() string { return string(s.store.Values(key)[key]) }
+	for registered() == "" {
+		time.Sleep(pollPeriod)
+	}
+	before := registered()
+	s.store.Put(key, []byte(`{"VM":"vm0","Address":"10.0.0.9:0"}`))
+	for registered() != before {
+		time.Sleep(pollPeriod)
+	}
+	s.configure("/view/", "/more/")
+	s.awaitAll("/more/x")
+}
--- a/edge/registration.go
+++ b/edge/registration.go
@@ -16,8 +16,8 @@
 	if e.registeredAt == 0 {
 		return false
 	}
-	// The snapshot also lists registrations that an older copy of the store lacks.
-	_, listed := e.mirror.Item(platform.KeyPeer(e.settings.VM))
+	// The published snapshot also lists registrations that an older copy of the store lacks.
+	_, listed := e.mirror.Snapshot().Peers[e.settings.VM]
 	return listed || e.mirror.Position() < e.registeredAt
 }
 
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -20,6 +20,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -91,6 +93,27 @@
 	Strength float64 `json:",omitempty"`
 }
 
+// maxStrength is the number of cores of the strongest VM, by far.
+const maxStrength = 1 << 16
+
+// Check returns an error that names the first field with which a registration can't be used, or nil.
+func (p Peer) Check() error {
+	if err := checkName(string(p.VM)); err != nil {
+		return errors.Wrap(err, "VM")
+	}
+	if err := checkName(string(p.Domain)); err != nil {
+		return errors.Wrap(err, "Domain")
+	}
+	if len(p.Incarnation) > maxNameBytes {
+		return errors.Newf("Incarnation: the name has %d bytes; %d are allowed", len(p.Incarnation), maxNameBytes)
+	}
+	if !(p.Strength >= 0 && p.Strength <= maxStrength) {
+		return errors.Newf("Strength: %v is not from 0 to %d", p.Strength, maxStrength)
+	}
+	_, err := ParseAddress(p.Address)
+	return errors.Wrap(err, "Address")
+}
+
 // Leader is the store record of the VM that was elected to watch the store and grant keys.
 type Leader struct {
 	VM          id.VM
