Replace a key table that can't be read

Change: such a table is known as unreadable, with its revision. The leader waits until former grants have expired, begins with fences above the lost ones, as after a restoration, and writes in its place. Fences are from 0 to 2^52, and figures are checked before they are added.

--- a/edge/odditems_test.go
+++ b/edge/odditems_test.go
@@ -70,3 +70,13 @@
 	s.configure("/view/", "/more/")
 	s.awaitAll("/more/x")
 }
+
+// Keys whose table another writer has replaced while all VMs were away must get owners again.
+func TestOddTableIsReplaced(t *testing.T) {
+	s := newSite(t, 2, func(s *site) { s.store.Put("hickorylug/keys/plans", []byte("junk")) })
+	s.awaitStatus(0, "/view/x", http.StatusOK)
+	s.awaitStatus(1, "/view/x", http.StatusOK)
+	if problems := s.journal.Violations(); len(problems) > 0 {
+		t.Errorf("guarantees were violated: %v", problems)
+	}
+}
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -25,7 +25,15 @@
 	if t == nil && now.Sub(k.lastAppearedAt) < firstTableDelay {
 		return
 	}
-	next, changed := k.nextTable(now, t, name, k.candidates(now, s, name))
+	current := t
+	if t != nil && t.Unreadable {
+		// Grants may have been made under the table that is lost.
+		if now.Sub(k.leadingSince) < ownership.FormerGrantTime || k.edge.isIsolated(now) {
+			return
+		}
+		current = ownership.Refence(name, nil)
+	}
+	next, changed := k.nextTable(now, current, name, k.candidates(now, s, name))
 	if !changed {
 		return
 	}
--- a/state/fleet/codec.go
+++ b/state/fleet/codec.go
@@ -99,7 +99,7 @@
 	for _, e := range r.Ranges {
 		from := next + e.Gap
 		to := from + e.Size - 1
-		if e.Gap < 0 || e.Size < 1 || to >= KeyCount || e.Owner < 0 || e.Owner >= len(r.Owners) || e.PreviousOwner < 0 || e.PreviousOwner > len(r.Owners) {
+		if !e.isValid(len(r.Owners)) || to >= KeyCount {
 			return nil, errors.Newf("the range after key %d has invalid bounds or an invalid owner", next-1)
 		}
 		g := Range{From: Key(from), To: Key(to), Owner: r.incarnation(e.Owner), Fence: e.Fence}
@@ -110,12 +110,17 @@
 		t.Ranges = append(t.Ranges, g)
 		next = to + 1
 	}
-	if !t.IsValid() {
+	if !t.IsValid() || t.Fence < 0 || t.Fence > maxFence {
 		return nil, errors.New("the ranges are out of order or have invalid owners or fences")
 	}
 	return t, nil
 }
 
+// isValid reports whether the figures of a range are possible in a table with a number of owners. Sums of such figures don't overflow.
+func (r rangeRecord) isValid(owners int) bool {
+	return r.Gap >= 0 && r.Gap < KeyCount && r.Size >= 1 && r.Size <= KeyCount && r.Owner >= 0 && r.Owner < owners && r.PreviousOwner >= 0 && r.PreviousOwner <= owners
+}
+
 func (r tableRecord) incarnation(index int) Incarnation {
 	return Incarnation{Server: r.Owners[index].Server, Born: r.Owners[index].Born}
 }
--- a/state/fleet/codec_test.go
+++ b/state/fleet/codec_test.go
@@ -1,8 +1,12 @@
 package fleet_test
 
 import (
+	"bytes"
+	"compress/flate"
+	"math"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -43,3 +47,65 @@
 		is.True(err != nil)
 	}
 }
+
+// After a table with the highest fence, the next fences overflowed, and backend servers refuse lower ones.
+func TestOddTablesAreRejected(t *testing.T) {
+	type list = []any
+	owners := list{list{"a", 7}, list{"b", 9}}
+	tests := map[string]struct {
+		fence  any
+		ranges list
+		valid  bool
+	}{
+		"sound":                             {fence: 9, ranges: list{list{0, 10, 0, 3, 0, 0}, list{5, 10, 1, 4, 1, 2}}, valid: true},
+		"a gap that overflows":              {fence: 9, ranges: list{list{0, 1, 0, 3, 0, 0}, list{int64(math.MaxInt64), int64(math.MaxInt64), 0, 3, 0, 0}}},
+		"a gap beyond the keys":             {fence: 9, ranges: list{list{65536, 1, 0, 3, 0, 0}}},
+		"a size that overflows":             {fence: 9, ranges: list{list{65535, int64(math.MaxInt64), 0, 3, 0, 0}}},
+		"a range beyond the keys":           {fence: 9, ranges: list{list{65535, 2, 0, 3, 0, 0}}},
+		"more ranges than keys":             {fence: 9, ranges: list{list{0, 65536, 0, 3, 0, 0}, list{0, 1, 0, 3, 0, 0}}},
+		"an overlap":                        {fence: 9, ranges: list{list{0, 10, 0, 3, 0, 0}, list{-5, 10, 1, 4, 0, 0}}},
+		"a range without keys":              {fence: 9, ranges: list{list{0, 0, 0, 3, 0, 0}}},
+		"a negative size":                   {fence: 9, ranges: list{list{0, -1, 0, 3, 0, 0}}},
+		"an owner that isn't listed":        {fence: 9, ranges: list{list{0, 10, 2, 3, 0, 0}}},
+		"an owner of the largest index":     {fence: 9, ranges: list{list{0, 10, int64(math.MaxInt64), 3, 0, 0}}},
+		"a former owner that isn't listed":  {fence: 9, ranges: list{list{0, 10, 0, 3, 3, 0}}},
+		"the highest fence":                 {fence: int64(math.MaxInt64), ranges: list{list{0, 10, 0, 3, 0, 0}}},
+		"a fence beyond exact numbers":      {fence: int64(1)<<52 + 1, ranges: list{list{0, 10, 0, 3, 0, 0}}},
+		"the last exact fence":              {fence: int64(1) << 52, ranges: list{list{0, 10, 0, int64(1) << 52, 0, 0}}, valid: true},
+		"a fence beyond integers":           {fence: uint64(math.MaxUint64), ranges: list{list{0, 10, 0, 3, 0, 0}}},
+		"a negative fence":                  {fence: -1, ranges: list{}},
+		"a negative fence of a range":       {fence: 9, ranges: list{list{0, 10, 0, -3, 0, 0}}},
+		"a former fence above the table's":  {fence: 9, ranges: list{list{0, 10, 0, 3, 1, 10}}},
+		"a negative fence of a former one":  {fence: 9, ranges: list{list{0, 10, 0, 3, 1, -1}}},
+		"a fence that is a fraction":        {fence: 9.5, ranges: list{}},
+		"a fence that is not a number":      {fence: math.NaN(), ranges: list{}},
+		"ranges that are text":              {fence: 9, ranges: list{"x"}},
+		"a range with too many figures":     {fence: 9, ranges: list{list{0, 10, 0, 3, 0, 0, 0}}},
+		"a range that is very deep":         {fence: 9, ranges: list{nested(40)}},
+		"a range of an infinite size":       {fence: 9, ranges: list{list{0, math.Inf(1), 0, 3, 0, 0}}},
+		"more ranges than a table can have": {fence: 9, ranges: make(list, 200_000)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			plain, err := cbor.Marshal(list{"plans", test.fence, owners, test.ranges})
+			is.NoErr(err)
+			var data bytes.Buffer
+			w, err := flate.NewWriter(&data, flate.BestSpeed)
+			is.NoErr(err)
+			_, err = w.Write(plain)
+			is.NoErr(err)
+			is.NoErr(w.Close())
+			_, err = fleet.DecodeTable(data.Bytes())
+			is.Equal(err == nil, test.valid)
+		})
+	}
+}
+
+// nested returns lists within each other.
+func nested(depth int) (out []any) {
+	for range depth {
+		out = []any{out}
+	}
+	return out
+}
--- a/state/fleet/table.go
+++ b/state/fleet/table.go
@@ -46,8 +46,15 @@
 	Revision id.Revision
 	// Unsaved is set if the stored table is older than this one, or missing: the store came back from an older copy.
 	Unsaved bool
+	// Unreadable is set if the stored table can't be read and none was known before. The table has no ranges then, and which fences backend
+	// servers have seen isn't known.
+	Unreadable bool
 }
 
+// maxFence is the highest fence of a stored table. Those that follow it stay exact numbers of JSON, as which backend servers get them
+// (RFC 8259, section 6).
+const maxFence Fence = 1 << 52
+
 // NewerTable returns the table that is in force where the store holds stored, which may be nil, and known was in force before.
 //
 // Backend servers refuse fences below those that they have seen. So an older copy
@@ -85,10 +92,14 @@
 func (t *Table) IsValid() bool {
 	next := 0
 	for _, r := range t.Ranges {
-		if int(r.From) < next || r.To < r.From || r.Fence > t.Fence || r.Owner.Server == "" {
+		isOwned := r.Owner.Server != "" && (r.PreviousOwner == nil || r.PreviousOwner.Server != "")
+		if int(r.From) < next || r.To < r.From || !t.hasIssued(r.Fence) || !t.hasIssued(r.PreviousFence) || !isOwned {
 			return false
 		}
 		next = int(r.To) + 1
 	}
 	return true
 }
+
+// hasIssued reports whether a fence is one that was issued for the service, or 0.
+func (t *Table) hasIssued(f Fence) bool { return f >= 0 && f <= t.Fence }
