--- a/state/fleet/crash.go
+++ b/state/fleet/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,5 +54,9 @@
 	case len(c.Suspects)+len(c.Acquitted)+len(c.RunsOn) > maxCrashRequests:
 		return Crash{}, errors.Newf("Suspects: more than %d requests", maxCrashRequests)
 	}
+	// A request that is listed twice was in flight once all the same, and readers search the lists.
+	slices.Sort(c.Suspects)
+	slices.Sort(c.Acquitted)
+	c.Suspects, c.Acquitted = slices.Compact(c.Suspects), slices.Compact(c.Acquitted)
 	return c, nil
 }
