Hold a site to serving beside odd items of the store

The stand-in store pages its items as PROTOCOL.md says, since VMs copy from each other only if there is a second page. Up to 100 items that aren't used are logged at once, and `UnusedItems` counts them: 25 at once left five without a line.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -45,6 +46,8 @@
 	billing          []worker.Option
 	// strictRevocation makes the VMs refuse keys that may have been revoked, after two seconds without news.
 	strictRevocation bool
+	// processor is the part of a core that further VMs have; 0 means a whole one.
+	processor float64
 	// initial is a copy of the store from before the first VM started.
 	initial kv.Copy
 	// links holds the fault proxy between each VM and the store, by the index of the VM.
@@ -139,7 +142,7 @@
 		VM: id.VM(fmt.Sprint("vm", i)), FailureDomain: "east", CallerAddress: s.freeAddress(), ReadyAddress: s.freeAddress(), PeerAddress: s.freeAddress(),
 		MetricsAddress: s.freeAddress(), Store: storeLink.Address(), LogLevel: "info", GraceTime: unit.Duration(s.grace), ServerHeartbeat: unit.Duration(time.Second),
 		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
-		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
+		MaxHold: unit.Duration(10 * time.Second), Processor: cmp.Or(s.processor, 1), Link: 1000, Memory: 1 << 28,
 		StrictRevocation: s.strictRevocation, RevocationTime: unit.Duration(2 * time.Second),
 	}
 	serverLink := newServerLink(s.t)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -212,7 +212,7 @@
 	out := map[string]any{
 		"Requests": json.RawMessage(m.requests.String()), "Sendings": json.RawMessage(m.attempts.String()), "Store": json.RawMessage(m.store.String()),
 		"InFlight": e.handler.InFlight(), "Position": s.Position.Number(), "StoreEra": e.store.Era(), "Configuration": version, "NewsAgeMs": e.newsAge().Milliseconds(),
-		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
+		"Leading": e.leads(), "Peers": len(s.Peers), "Servers": len(s.Servers), "UnusedItems": len(s.Unused), "LostMessages": m.lostMessages.Load(), "Panics": m.panics.Load(),
 		"GossipBytes": e.socket.SentBytes(), "Connections": e.backends.OpenedConnections(), "Neighbours": len(e.dispatcher.Neighbours()), "LongBodyBytes": e.bodies.Used(),
 		"Limits": limitCounts(e.dispatcher.Admissions()), "RequestLimits": e.dispatcher.RequestLimits(),
 		"BlockedRequests": crashes.Blocked, "Crashes": crashes, "CutOff": e.reach.IsCutOff(), "AttemptsForOthers": e.relayHandler.Made(),
--- a/edge/store.go
+++ b/edge/store.go
@@ -317,7 +317,7 @@
 
 // maxUnusedLogs is the number of items that aren't used that are logged each; of later ones, one per unusedLogPeriod is.
 const (
-	maxUnusedLogs   = 20
+	maxUnusedLogs   = 100
 	unusedLogPeriod = time.Second
 )
 
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -290,16 +290,29 @@
 	CurrentRev int64
 }
 
+// maxPageItems and maxPageBytes limit the items of a page; one item is always sent.
+const (
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
+
 func (s *Store) readRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var items []Item
-	for key, i := range s.items {
-		if strings.HasPrefix(key, r.URL.Query().Get("PathPrefix")) {
-			items = append(items, i)
+	prefix, after := r.URL.Query().Get("PathPrefix"), r.URL.Query().Get("after")
+	p, size := page{CurrentRev: s.revision}, 0
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		i := s.items[key]
+		if size += len(key) + len(i.Value); len(p.Items) == maxPageItems || len(p.Items) > 0 && size > maxPageBytes {
+			p.HasMore = true
+			break
 		}
+		p.Items = append(p.Items, i)
 	}
-	writeJSON(w, page{Items: items, CurrentRev: s.revision})
+	writeJSON(w, p)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
