Count a later entry at a live server's address once

Seen: an entry of another writer with a later start at the address of a live server made that server count as crashed at each change of any entry, for as long as the odd one was there; the requests that it had became suspects again each time after its answers had cleared them. Change: the entry counts when it appears. That it counts then is meant: addresses are used again while the former entry is still there, and the answers of a live server refute it. Evidence: TestEntryAtAddressOfLiveServerCountsOnce: 3 of 8 cases failed before.

--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -80,19 +80,30 @@
 
 // FollowServers records the processes that have ended between two snapshots without having announced it: their entry is gone, or a
 // process that started later has registered under their id or at their address.
+//
+// An entry at the address counts when it appears. It may come from another
+// writer, and the process that goes on answering must not count as ended again
+// at each later change.
 func (f *Forwarder) FollowServers(old, next *fleet.Snapshot) {
 	if fleet.IsSameMap(old.Servers, next.Servers) {
 		return
 	}
-	latest := map[string]fleet.StartTime{}
-	for _, s := range next.Servers {
-		latest[s.Address] = max(latest[s.Address], s.Born)
-	}
+	before, latest := latestStarts(old), latestStarts(next)
 	now := f.options.Clock.Boot()
 	for name, s := range old.Servers {
 		present, isPresent := next.Servers[name]
-		if !s.Draining && (!isPresent || present.Born > s.Born || latest[s.Address] > s.Born) {
+		isReplaced := latest[s.Address] > s.Born && before[s.Address] <= s.Born
+		if !s.Draining && (!isPresent || present.Born > s.Born || isReplaced) {
 			f.options.Crashes.RecordCrash(now, s, true)
 		}
 	}
 }
+
+// latestStarts returns the latest start time of the backend servers at each address.
+func latestStarts(s *fleet.Snapshot) map[string]fleet.StartTime {
+	latest := make(map[string]fleet.StartTime, len(s.Servers))
+	for _, server := range s.Servers {
+		latest[server.Address] = max(latest[server.Address], server.Born)
+	}
+	return latest
+}
