Report lost responses after their connections are closed

What operators saw: `LostResponses` and the line 'a connection ended without the response' for requests that were answered at the end of a planned stop. Cause: Close reported the requests first and closed their connections after it, so that responses could still be written in between. Evidence: TestLostResponsesAreReportedAfterTheClose failed before (one report before the close). Change: Close closes first; a request whose handler has returned is reported by the result of its last write.

--- a/transport/http1server/connection.go
+++ b/transport/http1server/connection.go
@@ -166,9 +166,14 @@
 	c.report(cause)
 }
 
-// closeHere reports the request that is being handled, since its connection is about to be closed.
-func (c *connection) closeHere() {
+// closedHere reports the request that is being handled, since its connection was closed. If its handler has returned, end reports it, as its
+// response may have been written before.
+func (c *connection) closedHere() {
 	c.mu.Lock()
+	if c.finished {
+		c.mu.Unlock()
+		return
+	}
 	c.report(ErrClosedHere)
 }
 
--- a/transport/http1server/http1server.go
+++ b/transport/http1server/http1server.go
@@ -105,10 +105,11 @@
 
 // Close closes all listeners and connections, and reports the requests that have no response yet.
 func (s *Server) Close() error {
+	err := s.http.Close()
 	for _, c := range s.snapshot() {
-		c.closeHere()
+		c.closedHere()
 	}
-	return s.http.Close()
+	return err
 }
 
 func (s *Server) snapshot() (out []*connection) {
--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -355,3 +355,50 @@
 	is.Equal(status, 0)
 	is.True(closes)
 }
+
+// watchedCloses is a listener whose connections call a function before they are closed.
+type watchedCloses struct {
+	net.Listener
+	onClose func()
+}
+
+func (l watchedCloses) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return watchedClose{c, l.onClose}, nil
+}
+
+type watchedClose struct {
+	net.Conn
+	onClose func()
+}
+
+func (c watchedClose) Close() error {
+	c.onClose()
+	return c.Conn.Close()
+}
+
+// A request must not be reported as lost while its response can still be written.
+func TestLostResponsesAreReportedAfterTheClose(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	reportedBefore := make(chan int, 8)
+	var s *site
+	s = serve(t, func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	}, func(l net.Listener) net.Listener {
+		return watchedCloses{l, func() { reportedBefore <- len(s.lost) }}
+	})
+	c := s.dial(t)
+	is.NoErr(c.write("1"))
+	<-started
+	is.NoErr(s.server.Close())
+	is.Equal(<-reportedBefore, 0)
+	lost := <-s.lost
+	is.Equal(lost.Request, "1")
+	is.True(errors.Is(lost.Cause, http1server.ErrClosedHere))
+	close(release)
+}
