--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -157,9 +157,10 @@
 		parts  []string
 		status int
 	}{
-		"whole":               {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
-		"a body that follows": {parts: []string{"POST /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\n", "body"}, status: http.StatusOK},
-		"a part of its head":  {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.ex"}},
+		"whole":                    {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
+		"a body that follows":      {parts: []string{"POST /2 HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\n", "body"}, status: http.StatusOK},
+		"a part of its head":       {parts: []string{"GET /2 HTTP/1.1\r\nHost: a.ex", "ample\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
+		"a part of its first line": {parts: []string{"GET /2 HT", "TP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n"}, status: http.StatusOK},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -243,12 +244,15 @@
 
 // A first request that was read just before its connection would have been closed as unused must be answered.
 func TestRequestReadBeforeUnusedConnectionsCloseIsAnswered(t *testing.T) {
+	const request = "GET /1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n\r\n"
 	tests := map[string]struct {
-		end    func(s *http1server.Server)
-		status int
+		end func(s *http1server.Server)
+		// first is the number of bytes of the request that are read before.
+		first int
 	}{
-		"closed as unused": {end: (*http1server.Server).CloseUnused, status: http.StatusOK},
-		"closed as idle":   {end: (*http1server.Server).CloseIdle, status: http.StatusOK},
+		"closed as unused":         {end: (*http1server.Server).CloseUnused, first: len(request)},
+		"closed as idle":           {end: (*http1server.Server).CloseIdle, first: len(request)},
+		"a part, closed as unused": {end: (*http1server.Server).CloseUnused, first: 9},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -256,14 +260,98 @@
 			held := &heldListener{waiting: make(chan struct{}, 16), taken: make(chan struct{}, 16), release: make(chan struct{}, 16)}
 			s := serve(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener { held.Listener = l; return held })
 			c := s.dial(t)
-			is.NoErr(c.write("1"))
+			_, err := io.WriteString(c, request[:test.first])
+			is.NoErr(err)
 			<-held.taken
 			test.end(s.server)
 			held.release <- struct{}{}
+			_, err = io.WriteString(c, request[test.first:])
+			is.NoErr(err)
+			held.release <- struct{}{}
 			status, closes := c.read()
-			is.Equal(status, test.status)
+			is.Equal(status, http.StatusOK)
 			is.True(closes)
 			is.Equal(len(s.lost), 0)
 		})
 	}
 }
+
+// halfCloses is a listener whose connections report that their writing side was closed.
+type halfCloses struct {
+	net.Listener
+	closed chan struct{}
+}
+
+func (l halfCloses) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return halfCloser{c.(*net.TCPConn), l.closed}, nil
+}
+
+type halfCloser struct {
+	*net.TCPConn
+	closed chan struct{}
+}
+
+func (c halfCloser) CloseWrite() error {
+	c.closed <- struct{}{}
+	return c.TCPConn.CloseWrite()
+}
+
+// A response to a request whose body isn't read must end with the writing side of its connection, so that it isn't reset together with it.
+func TestResponseBeforeTheEndOfABodyClosesTheWritingSide(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{}, 1)
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		func(l net.Listener) net.Listener { return halfCloses{l, closed} })
+	c := s.dial(t)
+	_, err := fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000000\r\n\r\n")
+	is.NoErr(err)
+	status, closes := c.read()
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(closes)
+	_, err = c.reader.ReadByte()
+	is.True(err != nil)
+	is.Equal(len(closed), 1)
+}
+
+// heldAccepts is a listener whose first connection is passed on some time after it was accepted, and has only deadlines that have passed.
+type heldAccepts struct {
+	net.Listener
+	accepted, release chan struct{}
+}
+
+func (l heldAccepts) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted <- struct{}{}
+	<-l.release
+	return withoutTimeouts{c}, nil
+}
+
+type withoutTimeouts struct{ net.Conn }
+
+func (c withoutTimeouts) SetReadDeadline(t time.Time) error {
+	if t.After(time.Unix(1, 0)) {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// A connection that was accepted just before the unused ones end must end, too.
+func TestConnectionAcceptedWhileUnusedConnectionsClose(t *testing.T) {
+	is := is.New(t)
+	held := heldAccepts{accepted: make(chan struct{}), release: make(chan struct{})}
+	s := serve(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener { held.Listener = l; return held })
+	c := s.dial(t)
+	<-held.accepted
+	s.server.CloseUnused()
+	close(held.release)
+	status, closes := c.read()
+	is.Equal(status, 0)
+	is.True(closes)
+}
