--- a/transport/http1server/connection.go
+++ b/transport/http1server/connection.go
@@ -154,39 +154,46 @@
 // end ends the request that is being handled, after the last write of its response, and reports it if the response isn't complete.
 func (c *connection) end() {
 	c.mu.Lock()
-	var cause error
-	switch {
-	case errors.Is(c.writeErr, net.ErrClosed):
-		cause = ErrClosedHere
-	case c.writeErr != nil:
-		cause = c.writeErr
-	case !c.finished:
-		cause = ErrAborted
+	lost, isLost := c.endRequest(c.lossAfterLastWrite())
+	c.mu.Unlock()
+	if isLost {
+		c.server.options.OnLost(lost)
 	}
-	c.report(cause)
 }
 
 // closedHere reports the request that is being handled, since its connection was closed. If its handler has returned, end reports it, as its
 // response may have been written before.
 func (c *connection) closedHere() {
 	c.mu.Lock()
-	if c.finished {
-		c.mu.Unlock()
-		return
-	}
-	c.report(ErrClosedHere)
-}
-
-// report ends the request, reports it as lost unless cause is nil, and releases the lock.
-func (c *connection) report(cause error) {
-	lost := Lost{Request: c.request, Cause: cause}
-	if c.handling {
-		lost.Age = c.server.options.Clock.Boot().Sub(c.beganAt)
+	lost, isLost := Lost{}, false
+	if !c.finished {
+		lost, isLost = c.endRequest(ErrClosedHere)
 	}
-	isLost := c.handling && cause != nil
-	c.handling = false
 	c.mu.Unlock()
 	if isLost {
 		c.server.options.OnLost(lost)
 	}
 }
+
+// lossAfterLastWrite returns why the response isn't complete, or nil. The lock must be held.
+func (c *connection) lossAfterLastWrite() error {
+	switch {
+	case errors.Is(c.writeErr, net.ErrClosed):
+		return ErrClosedHere
+	case c.writeErr != nil:
+		return c.writeErr
+	case !c.finished:
+		return ErrAborted
+	default:
+		return nil
+	}
+}
+
+// endRequest ends the request that is being handled and returns it if it is lost, which a nil cause denies. The lock must be held.
+func (c *connection) endRequest(cause error) (lost Lost, isLost bool) {
+	if !c.handling {
+		return Lost{}, false
+	}
+	c.handling = false
+	return Lost{Request: c.request, Age: c.server.options.Clock.Boot().Sub(c.beganAt), Cause: cause}, cause != nil
+}
