--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -43,7 +43,8 @@
 	version          int
 	grace            time.Duration
 	log              slog.Handler
-	billing          []worker.Option
+	// billing and plans are options of the backend servers of these services.
+	billing, plans []worker.Option
 	// strictRevocation makes the VMs refuse keys that may have been revoked, after two seconds without news.
 	strictRevocation bool
 	// processor is the part of a core that further VMs have; 0 means a whole one.
@@ -71,7 +72,7 @@
 	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	s.configure("/view/")
 	for i := range 3 {
-		s.addServer(fmt.Sprintf("k-%d", i), "plans", worker.WithKeys())
+		s.addServer(fmt.Sprintf("k-%d", i), "plans", append([]worker.Option{worker.WithKeys()}, s.plans...)...)
 		s.addServer(fmt.Sprintf("p-%d", i), "billing", s.billing...)
 	}
 	s.initial = s.store.Copy()
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -135,6 +135,38 @@
 	}
 }
 
+// A request that waits at a backend server at the end of the grace time of a planned stop must get an answer before its connection is closed.
+func TestRequestsAtBackendServersAreAnsweredAtTheEndOfAPlannedStop(t *testing.T) {
+	const grace, work = time.Second, 5 * time.Second
+	tests := map[string]struct{ method, path string }{
+		"idempotent":     {method: http.MethodGet, path: "/view/x"},
+		"not idempotent": {method: http.MethodPost, path: "/renew/x"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reached := make(chan struct{}, 8)
+			slow := []worker.Option{worker.WithOnRequest(func(r *http.Request) {
+				if r.Header.Get("Attempt-Id") == "waits" {
+					reached <- struct{}{}
+					select {
+					case <-r.Context().Done():
+					case <-time.After(work):
+					}
+				}
+			})}
+			s := newSite(t, 1, withGraceTime(grace), func(s *site) { s.billing, s.plans = slow, slow })
+			s.awaitAll("/view/")
+			c := dialCaller(t, s.callerAddresses[0])
+			status := make(chan int, 1)
+			go func() { status <- c.send(test.method, test.path, "waits") }()
+			<-reached
+			s.stopVM(0)
+			is.Equal(<-status, http.StatusBadGateway)
+		})
+	}
+}
+
 // sendPart sends a request with a part of its body, and returns the status of its response, or 0 if the connection ends without one.
 func (c *lateCaller) sendPart(path, id, part string, length int) (status int) {
 	_, err := fmt.Fprintf(c.connection, "POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s", path, id, length, part)
