Answer the requests that are still in flight at the end of a planned stop

What callers saw: LOST. A request that a stopping VM had passed on, and that waited at its backend server, got neither an answer nor a refusal. Cause: 5.6 s after SIGTERM the VM closed all connections of callers, whatever was on them. A backend server at work may use the whole grace time, but one with full slots or connections may not have begun the request. The same class: the end of a connection was decided without the one who handles the request on it. Change: at the end the handler gives up what is in flight. Each request is answered (502, unknown, reason stopping) on its connection, in half of the reserve of 0.4 s; what is left then is closed as before. Result: TestRequestsAtBackendServersAreAnsweredAtTheEndOfAPlannedStop failed in both cases before, passes with -race.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -124,6 +124,9 @@
 	retryAfterShed = 200 * time.Millisecond
 )
 
+// ErrStopping is the cause of a context that ends since this VM does, and not since the caller left.
+var ErrStopping = errors.New("this VM stops")
+
 // Forwarder sends the requests of one VM to backend servers. It is safe for concurrent use.
 type Forwarder struct {
 	options    Options
@@ -347,6 +350,9 @@
 	s.received++
 	if errors.Is(ctx.Err(), context.Canceled) {
 		slot.Done(dispatch.Cancelled, dispatch.Report{})
+		if errors.Is(context.Cause(ctx), ErrStopping) {
+			return nil, false, outcome.Unknown(outcome.Stopping, "this VM stopped while backend server %s had the request", server)
+		}
 		return nil, false, outcome.Unknown(outcome.CallerDisconnected, "the caller left while backend server %s had the request", server)
 	}
 	result := dispatch.TimedOut
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -21,6 +21,8 @@
 	// graceMargin is the reserve at the end of the grace time.
 	graceMargin     = 400 * time.Millisecond
 	drainPollPeriod = 20 * time.Millisecond
+	// lastAnswerTime is the part of graceMargin in which requests that are given up are answered.
+	lastAnswerTime = graceMargin / 2
 	// resignRetryPause is the time between two attempts to revoke the leader's lease at an unreachable store; each call is priced.
 	resignRetryPause = 400 * time.Millisecond
 )
@@ -68,6 +70,7 @@
 	}
 	if n := e.handler.InFlight(); n > 0 {
 		e.log.Warn("requests were still in flight at the end of the grace time", "inFlight", n)
+		e.answerLast(ctx)
 	}
 	_ = e.callers.Close()
 	e.drainRelayed(drainCtx, drainPollPeriod)
@@ -78,6 +81,16 @@
 	}
 }
 
+// answerLast gives up the requests that are still in flight and waits until their callers have the answers.
+func (e *Edge) answerLast(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastAnswerTime)
+	defer cancel()
+	e.handler.GiveUp()
+	for (e.callers.Open() > 0 || e.handler.InFlight() > 0) && ctx.Err() == nil {
+		<-e.clock.After(drainPollPeriod)
+	}
+}
+
 // Limits of callers' connections; the limits in the configuration are checked for each request.
 const (
 	headerTimeout  = 5 * time.Second
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -111,6 +111,9 @@
 	bodyReads  bodyReads
 	inFlight   atomic.Int64
 	draining   atomic.Bool
+	// givenUp is done once all requests are given up.
+	givenUp context.Context
+	giveUp  context.CancelFunc
 }
 
 // NewHandler returns a handler that uses the given dependencies.
@@ -121,7 +124,9 @@
 	if d.OnPanic == nil {
 		d.OnPanic = func(string, any, []byte) {}
 	}
-	return &Handler{deps: d, waitLimits: newWaitLimits()}
+	h := &Handler{deps: d, waitLimits: newWaitLimits()}
+	h.givenUp, h.giveUp = context.WithCancel(context.Background())
+	return h
 }
 
 // InFlight returns the number of requests in flight.
@@ -133,6 +138,9 @@
 // StopReading refuses the requests whose bodies are not complete, now and later.
 func (h *Handler) StopReading() { h.bodyReads.stop() }
 
+// GiveUp gives up all requests, now and later, so that they get an answer before this VM ends.
+func (h *Handler) GiveUp() { h.giveUp() }
+
 // ServeHTTP parses a request, forwards it to a backend server and writes the response or a refusal.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
@@ -187,6 +195,8 @@
 		// effect.
 		parent = context.WithoutCancel(parent)
 	}
+	parent, giveUp := context.WithCancelCause(parent)
+	defer context.AfterFunc(h.givenUp, func() { giveUp(forward.ErrStopping) })()
 	ctx, cancel := context.WithTimeout(parent, request.Deadline.Sub(h.deps.Clock.Boot()))
 	defer cancel()
 	if h.deps.Admit == nil || customer == nil || !customer.Allotment.IsLimited() {
