Give up requests in time at a planned stop that was noticed late

Cause: a new leader with 0.16 of a core noticed SIGTERM about 0.4 s late and counted its 5.6 s from then; the platform kills it after 6 s. Change: drain.Window.GivesUp counts from when the process last ran, but leaves requests at which backend servers are at work nine tenths of the grace time.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -24,20 +24,31 @@
 
 // Window is the time of a planned stop.
 type Window struct {
-	// settled is when callers' new connections go to other VMs, and ends when the VM cuts off what is still under way.
+	// settled is when callers' new connections go to other VMs, and ends when the grace time is over at the earliest.
 	settled, ends clock.Instant
+	// givesUp is when the VM gives up what is still under way.
+	givesUp clock.Instant
 }
 
+// minGraceShare is the part of the grace time that requests under way have after the stop was noticed, however late that was.
+const minGraceShare = 0.9
+
 // NewWindow returns the window of a stop that is noticed now, by a process that last ran at ranAt. settle is the time after which no new
-// connections come, and grace the time after which requests are cut off.
+// connections come, and grace the time after which requests are given up.
 //
 // The stop may have begun at any time since ranAt, as a process that doesn't
 // get its processor notices it late. Its grace time doesn't wait for that.
 func NewWindow(now, ranAt clock.Instant, settle, grace time.Duration) *Window {
 	began := min(now, ranAt)
-	return &Window{settled: began.Add(settle), ends: began.Add(grace)}
+	w := &Window{settled: began.Add(settle), ends: began.Add(grace)}
+	w.givesUp = max(w.ends, now.Add(time.Duration(minGraceShare*float64(grace))))
+	return w
 }
 
+// GivesUp returns when the requests that are still under way are given up. It isn't much earlier than if the stop began when it was noticed,
+// since backend servers are at work.
+func (w *Window) GivesUp() clock.Instant { return w.givesUp }
+
 // Accepts reports whether a request may be sent to a backend server. A nil window accepts everything.
 //
 // A request whose deadline lies before the end gets its answer. While new
--- a/coordination/drain/drain_test.go
+++ b/coordination/drain/drain_test.go
@@ -99,3 +99,21 @@
 		})
 	}
 }
+
+// A stop that a VM notices late must give up requests before its process is killed, but leave them most of the grace time.
+func TestStopNoticedLateGivesUpRequestsInTime(t *testing.T) {
+	const settle, grace = 3 * time.Second, 5 * time.Second
+	tests := map[string]struct{ late, givesUp time.Duration }{
+		"in time":                   {givesUp: 5 * time.Second},
+		"a little late":             {late: 400 * time.Millisecond, givesUp: 4600 * time.Millisecond},
+		"late":                      {late: time.Second, givesUp: 4500 * time.Millisecond},
+		"later than the grace time": {late: time.Minute, givesUp: 4500 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := clock.Instant(time.Hour)
+			is.Equal(drain.NewWindow(now, now.Add(-test.late), settle, grace).GivesUp(), now.Add(test.givesUp))
+		})
+	}
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -52,7 +52,7 @@
 	resigned := e.resign()
 	<-e.clock.After(settle - e.clock.Boot().Sub(startedAt))
 	e.dispatcher.Tick()
-	drainCtx, cancel := context.WithTimeout(ctx, max(0, grace-e.clock.Boot().Sub(startedAt)))
+	drainCtx, cancel := context.WithTimeout(ctx, max(0, window.GivesUp().Sub(e.clock.Boot())))
 	defer cancel()
 	// The listener is closed in any case.
 	_ = callers.Close()
