--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -39,6 +39,7 @@
 		now := e.clock.Boot()
 		e.ranAt.Store(int64(now))
 		e.endEarlierEra(now)
+		e.endReplaced(now)
 		e.mu.Lock()
 		vm, term, fresh := e.elector.Leader(now)
 		campaign := !fresh && !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
