Test of recorded crashes: start the VM after its backend servers are in place

Cause: TestCrashesAreKnownAfterRestartsOfAllVMs got 200 in place of 502 twice at a load of 44 with -race: the VM had started before the test replaced the backend servers, and may still send to those that don't crash. Change: the VM starts after them. All expectations are as before.

--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -64,12 +64,13 @@
 // A request that has crashed two backend servers must be refused by VMs that started after the crashes.
 func TestCrashesAreKnownAfterRestartsOfAllVMs(t *testing.T) {
 	is := is.New(t)
-	s := newSite(t, 1)
+	s := newSite(t, 0)
 	var crashes atomic.Int64
 	for i := range 3 {
 		s.store.Remove(fmt.Sprintf("servers/p-%d", i))
 		s.addCrashingServer(fmt.Sprintf("c-%d", i), &crashes)
 	}
+	s.startVM(0)
 	const maxWait = time.Minute
 	start := time.Now()
 	for n := range 4 {
