Stand-in for reads that return late, for the tests of both servers

Cause: the same listener stood in the tests of http1server and of transport/caller. Change: standin/slowread. The expectations of the tests are as before.

--- a/transport/caller/server_test.go
+++ b/transport/caller/server_test.go
@@ -7,62 +7,16 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/standin/slowread"
 	"github.com/hickorylug/hickorylug/transport/caller"
 )
 
-// heldListener accepts connections whose reads return some time after they have taken the bytes, as on a machine that is short of processor.
-type heldListener struct {
-	net.Listener
-	// waiting receives a value when a read for a request begins, and taken when a read has taken bytes. It returns after it has received one
-	// from release.
-	waiting, taken, release chan struct{}
-	// ended counts the calls that may end a connection or its reads.
-	ended atomic.Int64
-}
-
-func (l *heldListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &heldConnection{Conn: c, listener: l}, nil
-}
-
-type heldConnection struct {
-	net.Conn
-	listener *heldListener
-}
-
-func (c *heldConnection) Read(p []byte) (n int, err error) {
-	// While a request is handled, net/http reads a single byte to detect that the caller leaves.
-	if len(p) > 1 {
-		c.listener.waiting <- struct{}{}
-	}
-	n, err = c.Conn.Read(p)
-	if n > 0 {
-		c.listener.taken <- struct{}{}
-		<-c.listener.release
-	}
-	return n, err
-}
-
-func (c *heldConnection) Close() error {
-	defer c.listener.ended.Add(1)
-	return c.Conn.Close()
-}
-
-func (c *heldConnection) SetReadDeadline(t time.Time) error {
-	defer c.listener.ended.Add(1)
-	return c.Conn.SetReadDeadline(t)
-}
-
 // A request that was read from a kept connection just before a stop must be answered.
 func TestRequestReadBeforeAStopIsAnswered(t *testing.T) {
 	tests := map[string]struct {
@@ -79,7 +33,7 @@
 			is := is.New(t)
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
-			l := &heldListener{Listener: inner, waiting: make(chan struct{}, 16), taken: make(chan struct{}, 16), release: make(chan struct{}, 16)}
+			l := slowread.NewListener(inner)
 			server := caller.NewServer(newHandler(t, respondWith(strings.NewReader(""), 0)))
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error, 1)
@@ -93,23 +47,23 @@
 				is.NoErr(err)
 			}
 			if !test.first {
-				l.release <- struct{}{}
+				l.Release <- struct{}{}
 				request()
 				first, err := http.ReadResponse(reader, nil)
 				is.NoErr(err)
 				is.NoErr(first.Body.Close())
-				<-l.taken
-				<-l.waiting
-				<-l.waiting
+				<-l.Taken
+				<-l.Waiting
+				<-l.Waiting
 			}
 			request()
-			<-l.taken
-			before := l.ended.Load()
+			<-l.Taken
+			before := l.Ended()
 			test.stop(server, cancel)
-			for l.ended.Load() == before {
+			for l.Ended() == before {
 				time.Sleep(time.Millisecond)
 			}
-			l.release <- struct{}{}
+			l.Release <- struct{}{}
 			resp, err := http.ReadResponse(reader, nil)
 			is.NoErr(err)
 			is.NoErr(resp.Body.Close())
--- a/transport/http1server/http1server_test.go
+++ b/transport/http1server/http1server_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/standin/slowread"
 	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
@@ -116,40 +117,6 @@
 	}
 }
 
-// heldListener accepts connections whose reads return some time after they have taken the bytes, as on a machine that is short of processor.
-type heldListener struct {
-	net.Listener
-	// waiting receives a value when a read for a request begins, and taken when a read has taken bytes. It returns after it has received one
-	// from release.
-	waiting, taken, release chan struct{}
-}
-
-func (l *heldListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &heldConnection{Conn: c, listener: l}, nil
-}
-
-type heldConnection struct {
-	net.Conn
-	listener *heldListener
-}
-
-func (c *heldConnection) Read(p []byte) (n int, err error) {
-	// While a request is handled, net/http reads a single byte to detect that the caller leaves.
-	if len(p) > 1 {
-		c.listener.waiting <- struct{}{}
-	}
-	n, err = c.Conn.Read(p)
-	if n > 0 {
-		c.listener.taken <- struct{}{}
-		<-c.listener.release
-	}
-	return n, err
-}
-
 // A request that was read from a connection just before it would have been closed as idle must be answered.
 func TestRequestReadBeforeIdleConnectionsCloseIsAnswered(t *testing.T) {
 	tests := map[string]struct {
@@ -165,30 +132,30 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			held := &heldListener{waiting: make(chan struct{}, 16), taken: make(chan struct{}, 16), release: make(chan struct{}, 16)}
+			var held *slowread.Listener
 			handled := make(chan string, 2)
 			s := serve(t, func(_ http.ResponseWriter, r *http.Request) {
 				body, err := io.ReadAll(r.Body)
 				is.NoErr(err)
 				handled <- r.Header.Get("X-Id") + string(body)
-			}, func(l net.Listener) net.Listener { held.Listener = l; return held })
+			}, func(l net.Listener) net.Listener { held = slowread.NewListener(l); return held })
 			c := s.dial(t)
-			held.release <- struct{}{}
+			held.Release <- struct{}{}
 			is.NoErr(c.write("1"))
 			status, _ := c.read()
 			is.Equal(status, http.StatusOK)
 			is.Equal(<-handled, "1")
-			<-held.taken
-			<-held.waiting
-			<-held.waiting
+			<-held.Taken
+			<-held.Waiting
+			<-held.Waiting
 			for i, part := range test.parts {
 				_, err := io.WriteString(c, part)
 				is.NoErr(err)
 				if i == 0 {
-					<-held.taken
+					<-held.Taken
 					s.server.CloseIdle()
 				}
-				held.release <- struct{}{}
+				held.Release <- struct{}{}
 			}
 			status, closes := c.read()
 			is.Equal(status, test.status)
@@ -257,17 +224,17 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			held := &heldListener{waiting: make(chan struct{}, 16), taken: make(chan struct{}, 16), release: make(chan struct{}, 16)}
-			s := serve(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener { held.Listener = l; return held })
+			var held *slowread.Listener
+			s := serve(t, func(http.ResponseWriter, *http.Request) {}, func(l net.Listener) net.Listener { held = slowread.NewListener(l); return held })
 			c := s.dial(t)
 			_, err := io.WriteString(c, request[:test.first])
 			is.NoErr(err)
-			<-held.taken
+			<-held.Taken
 			test.end(s.server)
-			held.release <- struct{}{}
+			held.Release <- struct{}{}
 			_, err = io.WriteString(c, request[test.first:])
 			is.NoErr(err)
-			held.release <- struct{}{}
+			held.Release <- struct{}{}
 			status, closes := c.read()
 			is.Equal(status, http.StatusOK)
 			is.True(closes)
