One refusal of a stopping VM, one question whether callers are left

Change: forward.RefuseStopping, Edge.hasCallers. No change of behaviour. Result: tests of forward, entry and platform and those of stops in edge pass, linter clean.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -186,7 +186,7 @@
 	r := s.request
 	for {
 		if !f.options.Accepts(r) {
-			return nil, s.finalError(refuseStopping())
+			return nil, s.finalError(RefuseStopping())
 		}
 		if refusal := f.followCrashes(s); refusal != nil {
 			return nil, s.finalError(refusal)
@@ -212,7 +212,7 @@
 		}
 	}()
 	if !f.options.Accepts(r) {
-		return nil, false, s.finalError(refuseStopping())
+		return nil, false, s.finalError(RefuseStopping())
 	}
 	if !f.mayRun(s, slot.Server.Version) {
 		// Crashes may have become known during the wait in the queue.
@@ -381,8 +381,8 @@
 		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.followCrashes(s) == nil
 }
 
-// refuseStopping returns the refusal of a request that may outlast this VM.
-func refuseStopping() *outcome.Error {
+// RefuseStopping returns the refusal of a request that may outlast this VM.
+func RefuseStopping() *outcome.Error {
 	return outcome.NotRun(outcome.Stopping, "this VM stops, and the request may outlast it")
 }
 
@@ -422,7 +422,7 @@
 	case dispatch.VersionExcluded:
 		return f.refusePoisonous(s)
 	case dispatch.Stopping:
-		return refuseStopping()
+		return RefuseStopping()
 	default:
 	}
 	reason := map[dispatch.Reason]outcome.Reason{
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -59,7 +59,7 @@
 	e.log.Info("idle connections of callers are closed", "open", e.callers.Open(), "inFlight", e.handler.InFlight())
 	e.callers.CloseIdle()
 	waitEnds := e.clock.After(window.WaitEnds().Sub(e.clock.Boot()))
-	for (e.callers.Open() > 0 || e.handler.InFlight() > 0) && drainCtx.Err() == nil {
+	for e.hasCallers() && drainCtx.Err() == nil {
 		select {
 		case <-waitEnds:
 			e.dispatcher.Tick()
@@ -81,12 +81,15 @@
 	}
 }
 
+// hasCallers reports whether a connection of a caller is open or a request is in flight.
+func (e *Edge) hasCallers() bool { return e.callers.Open() > 0 || e.handler.InFlight() > 0 }
+
 // answerLast gives up the requests that are still in flight and waits until their callers have the answers.
 func (e *Edge) answerLast(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lastAnswerTime)
 	defer cancel()
 	e.handler.GiveUp()
-	for (e.callers.Open() > 0 || e.handler.InFlight() > 0) && ctx.Err() == nil {
+	for e.hasCallers() && ctx.Err() == nil {
 		<-e.clock.After(drainPollPeriod)
 	}
 }
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -204,7 +204,7 @@
 	}
 	if !h.deps.Accepts(request) {
 		// Its wait for the allotment could outlast this VM.
-		return nil, outcome.NotRun(outcome.Stopping, "this VM stops, and the request may outlast it")
+		return nil, forward.RefuseStopping()
 	}
 	ticket, err := h.deps.Admit(ctx, customer, request.Deadline)
 	if err != nil {
