Log each grant: fence, range, hold, term, times, and why the former owner holds nothing

Cause: a line was written only when keys had a new owner. It named neither hold nor term nor times, and not why the former owner holds nothing any more, so that a report of two owners can't be traced from the VMs' output.

Change: lines on grants and releases name range, process, fence, term, hold, when the call was written and when it ended, counted from its issue, and whether another VM made it. Keys with a new owner name the former one, the reason (released, expired, ended) and its last grant.

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -51,10 +51,28 @@
 	// Release says that the keys are to be released rather than granted.
 	Release  bool
 	Handover string
+	// Former is the previous owner of keys that move, and Vacancy why it holds them no more.
+	Former  fleet.Incarnation
+	Vacancy Vacancy
+	// FormerGrantAt is when this leader last issued a grant to the previous owner; 0 means that it issued none.
+	FormerGrantAt clock.Instant
 	// IssuedAt is when the command was issued; the wait for an unreachable holder is measured from here.
 	IssuedAt clock.Instant
 }
 
+// Vacancy is why the previous owner of moving keys holds them no more.
+type Vacancy string
+
+// Reasons for which a previous owner holds no keys.
+const (
+	// Released means that it has answered a release.
+	Released Vacancy = "released"
+	// Expired means that its last grant has run out.
+	Expired Vacancy = "expired"
+	// Ended means that its incarnation has ended.
+	Ended Vacancy = "ended"
+)
+
 // IsExpired reports whether a grant was issued so long ago that it must not be sent any more.
 //
 // A process that is paused between issuing and sending a grant could otherwise
@@ -186,12 +204,17 @@
 // released them, has ended, or can't hold them any more.
 func (g *Granter) nextCommand(now clock.Instant, service id.Service, r fleet.Range, s *rangeState, liveness Liveness) (c Command, ok bool) {
 	c = Command{Service: service, Incarnation: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: s.handover, IssuedAt: now}
+	vacancy := Vacancy("")
+	if !s.granted {
+		vacancy = s.vacancy(now, *r.PreviousOwner, liveness)
+	}
 	switch {
 	case s.granted:
 		if liveness.IsSuspended(r.Owner) || liveness.IsDead(r.Owner) {
 			return c, false
 		}
-	case s.released || now > s.holdExpiry && !liveness.Isolated || liveness.IsDead(*r.PreviousOwner):
+	case vacancy != "":
+		c.Former, c.Vacancy, c.FormerGrantAt = *r.PreviousOwner, vacancy, g.lastGrantAt[holder{service, *r.PreviousOwner}]
 		unavailable := liveness.IsDead(r.Owner) || liveness.IsSuspended(r.Owner) || liveness.IsLeaving != nil && liveness.IsLeaving(r.Owner)
 		s.abandoned = unavailable || liveness.IsLost(r.Owner)
 		if unavailable {
@@ -206,6 +229,20 @@
 	return c, true
 }
 
+// vacancy returns why the previous owner of moving keys holds them no more; it is empty while the previous owner may hold them.
+func (s *rangeState) vacancy(now clock.Instant, former fleet.Incarnation, liveness Liveness) Vacancy {
+	switch {
+	case s.released:
+		return Released
+	case now > s.holdExpiry && !liveness.Isolated:
+		return Expired
+	case liveness.IsDead(former):
+		return Ended
+	default:
+		return ""
+	}
+}
+
 // Report records the outcome of a command.
 func (g *Granter) Report(now clock.Instant, c Command, outcome Outcome, handover string) {
 	s, ok := g.ranges[rangeKey{c.Service, c.From, c.To, c.Fence}]
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/gossip"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
@@ -27,7 +29,8 @@
 		Isolated:    isolated,
 	})
 	k.mu.Unlock()
-	for _, c := range commands {
+	for _, command := range commands {
+		c := &call{Command: command, term: s.Leader.Term, hold: k.holdTime()}
 		k.edge.tasks.Go(ctx, func(ctx context.Context) {
 			defer func() {
 				if value := recover(); value != nil {
@@ -41,14 +44,56 @@
 	}
 }
 
+// call is a grant or release call with what its log line tells.
+type call struct {
+	ownership.Command
+	// term is the term in which the command was issued.
+	term id.Revision
+	hold time.Duration
+	// writtenAt is when this VM began to write the call; 0 if it didn't.
+	writtenAt clock.Instant
+	relayed   bool
+}
+
+// logArgs returns what a log line tells of the call: which keys, under which fence and term, and when it was written after it was issued. The
+// line itself is written when the call is answered or given up.
+func (c *call) logArgs(now clock.Instant, more ...any) []any {
+	args := []any{
+		"service", string(c.Service), "from", int(c.From), "to", int(c.To), "server", string(c.Incarnation.Server), "born", int64(c.Incarnation.Born),
+		"fence", int64(c.Fence), "term", c.term.Number(), "endedAfter", now.Sub(c.IssuedAt).String(),
+	}
+	if !c.Release {
+		args = append(args, "hold", c.hold.String())
+	}
+	if c.writtenAt > 0 {
+		args = append(args, "writtenAfter", c.writtenAt.Sub(c.IssuedAt).String())
+	}
+	if c.relayed {
+		args = append(args, "relayed", true)
+	}
+	return append(args, more...)
+}
+
+// formerArgs returns what a log line tells of the previous owner of moved keys: why it holds them no more, and when it was last granted keys.
+func (c *call) formerArgs() (args []any) {
+	if c.Vacancy == "" {
+		return nil
+	}
+	args = []any{"former", string(c.Former.Server), "formerBorn", int64(c.Former.Born), "vacancy", string(c.Vacancy)}
+	if c.FormerGrantAt > 0 {
+		args = append(args, "formerGrantBefore", c.IssuedAt.Sub(c.FormerGrantAt).String())
+	}
+	return args
+}
+
 // execute makes one grant or release call.
-func (k *keyManager) execute(ctx context.Context, c ownership.Command) {
+func (k *keyManager) execute(ctx context.Context, c *call) {
 	e := k.edge
 	timeout := ownership.GrantTimeout
-	call := platform.GrantCall(c.From, c.To, c.Fence, k.holdTime().Seconds(), c.Handover)
+	request := platform.GrantCall(c.From, c.To, c.Fence, c.hold.Seconds(), c.Handover)
 	if c.Release {
 		timeout = ownership.ReleaseTimeout
-		call = platform.ReleaseCall(c.From, c.To, c.Fence)
+		request = platform.ReleaseCall(c.From, c.To, c.Fence)
 	}
 	server, known := k.lookupServer(c.Incarnation)
 	if !known || c.IsExpired(e.clock.Boot()) {
@@ -57,18 +102,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := json.Marshal(call.Body)
+	body, err := json.Marshal(request.Body)
 	if err != nil {
 		e.log.Error("a call to a backend server could not be encoded", "error", err)
 		return
 	}
 	header := http.Header{"Content-Type": {"application/json"}, platform.HeaderExpect: {string(c.Incarnation.Server)}}
 	result := e.attempt(ctx, relay.Attempt{
-		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: call.Path, Host: server.Address,
+		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: request.Path, Host: server.Address,
 		Header: header, Body: body, Timeout: timeout, Command: true,
 		// Responses to commands carry no id: a late copy of that to a grant would end the former owner's hold too early.
 		NewConnection: c.Release,
 	})
+	c.writtenAt, c.relayed = result.WrittenAt, result.Relayed
 	switch {
 	case result.Failure != nil:
 		if result.Failure.Refused {
@@ -80,7 +126,7 @@
 	case result.Status == http.StatusConflict:
 		k.recordOutcome(c, ownership.Refused, "", false)
 	default:
-		e.log.Warn("an order was turned down", "server", string(c.Incarnation.Server), "release", c.Release, "status", result.Status)
+		e.log.Warn("an order was turned down", c.logArgs(e.clock.Boot(), "release", c.Release, "status", result.Status)...)
 		k.recordOutcome(c, ownership.Unanswered, "", false)
 		k.recordRejection(c.Incarnation)
 	}
@@ -103,12 +149,12 @@
 }
 
 // recordOutcome records the outcome of a call and announces a completed grant to the other VMs.
-func (k *keyManager) recordOutcome(c ownership.Command, outcome ownership.Outcome, handover string, connectionRefused bool) {
+func (k *keyManager) recordOutcome(c *call, outcome ownership.Outcome, handover string, connectionRefused bool) {
 	e := k.edge
 	now := e.clock.Boot()
 	k.mu.Lock()
 	moved := !c.Release && !k.granter.IsGranted(c.Service, fleet.Range{From: c.From, To: c.To, Fence: c.Fence})
-	k.granter.Report(now, c, outcome, handover)
+	k.granter.Report(now, c.Command, outcome, handover)
 	moved = moved && outcome == ownership.Done
 	wasLost := k.isLost(now, c.Incarnation)
 	// A failed call says nothing of the backend server while the fault may be that of this VM's links.
@@ -125,13 +171,15 @@
 		e.dispatcher.MarkMoved(c.Service, c.Fence)
 		k.queueGrant(gossip.Grant{Service: c.Service, Fence: c.Fence})
 		e.notify(e.updatesPending)
-		e.log.Info("keys have a new owner", "service", string(c.Service), "from", int(c.From), "to", int(c.To), "server", string(c.Incarnation.Server), "fence", int64(c.Fence), "warm", c.Handover != "")
+		e.log.Info("keys have a new owner", c.logArgs(now, append(c.formerArgs(), "warm", c.Handover != "")...)...)
 	case outcome == ownership.Done && c.Release:
-		e.log.Info("keys were released", "service", string(c.Service), "from", int(c.From), "to", int(c.To), "server", string(c.Incarnation.Server), "fence", int64(c.Fence), "handover", handover != "")
+		e.log.Info("keys were released", c.logArgs(now, "handover", handover != "")...)
 		e.notify(e.replan)
 	case outcome == ownership.Refused:
-		e.log.Warn("a grant was refused: a higher fence was seen", "service", string(c.Service), "server", string(c.Incarnation.Server), "fence", int64(c.Fence))
+		e.log.Warn("a grant was refused: a higher fence was seen", c.logArgs(now)...)
 	case outcome == ownership.Unanswered:
-		e.log.Warn("an order was not answered", "service", string(c.Service), "server", string(c.Incarnation.Server), "release", c.Release, "fence", int64(c.Fence), "refused", connectionRefused)
+		e.log.Warn("an order was not answered", c.logArgs(now, "release", c.Release, "refused", connectionRefused)...)
+	case e.log.Enabled(context.Background(), slog.LevelDebug):
+		e.log.Debug("a grant was renewed", c.logArgs(now)...)
 	}
 }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -43,7 +43,7 @@
 }
 
 // attemptDirectly makes an attempt on a connection of this VM.
-func (e *Edge) attemptDirectly(ctx context.Context, a relay.Attempt) relay.Result {
+func (e *Edge) attemptDirectly(ctx context.Context, a relay.Attempt) (r relay.Result) {
 	if a.Timeout <= 0 {
 		return relay.Result{Failure: &relay.Failure{Cause: "no time is left"}}
 	}
@@ -54,7 +54,8 @@
 	request := http1.Request{
 		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
 		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
-		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
+		OnHead:      func(status int, h http.Header) { e.observeHead(a, status, h) },
+		BeforeWrite: func() { r.WrittenAt = e.clock.Boot() },
 	}
 	if a.Command {
 		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, "") }
@@ -75,19 +76,22 @@
 	defer func() { e.reach.End(wait, answered) }()
 	resp, err := e.backends.Do(ctx, request)
 	if err != nil {
-		return relay.Result{Failure: &relay.Failure{
+		r.Failure = &relay.Failure{
 			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection),
 			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Cause: err.Error(),
-		}}
+		}
+		return r
 	}
 	answered = true
 	e.reach.Answered(wait)
 	defer resp.Body.Close()
 	body, err := http1.ReadBody(resp.Body, maxResponseBytes, e.bodies)
 	if err != nil {
-		return relay.Result{Failure: &relay.Failure{Sent: true, Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Cause: "read the answer: " + err.Error()}}
+		r.Failure = &relay.Failure{Sent: true, Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Cause: "read the answer: " + err.Error()}
+		return r
 	}
-	return relay.Result{Status: resp.Status, Header: resp.Header, Body: body}
+	r.Status, r.Header, r.Body = resp.Status, resp.Header, body
+	return r
 }
 
 // attemptThroughOthers makes an attempt through another VM; ok is false if all that were asked declined.
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -44,6 +44,8 @@
 	Match func(status int, h http.Header) Match
 	// OnHead is called with the head of each response that is read on the connection, also of those to other requests; nil means no call.
 	OnHead func(status int, h http.Header)
+	// BeforeWrite is called when a connection is there, right before the request is written; nil means no call.
+	BeforeWrite func()
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
 	// NewConnection requires a new connection, since an idle one may have been dropped without notice.
@@ -134,6 +136,9 @@
 			conn.reset()
 		}
 	}()
+	if r.BeforeWrite != nil {
+		r.BeforeWrite()
+	}
 	if response, err = conn.roundTrip(ctx, r); err != nil {
 		return nil, errors.Mark(err, errSent)
 	}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/http1"
@@ -79,6 +80,8 @@
 	Failure *Failure    `cbor:"4,keyasint"`
 	// Relayed says that the attempt was made through another VM. The VM that asked for it sets it.
 	Relayed bool `cbor:"-"`
+	// WrittenAt is when this VM began to write the request; 0 if it didn't.
+	WrittenAt clock.Instant `cbor:"-"`
 }
 
 // Failure is why an attempt has no response.
