Release keys at the process that runs under the id of an ended former owner

What callers saw: two backend servers held the same keys for up to 2.5 s, after a backend server had started again under its id.

Cause: calls carry the id and address of a backend server, not its start. A process that starts under the id of a former one takes the renewals that are meant for the former one, until its entry in the store shows the later start; that can take seconds if it is cut off from the store, or the store is away. From then on the former process counted as ended, "so that it holds no keys", and the keys were granted to others at once, while the new process held them under the old fence.

Change: the last grant is remembered by server id, whatever its start. Keys of an ended process whose id has a later one are released at the later one, or waited out. That also holds for an entry with a later start that another writer has left under a live server's id. Where another server runs at the address, as said by its answer, nothing is waited for, as before.

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -122,11 +122,13 @@
 
 // holder is a backend server that may hold keys of a service.
 //
-// It has no fence: a range gets a new one when it is merged with its neighbour
-// or refused, while its owner still holds the keys under the old one.
+// It has no start time: calls reach whatever process has the server's id, so
+// grants for a former one may have been taken by its successor. It has no fence:
+// a range gets a new one when it is merged with its neighbour or refused, while
+// its owner still holds the keys under the old one.
 type holder struct {
-	service     id.Service
-	incarnation fleet.Incarnation
+	service id.Service
+	server  id.Server
 }
 
 // Granter turns tables into commands to backend servers; it is not safe for concurrent use.
@@ -145,8 +147,11 @@
 
 // Liveness holds what the leader knows about the incarnations of backend servers.
 type Liveness struct {
-	// IsDead reports whether an incarnation has ended, so that it holds no keys.
+	// IsDead reports whether an incarnation has ended.
 	IsDead func(i fleet.Incarnation) bool
+	// Successor returns the incarnation that has started under the id of an ended one; ok is false if there is none. It may have taken
+	// grants that were meant for the ended one. Nil means that there are none.
+	Successor func(i fleet.Incarnation) (next fleet.Incarnation, ok bool)
 	// IsSuspended reports whether an incarnation must not be granted keys at the moment.
 	IsSuspended func(i fleet.Incarnation) bool
 	// IsLost reports whether an incarnation has left so many commands unanswered that its keys are reassigned.
@@ -157,6 +162,14 @@
 	Isolated bool
 }
 
+// successor returns the incarnation that has started under the id of an ended one.
+func (l Liveness) successor(i fleet.Incarnation) (next fleet.Incarnation, ok bool) {
+	if l.Successor == nil {
+		return next, false
+	}
+	return l.Successor(i)
+}
+
 // Due returns the commands to be sent now for a table.
 func (g *Granter) Due(now clock.Instant, t *fleet.Table, liveness Liveness) (commands []Command) {
 	known := map[rangeKey]bool{}
@@ -190,7 +203,7 @@
 	}
 	s := &rangeState{nextCommandAt: now, granted: !r.Moving()}
 	if r.Moving() {
-		last := max(g.electedAt.Add(failoverSlack), g.lastGrantAt[holder{key.service, *r.PreviousOwner}])
+		last := max(g.electedAt.Add(failoverSlack), g.lastGrantAt[holder{key.service, r.PreviousOwner.Server}])
 		s.holdExpiry = last.Add(maxHoldTime)
 	}
 	g.ranges[key] = s
@@ -214,7 +227,7 @@
 			return c, false
 		}
 	case vacancy != "":
-		c.Former, c.Vacancy, c.FormerGrantAt = *r.PreviousOwner, vacancy, g.lastGrantAt[holder{service, *r.PreviousOwner}]
+		c.Former, c.Vacancy, c.FormerGrantAt = *r.PreviousOwner, vacancy, g.lastGrantAt[holder{service, r.PreviousOwner.Server}]
 		unavailable := liveness.IsDead(r.Owner) || liveness.IsSuspended(r.Owner) || liveness.IsLeaving != nil && liveness.IsLeaving(r.Owner)
 		s.abandoned = unavailable || liveness.IsLost(r.Owner)
 		if unavailable {
@@ -222,21 +235,25 @@
 		}
 	default:
 		c.Incarnation, c.Release, c.Handover = *r.PreviousOwner, true, ""
+		if next, hasSuccessor := liveness.successor(c.Incarnation); hasSuccessor {
+			c.Incarnation = next
+		}
 		return c, true
 	}
-	h := holder{service, r.Owner}
+	h := holder{service, r.Owner.Server}
 	g.lastGrantAt[h] = max(g.lastGrantAt[h], now)
 	return c, true
 }
 
 // vacancy returns why the previous owner of moving keys holds them no more; it is empty while the previous owner may hold them.
 func (s *rangeState) vacancy(now clock.Instant, former fleet.Incarnation, liveness Liveness) Vacancy {
+	_, hasSuccessor := liveness.successor(former)
 	switch {
 	case s.released:
 		return Released
 	case now > s.holdExpiry && !liveness.Isolated:
 		return Expired
-	case liveness.IsDead(former):
+	case liveness.IsDead(former) && !hasSuccessor:
 		return Ended
 	default:
 		return ""
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -15,17 +15,26 @@
 	const electedAt = clock.Instant(time.Hour)
 	a, b := incarnation("a"), incarnation("b")
 	never := func(fleet.Incarnation) bool { return false }
+	isA := func(i fleet.Incarnation) bool { return i == a }
+	laterA := fleet.Incarnation{Server: a.Server, Born: a.Born + 1}
+	restarted := func(i fleet.Incarnation) (fleet.Incarnation, bool) { return laterA, i == a }
 	table := &fleet.Table{Service: service, Fence: 2, Ranges: []fleet.Range{{From: 0, To: 9, Owner: b, Fence: 2, PreviousOwner: &a, PreviousFence: 1}}}
 	tests := map[string]struct {
 		after    time.Duration
 		liveness ownership.Liveness
 		want     fleet.Incarnation
+		// release says that the command is a release; a release to a process other than a is one to its successor.
+		release bool
 	}{
-		"sends a release to the previous owner first": {liveness: ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}, want: a},
-		"the previous owner may still hold the keys":  {after: ownership.GrantTTL, liveness: ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}, want: a},
+		"sends a release to the previous owner first": {liveness: ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}, want: a, release: true},
+		"the previous owner may still hold the keys":  {after: ownership.GrantTTL, liveness: ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}, want: a, release: true},
 		"the previous owner's grant has expired":      {after: 2 * ownership.GrantTTL, liveness: ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}, want: b},
-		"an isolated leader doesn't rely on expiry":   {after: 2 * ownership.GrantTTL, liveness: ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never, Isolated: true}, want: a},
-		"the previous owner's incarnation has ended":  {liveness: ownership.Liveness{IsDead: func(i fleet.Incarnation) bool { return i == a }, IsSuspended: never, IsLost: never}, want: b},
+		"an isolated leader doesn't rely on expiry":   {after: 2 * ownership.GrantTTL, liveness: ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never, Isolated: true}, want: a, release: true},
+		"the previous owner's incarnation has ended":  {liveness: ownership.Liveness{IsDead: isA, IsSuspended: never, IsLost: never}, want: b},
+		"a later process has the previous owner's id": {liveness: ownership.Liveness{IsDead: isA, Successor: restarted, IsSuspended: never, IsLost: never}, want: laterA, release: true},
+		"the later process can't hold keys any more": {
+			after: 2 * ownership.GrantTTL, liveness: ownership.Liveness{IsDead: isA, Successor: restarted, IsSuspended: never, IsLost: never}, want: b,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -37,7 +46,7 @@
 			commands := g.Due(electedAt.Add(max(test.after, time.Second)), table, test.liveness)
 			is.Equal(len(commands), 1)
 			is.Equal(commands[0].Incarnation, test.want)
-			is.Equal(commands[0].Release, test.want == a)
+			is.Equal(commands[0].Release, test.release)
 		})
 	}
 }
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -23,6 +23,7 @@
 	k.mu.Lock()
 	commands := k.granter.Due(now, t, ownership.Liveness{
 		IsDead:      func(inc fleet.Incarnation) bool { return k.hasEnded(s, inc) },
+		Successor:   func(inc fleet.Incarnation) (fleet.Incarnation, bool) { return k.successor(s, inc) },
 		IsSuspended: func(inc fleet.Incarnation) bool { return k.isSuspended(now, inc) },
 		IsLost:      func(inc fleet.Incarnation) bool { return k.isLost(now, inc) },
 		IsLeaving:   k.edge.departures.IsLeaving,
--- a/edge/incarnations.go
+++ b/edge/incarnations.go
@@ -15,7 +15,7 @@
 	rejected bool
 }
 
-// recordIncarnations records which incarnations have ended: an entry with a later start time ends the former incarnation of the server, which then holds no keys.
+// recordIncarnations records which incarnations have ended: an entry with a later start time ends the former incarnation of the server.
 //
 // An entry with an earlier start time is a stale update about a former incarnation and is ignored.
 func (k *keyManager) recordIncarnations(s *fleet.Snapshot) {
@@ -50,6 +50,15 @@
 	return latest.Server != inc.Server && latest.Born > inc.Born
 }
 
+// successor returns the incarnation that has started under the id of an ended one. Calls that were meant for the ended one have reached it.
+func (k *keyManager) successor(s *fleet.Snapshot, inc fleet.Incarnation) (next fleet.Incarnation, ok bool) {
+	next = k.incarnations[inc.Server]
+	if server, listed := s.Servers[inc.Server]; listed && server.Born > next.Born {
+		next = server.Incarnation
+	}
+	return next, next.Born > inc.Born
+}
+
 // isSuspended reports whether a backend server may have restarted without its entry showing it yet.
 func (k *keyManager) isSuspended(now clock.Instant, inc fleet.Incarnation) bool {
 	state, ok := k.failureStates[inc]
