Fence off grants that are still on their way before keys are released

What callers could see: two backend servers hold the same keys after a move, for as long as a renewal that got no answer has time left.

Cause: a release ends what the former owner holds, not what it may still take: a renewal without answer that is carried out late, one that is overtaken by the release, or one of a former leader that doesn't know of the move.

Change: where the former owner may still take a grant (one without answer, or in flight, within the hold time; a former leader in the hold time after an election), it is first granted the keys under a fence reserved for it, below that of the move, and then released. It serves its keys meanwhile. Each reserved fence is used for one call, since a late copy with the same fence would be taken. If none is answered, the hold time is waited out. Once the former owner's vacancy is certain it stays so. A move that a former leader began isn't fenced, as the new owner may hold the keys: it counts as done if that leader announced it, and is waited out else. A call that certainly wasn't carried out counts as no grant.

TestFormerOwnerRefusesLateRenewals names the calls. TestLeavingOwnerGetsNoFurtherKeys plays a move that was there at the election; it now lets the time of former leaders pass before it asks for the same.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -225,6 +225,13 @@
 	d.wake(service)
 }
 
+// IsMoved reports whether the new owner of moving keys has accepted their fence, as far as this VM has heard.
+func (d *Dispatcher) IsMoved(service id.Service, fence fleet.Fence) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.movedFences[service][fence]
+}
+
 // maxMovedFences limits the recorded fences of finished moves; the key tables in the store drop such moves soon.
 const maxMovedFences = 4096
 
--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hickorylug/hickorylug/state/clock"
@@ -49,7 +50,9 @@
 	To          fleet.Key
 	Fence       fleet.Fence
 	// Release says that the keys are to be released rather than granted.
-	Release  bool
+	Release bool
+	// Fencing says that the previous owner of moving keys is granted them under a higher fence, so that it refuses all earlier grants.
+	Fencing  bool
 	Handover string
 	// Former is the previous owner of keys that move, and Vacancy why it holds them no more.
 	Former  fleet.Incarnation
@@ -58,6 +61,10 @@
 	FormerGrantAt clock.Instant
 	// IssuedAt is when the command was issued; the wait for an unreachable holder is measured from here.
 	IssuedAt clock.Instant
+	// key identifies the range that the command is for; its fence differs from that of a fencing grant.
+	key rangeKey
+	// isolated says that a former leader may still have renewed grants when the command was issued.
+	isolated bool
 }
 
 // Vacancy is why the previous owner of moving keys holds them no more.
@@ -92,8 +99,13 @@
 	Refused
 	// Unanswered means that the command failed or timed out; the backend server may still carry it out later.
 	Unanswered
+	// Undelivered means that the command failed and the backend server certainly doesn't carry it out.
+	Undelivered
 )
 
+// IsAnswered reports whether the backend server has answered the command as its owner or previous owner.
+func (o Outcome) IsAnswered() bool { return o == Done || o == Refused }
+
 // rangeKey identifies a range of a table; the parts of a split range share its fence but differ in their keys.
 type rangeKey struct {
 	service id.Service
@@ -110,42 +122,41 @@
 	abandoned bool
 	// grantedAt is when the owner first confirmed a grant of the keys.
 	grantedAt clock.Instant
-	refused   bool
-	inFlight  bool
+	// refused says that a backend server refused a grant, having seen a higher fence.
+	refused  bool
+	inFlight bool
 	// nextCommandAt is when the next command for the range may be sent.
 	nextCommandAt clock.Instant
-	// holdExpiry is when the last grant of the previous owner has expired for certain.
-	holdExpiry clock.Instant
-	released   bool
-	handover   string
-}
-
-// holder is a backend server that may hold keys of a service.
-//
-// It has no start time: calls reach whatever process has the server's id, so
-// grants for a former one may have been taken by its successor. It has no fence:
-// a range gets a new one when it is merged with its neighbour or refused, while
-// its owner still holds the keys under the old one.
-type holder struct {
-	service id.Service
-	server  id.Server
+	// inherited says that a former leader planned the move, so that the new owner may hold the keys already.
+	inherited bool
+	// fencings counts the fencing grants without answer; fenced says that the previous owner took the latest one.
+	fencings int
+	fenced   bool
+	// released says that the previous owner has answered a release, and outdated that it may have taken an earlier grant since.
+	released, outdated bool
+	// heldFrom is when the latest grant of the keys to the previous owner was issued that it may have taken.
+	heldFrom clock.Instant
+	// vacancy is why the previous owner holds the keys no more, once that is certain; from then on the new owner may hold them.
+	vacancy  Vacancy
+	handover string
 }
 
 // Granter turns tables into commands to backend servers; it is not safe for concurrent use.
 type Granter struct {
-	// electedAt is when this VM became the leader; former leaders may have sent grants until shortly after.
-	electedAt clock.Instant
-	ranges    map[rangeKey]*rangeState
-	// lastGrantAt is when a grant was last sent to a backend server.
-	lastGrantAt map[holder]clock.Instant
+	// formerUntil is the time until which former leaders may have issued grants.
+	formerUntil clock.Instant
+	ranges      map[rangeKey]*rangeState
+	holders     map[holder]*grants
+	// planned holds the moves that this leader has planned.
+	planned map[rangeKey]bool
 }
 
 // NewGranter returns the granter of a leader that is elected now.
 func NewGranter(now clock.Instant) *Granter {
-	return &Granter{electedAt: now, ranges: map[rangeKey]*rangeState{}, lastGrantAt: map[holder]clock.Instant{}}
+	return &Granter{formerUntil: now.Add(failoverSlack), ranges: map[rangeKey]*rangeState{}, holders: map[holder]*grants{}, planned: map[rangeKey]bool{}}
 }
 
-// Liveness holds what the leader knows about the incarnations of backend servers.
+// Liveness holds what the leader knows about the incarnations of backend servers, and about former leaders.
 type Liveness struct {
 	// IsDead reports whether an incarnation has ended.
 	IsDead func(i fleet.Incarnation) bool
@@ -158,6 +169,8 @@
 	IsLost func(i fleet.Incarnation) bool
 	// IsLeaving reports whether an incarnation has announced that it leaves, so that it gets no further keys; nil means that none has.
 	IsLeaving func(i fleet.Incarnation) bool
+	// IsMoved reports whether a former leader has announced that the new owner took the keys of a move; nil means that none was announced.
+	IsMoved func(service id.Service, fence fleet.Fence) bool
 	// Isolated says that this VM reaches too few others to know that no former leader still renews grants.
 	Isolated bool
 }
@@ -170,88 +183,96 @@
 	return l.Successor(i)
 }
 
+// canTakeKeys reports whether an incarnation may be granted keys that it doesn't hold.
+func (l Liveness) canTakeKeys(i fleet.Incarnation) bool {
+	return !l.IsDead(i) && !l.IsSuspended(i) && (l.IsLeaving == nil || !l.IsLeaving(i))
+}
+
 // Due returns the commands to be sent now for a table.
 func (g *Granter) Due(now clock.Instant, t *fleet.Table, liveness Liveness) (commands []Command) {
 	known := map[rangeKey]bool{}
 	for _, r := range t.Ranges {
 		key := rangeKey{t.Service, r.From, r.To, r.Fence}
 		known[key] = true
-		s := g.rangeState(now, key, r)
+		s := g.rangeState(now, key, r, liveness)
 		if s.inFlight || now < s.nextCommandAt || s.refused {
 			continue
 		}
-		if c, ok := g.nextCommand(now, t.Service, r, s, liveness); ok {
+		if c, ok := g.nextCommand(now, key, r, s, liveness); ok {
 			s.inFlight = true
 			commands = append(commands, c)
 		}
 	}
-	for key := range g.ranges {
-		if key.service == t.Service && !known[key] {
-			delete(g.ranges, key)
-		}
-	}
+	g.forget(now, t, known)
 	return commands
 }
 
+// forget removes the state of ranges that the table no longer has, and of holders whose grants are over.
+func (g *Granter) forget(now clock.Instant, t *fleet.Table, known map[rangeKey]bool) {
+	isGone := func(key rangeKey) bool { return key.service == t.Service && key.fence <= t.Fence && !known[key] }
+	maps.DeleteFunc(g.ranges, func(key rangeKey, _ *rangeState) bool { return isGone(key) })
+	maps.DeleteFunc(g.planned, func(key rangeKey, _ bool) bool { return isGone(key) })
+	maps.DeleteFunc(g.holders, func(_ holder, sent *grants) bool { return sent.isOver(now) })
+}
+
 // rangeState returns the state of a range; the next command for a part of a split range is due at once.
-func (g *Granter) rangeState(now clock.Instant, key rangeKey, r fleet.Range) *rangeState {
-	if s, ok := g.ranges[key]; ok {
-		if !r.Moving() {
-			s.granted = true
+func (g *Granter) rangeState(now clock.Instant, key rangeKey, r fleet.Range, liveness Liveness) *rangeState {
+	s, ok := g.ranges[key]
+	if !ok {
+		s = &rangeState{nextCommandAt: now, inherited: !g.planned[key]}
+		if r.Moving() {
+			s.heldFrom = g.holders[holder{key.service, r.PreviousOwner.Server}].latest()
 		}
-		return s
-	}
-	s := &rangeState{nextCommandAt: now, granted: !r.Moving()}
-	if r.Moving() {
-		last := max(g.electedAt.Add(failoverSlack), g.lastGrantAt[holder{key.service, r.PreviousOwner.Server}])
-		s.holdExpiry = last.Add(maxHoldTime)
+		s.granted = s.inherited && liveness.IsMoved != nil && liveness.IsMoved(key.service, key.fence)
+		g.ranges[key] = s
 	}
-	g.ranges[key] = s
+	s.granted = s.granted || !r.Moving()
 	return s
 }
 
 // nextCommand returns the command that a range needs now; ok is false if it needs none.
 //
-// Granted keys are granted again, to renew the grant. Moving keys are released by
-// their previous owner, and granted to the new one once the previous owner has
-// released them, has ended, or can't hold them any more.
-func (g *Granter) nextCommand(now clock.Instant, service id.Service, r fleet.Range, s *rangeState, liveness Liveness) (c Command, ok bool) {
-	c = Command{Service: service, Incarnation: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: s.handover, IssuedAt: now}
-	vacancy := Vacancy("")
-	if !s.granted {
-		vacancy = s.vacancy(now, *r.PreviousOwner, liveness)
+// Granted keys are granted again, to renew the grant. Moving keys are granted to
+// the new owner once the previous one holds them no more.
+func (g *Granter) nextCommand(now clock.Instant, key rangeKey, r fleet.Range, s *rangeState, liveness Liveness) (c Command, ok bool) {
+	c = Command{
+		Service: key.service, Incarnation: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: s.handover, IssuedAt: now, key: key, isolated: liveness.Isolated,
 	}
-	switch {
-	case s.granted:
-		if liveness.IsSuspended(r.Owner) || liveness.IsDead(r.Owner) {
-			return c, false
-		}
-	case vacancy != "":
-		c.Former, c.Vacancy, c.FormerGrantAt = *r.PreviousOwner, vacancy, g.lastGrantAt[holder{service, r.PreviousOwner.Server}]
-		unavailable := liveness.IsDead(r.Owner) || liveness.IsSuspended(r.Owner) || liveness.IsLeaving != nil && liveness.IsLeaving(r.Owner)
-		s.abandoned = unavailable || liveness.IsLost(r.Owner)
-		if unavailable {
-			return c, false
-		}
-	default:
-		c.Incarnation, c.Release, c.Handover = *r.PreviousOwner, true, ""
-		if next, hasSuccessor := liveness.successor(c.Incarnation); hasSuccessor {
-			c.Incarnation = next
+	if s.granted {
+		ok = !liveness.IsSuspended(r.Owner) && !liveness.IsDead(r.Owner)
+		return g.issue(c, ok), ok
+	}
+	if s.vacancy == "" {
+		s.vacancy = g.vacancy(now, *r.PreviousOwner, s, liveness)
+	}
+	if s.vacancy == "" {
+		return g.vacate(now, c, r, s, liveness)
+	}
+	c.Vacancy, c.Former, c.FormerGrantAt = s.vacancy, *r.PreviousOwner, s.heldFrom
+	ok = liveness.canTakeKeys(r.Owner)
+	s.abandoned = !ok || liveness.IsLost(r.Owner)
+	return g.issue(c, ok), ok
+}
+
+// issue records a grant if it is sent.
+func (g *Granter) issue(c Command, isSent bool) Command {
+	if isSent {
+		h := holder{c.Service, c.Incarnation.Server}
+		if g.holders[h] == nil {
+			g.holders[h] = &grants{inFlight: map[grantID]bool{}}
 		}
-		return c, true
+		g.holders[h].issued(c.id())
 	}
-	h := holder{service, r.Owner.Server}
-	g.lastGrantAt[h] = max(g.lastGrantAt[h], now)
-	return c, true
+	return c
 }
 
 // vacancy returns why the previous owner of moving keys holds them no more; it is empty while the previous owner may hold them.
-func (s *rangeState) vacancy(now clock.Instant, former fleet.Incarnation, liveness Liveness) Vacancy {
+func (g *Granter) vacancy(now clock.Instant, former fleet.Incarnation, s *rangeState, liveness Liveness) Vacancy {
 	_, hasSuccessor := liveness.successor(former)
 	switch {
-	case s.released:
+	case s.released && !s.outdated:
 		return Released
-	case now > s.holdExpiry && !liveness.Isolated:
+	case now > max(g.formerUntil, s.heldFrom).Add(maxHoldTime) && !liveness.Isolated:
 		return Expired
 	case liveness.IsDead(former) && !hasSuccessor:
 		return Ended
@@ -260,19 +281,73 @@
 	}
 }
 
+// isInDoubt reports whether a backend server may still take a grant that was issued before, by this leader or a former one.
+func (g *Granter) isInDoubt(now clock.Instant, service id.Service, server id.Server, isolated bool) bool {
+	return isolated || now <= g.formerUntil.Add(maxHoldTime) || g.holders[holder{service, server}].isInDoubt(now)
+}
+
+// vacate returns the command after which the previous owner of moving keys holds them no more.
+//
+// A release ends what the previous owner holds, but not what it may still take:
+// grants that it hasn't answered, or those of a former leader. In such a case it
+// is first granted the keys under a fence that is above all of these, so that it
+// refuses them. This must not be done for a move of a former leader, which may
+// have granted the keys to the new owner already.
+func (g *Granter) vacate(now clock.Instant, c Command, r fleet.Range, s *rangeState, liveness Liveness) (command Command, ok bool) {
+	c.Incarnation, c.Handover = *r.PreviousOwner, ""
+	if next, hasSuccessor := liveness.successor(c.Incarnation); hasSuccessor {
+		c.Incarnation = next
+	}
+	inDoubt := !s.fenced && g.isInDoubt(now, c.Service, c.Incarnation.Server, liveness.Isolated)
+	fence, hasFence := fencingFence(r, s)
+	switch {
+	case inDoubt && hasFence && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation):
+		c.Fencing, c.Fence, s.heldFrom = true, fence, now
+		return g.issue(c, true), true
+	case s.released:
+		return c, false
+	default:
+		c.Release = true
+		return c, true
+	}
+}
+
+// reservedFences is the number of fences below that of a move that are reserved for fencing grants to the previous owner. Each of them is used
+// for one call, since a call without answer may be carried out after a later one with the same fence.
+const reservedFences = 3
+
+// fencingFence returns the next fence that is reserved for a move; ok is false if none is left.
+func fencingFence(r fleet.Range, s *rangeState) (fence fleet.Fence, ok bool) {
+	fence = r.Fence - reservedFences + fleet.Fence(s.fencings)
+	return fence, !s.inherited && s.fencings < reservedFences && fence > r.PreviousFence
+}
+
+// id identifies a grant among those of its holder.
+func (c Command) id() grantID { return grantID{c.key, c.Fence, c.IssuedAt} }
+
 // Report records the outcome of a command.
 func (g *Granter) Report(now clock.Instant, c Command, outcome Outcome, handover string) {
-	s, ok := g.ranges[rangeKey{c.Service, c.From, c.To, c.Fence}]
+	sent := g.holders[holder{c.Service, c.Incarnation.Server}]
+	if !c.Release && sent != nil {
+		sent.ended(c.id(), outcome)
+	}
+	s, ok := g.ranges[c.key]
 	if !ok {
 		return
 	}
 	s.inFlight = false
 	switch {
-	case outcome == Unanswered:
+	case !outcome.IsAnswered():
 		s.nextCommandAt = now.Add(retryDelay)
+		if c.Fencing && outcome == Unanswered {
+			s.fencings++
+		}
 	case outcome == Refused:
 		s.refused = true
+	case c.Fencing:
+		s.fenced, s.released, s.nextCommandAt = true, false, now
 	case c.Release:
+		s.outdated = !s.fenced && g.isInDoubt(now, c.Service, c.Incarnation.Server, c.isolated)
 		s.released, s.handover, s.nextCommandAt = true, handover, now
 	default:
 		if !s.granted {
@@ -310,12 +385,8 @@
 	return ok && s.granted && s.grantedAt >= since
 }
 
-// refusedFences returns the fences of ranges that their owner refused because it has seen a higher one.
-func (g *Granter) refusedFences(service id.Service) (out []fleet.Fence) {
-	for key, s := range g.ranges {
-		if key.service == service && s.refused {
-			out = append(out, key.fence)
-		}
-	}
-	return out
+// renewsFence reports whether a range needs a new fence, since a backend server has seen a higher one.
+func (g *Granter) renewsFence(service id.Service, r fleet.Range) bool {
+	s, ok := g.ranges[rangeKey{service, r.From, r.To, r.Fence}]
+	return ok && s.refused
 }
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -235,7 +235,7 @@
 
 // reassign returns a piece of range r with a new owner and a new fence.
 func (p *planner) reassign(piece, r fleet.Range, owner fleet.Incarnation) fleet.Range {
-	p.table.Fence++
+	p.table.Fence += 1 + reservedFences
 	piece.Owner, piece.Fence = owner, p.table.Fence
 	if r.Owner.Server != "" {
 		before := r.Owner
@@ -360,7 +360,7 @@
 	p.changed = true
 }
 
-// Revise returns the next table of a service: it completes ended moves, moves keys and renews the fences of refused grants.
+// Revise returns the next table of a service: it completes ended moves, moves keys and renews fences where necessary.
 //
 // Ended moves are completed before the plan is made, so that keys whose new
 // owner doesn't take them can be moved again. Settled reports whether moves
@@ -368,13 +368,14 @@
 // moves, which may be written together with the next change.
 func (g *Granter) Revise(t *fleet.Table, candidates []Candidate, load Load) (next *fleet.Table, moved, settled bool) {
 	next, settled = CompleteMoves(t, func(r fleet.Range) bool { return g.IsSettled(t.Service, r) })
+	next, renewed := renewFences(next, func(r fleet.Range) bool { return g.renewsFence(t.Service, r) })
 	next, moved = Plan(t.Service, next, candidates, load)
-	for _, fence := range g.refusedFences(t.Service) {
-		var renewed bool
-		next, renewed = renewFence(next, fence)
-		moved = moved || renewed
+	for _, r := range next.Ranges {
+		if r.Fence > t.Fence {
+			g.planned[rangeKey{t.Service, r.From, r.To, r.Fence}] = true
+		}
 	}
-	return next, moved, settled
+	return next, moved || renewed, settled
 }
 
 // CompleteMoves returns the table without the previous owners of the moves that have ended, and whether it differs.
@@ -389,12 +390,12 @@
 	return next, changed
 }
 
-// renewFence replaces a fence that a backend server refused, having seen a higher one, by a new fence.
-func renewFence(t *fleet.Table, fence fleet.Fence) (next *fleet.Table, changed bool) {
+// renewFences returns the table with new fences for some ranges, and whether it differs.
+func renewFences(t *fleet.Table, isDue func(fleet.Range) bool) (next *fleet.Table, changed bool) {
 	next = t.Clone()
 	for i, r := range next.Ranges {
-		if r.Fence == fence {
-			next.Fence++
+		if isDue(r) {
+			next.Fence += 1 + reservedFences
 			next.Ranges[i].Fence = next.Fence
 			changed = true
 		}
--- a/edge/incarnations.go
+++ b/edge/incarnations.go
@@ -81,7 +81,7 @@
 }
 
 func (k *keyManager) recordCallOutcome(now clock.Instant, inc fleet.Incarnation, outcome ownership.Outcome, connectionRefused bool) {
-	if outcome != ownership.Unanswered {
+	if outcome.IsAnswered() {
 		delete(k.failureStates, inc)
 		return
 	}
