A grant whose time has passed is not written, also after a pause while its connection was opened

A grant that arrives after its leader's successor has waited out the hold gives keys a second owner.

Cause: IsExpired was asked before the connection was taken or opened. A VM that stood still in between wrote the grant however old it was: the timer that gives a call up doesn't count suspended time.

Change: http1.Request.BeforeWrite returns an error, after which the request isn't sent and the connection is kept. It is called after the request was encoded, so that only the write follows. relay.Attempt has a local latest time, NotAfter; edge sets it for grants to their issue + GrantTimeout and checks it by clock.Boot in BeforeWrite. It also bounds the time left for attempts through other VMs. Releases are safe at any time and have none. The failure says that the grant was not sent.

TestRequestsHeldBackBeforeTheWrite covers new and kept connections; it doesn't compile against the code before, where BeforeWrite had no result.

What remains: the clock is read before the write, so a pause between these two still sends a late grant.

--- a/edge/commands.go
+++ b/edge/commands.go
@@ -89,10 +89,10 @@
 // execute makes one grant or release call.
 func (k *keyManager) execute(ctx context.Context, c *call) {
 	e := k.edge
-	timeout := ownership.GrantTimeout
+	timeout, notAfter := ownership.GrantTimeout, c.IssuedAt.Add(ownership.GrantTimeout)
 	request := platform.GrantCall(c.From, c.To, c.Fence, c.hold.Seconds(), c.Handover)
 	if c.Release {
-		timeout = ownership.ReleaseTimeout
+		timeout, notAfter = ownership.ReleaseTimeout, 0
 		request = platform.ReleaseCall(c.From, c.To, c.Fence)
 	}
 	server, known := k.lookupServer(c.Incarnation)
@@ -112,7 +112,7 @@
 		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: request.Path, Host: server.Address,
 		Header: header, Body: body, Timeout: timeout, Command: true,
 		// Responses to commands carry no id: a late copy of that to a grant would end the former owner's hold too early.
-		NewConnection: c.Release,
+		NewConnection: c.Release, NotAfter: notAfter,
 	})
 	c.writtenAt, c.relayed = result.WrittenAt, result.Relayed
 	switch {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -17,12 +17,18 @@
 // errLinksHang is the cause of attempts that end because this VM's links to all backend servers hang.
 var errLinksHang = errors.New("the links of this VM hang")
 
+// errLate is the cause of attempts that are not sent, since their latest time has passed.
+var errLate = errors.New("the latest time to send it has passed")
+
 // attempt makes an attempt at a backend server: directly or, where this VM may be cut off from all of them, through another VM.
 //
 // What the other VM says counts as if this VM had seen it. An attempt that was
 // sent is never made again here.
 func (e *Edge) attempt(ctx context.Context, a relay.Attempt) relay.Result {
 	deadline := e.clock.Boot().Add(a.Timeout)
+	if a.NotAfter > 0 {
+		deadline = min(deadline, a.NotAfter)
+	}
 	if e.reach.IsSuspected() {
 		if r, ok := e.attemptThroughOthers(ctx, a); ok || e.reach.IsCutOff() {
 			return r
@@ -54,8 +60,15 @@
 	request := http1.Request{
 		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
 		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
-		OnHead:      func(status int, h http.Header) { e.observeHead(a, status, h) },
-		BeforeWrite: func() { r.WrittenAt = e.clock.Boot() },
+		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
+		BeforeWrite: func() error {
+			now := e.clock.Boot()
+			if a.IsLate(now) {
+				return errLate
+			}
+			r.WrittenAt = now
+			return nil
+		},
 	}
 	if a.Command {
 		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, "") }
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -92,7 +92,10 @@
 		return nil, err
 	}
 	heads := &headLimiter{socket: socket, remaining: unlimited}
-	return &connection{client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes)}, nil
+	return &connection{
+		client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
+		usableUntil: time.Now().Add(c.options.IdleTimeout),
+	}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
@@ -148,8 +151,8 @@
 	c.client.release(c.key)
 }
 
-// roundTrip sends a request and reads the head of its response.
-func (c *connection) roundTrip(ctx context.Context, r Request) (response *Response, err error) {
+// roundTrip sends an encoded request and reads the head of its response.
+func (c *connection) roundTrip(ctx context.Context, r Request, data []byte) (response *Response, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
 		if err != nil {
@@ -157,7 +160,7 @@
 		}
 	}()
 	c.recordID(r.ID)
-	written, err := c.write(r)
+	written, err := c.write(data)
 	if err != nil {
 		return nil, err
 	}
@@ -172,11 +175,8 @@
 	return &Response{Status: got.StatusCode, Header: got.Header, Body: b, Length: got.ContentLength}, nil
 }
 
-// write sends the request. written is closed once all of it has been written.
-//
-// A backend server may answer before it has read a long body, so a long request
-// is written concurrently with reading the response.
-func (c *connection) write(r Request) (written <-chan struct{}, err error) {
+// encode returns the bytes of the request.
+func (r Request) encode() (data []byte, err error) {
 	var b bytes.Buffer
 	b.Grow(512 + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -188,14 +188,22 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
+	return b.Bytes(), nil
+}
+
+// write sends an encoded request. written is closed once all of it has been written.
+//
+// A backend server may answer before it has read a long body, so a long request
+// is written concurrently with reading the response.
+func (c *connection) write(data []byte) (written <-chan struct{}, err error) {
 	done := make(chan struct{})
-	if b.Len() <= inlineWriteBytes {
-		_, err := c.socket.Write(b.Bytes())
+	if len(data) <= inlineWriteBytes {
+		_, err := c.socket.Write(data)
 		close(done)
 		return done, err
 	}
 	go func() {
-		if _, err := c.socket.Write(b.Bytes()); err == nil {
+		if _, err := c.socket.Write(data); err == nil {
 			close(done)
 		}
 	}()
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -44,8 +44,9 @@
 	Match func(status int, h http.Header) Match
 	// OnHead is called with the head of each response that is read on the connection, also of those to other requests; nil means no call.
 	OnHead func(status int, h http.Header)
-	// BeforeWrite is called when a connection is there, right before the request is written; nil means no call.
-	BeforeWrite func()
+	// BeforeWrite is called when a connection is there, right before the request is written; nil means no call. After an error the request
+	// isn't sent, and the connection is kept.
+	BeforeWrite func() error
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
 	// NewConnection requires a new connection, since an idle one may have been dropped without notice.
@@ -125,6 +126,10 @@
 func (c *Client) Do(ctx context.Context, r Request) (response *Response, err error) {
 	defer func() { err = errors.Wrapf(err, "send to %s", r.Address) }()
 	key := poolKey{r.Address, r.Server}
+	data, err := r.encode()
+	if err != nil {
+		return nil, err
+	}
 	conn, err := c.acquire(ctx, key, r)
 	if err != nil {
 		return nil, err
@@ -137,9 +142,13 @@
 		}
 	}()
 	if r.BeforeWrite != nil {
-		r.BeforeWrite()
+		if err := r.BeforeWrite(); err != nil {
+			isSound = true
+			c.putIdle(conn)
+			return nil, err
+		}
 	}
-	if response, err = conn.roundTrip(ctx, r); err != nil {
+	if response, err = conn.roundTrip(ctx, r, data); err != nil {
 		return nil, errors.Mark(err, errSent)
 	}
 	isSound = true
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -343,3 +343,39 @@
 	is.NoErr(err)
 	is.Equal(body, "one")
 }
+
+// A request that is held back right before it is written must never be sent, and its connection must serve the next one.
+func TestRequestsHeldBackBeforeTheWrite(t *testing.T) {
+	errHeld := errors.New("held back")
+	tests := map[string]struct {
+		// before is the number of requests that the connection has carried.
+		before int
+	}{
+		"on a new connection":  {},
+		"on a kept connection": {before: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, response("1", "one"), response("2", "two"))
+			c := http1.NewClient()
+			send := func(id string) {
+				resp, err := c.Do(context.Background(), request(s, id))
+				_, err = read(t, resp, err)
+				is.NoErr(err)
+			}
+			for n := range test.before {
+				send(itoa(n + 1))
+			}
+			held := request(s, "9")
+			held.MaxConnections = 1
+			held.BeforeWrite = func() error { return errHeld }
+			_, err := c.Do(context.Background(), held)
+			is.True(errors.Is(err, errHeld))
+			is.True(!http1.WasSent(err))
+			send(itoa(test.before + 1))
+			is.Equal(c.OpenedConnections(), int64(1))
+			is.Equal(len(s.requests), test.before+1)
+		})
+	}
+}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -70,8 +70,13 @@
 	NewConnection  bool          `cbor:"12,keyasint"`
 	// Detached says that the attempt goes on if the VM that asked for it disconnects.
 	Detached bool `cbor:"13,keyasint"`
+	// NotAfter is the latest time at which this VM may begin to write the request; 0 means no limit.
+	NotAfter clock.Instant `cbor:"-"`
 }
 
+// IsLate reports whether the latest time to write the request has passed.
+func (a Attempt) IsLate(now clock.Instant) bool { return a.NotAfter > 0 && now.After(a.NotAfter) }
+
 // Result is the result of an attempt: the whole response of the backend server, or a failure.
 type Result struct {
 	Status  int         `cbor:"1,keyasint"`
