A grant through another VM is bounded by that VM's own clock

Cause: another VM counted the time of an attempt from when it had read it. A VM that stood still reads the bytes from its socket seconds later, also after the VM that asked has reset that connection, and then wrote an old grant.

Change: for an attempt with a latest time (grants only) the VM that asks first gets a token, by a GET of relay.Path: a reading of the other VM's clock.Boot with a random number of its process. It sends the token with the time that is left by then. The other VM declines the attempt if the token is another process's or its clock has passed token + time left, and checks that again right before the write (NotAfter). The token is given out before the time left is read, so the write begins no later than issue + GrantTimeout, whichever VM stands still. Requests of callers and releases are sent as before; each grant through another VM takes a second round trip.

Mixed builds: a build without tokens answers the GET with 400 (run against the code before), which counts as declined, so that grants don't go through it. A grant without a token, from such a build, is made as before.

Evidence: TestGrantsThroughAVMThatStoodStill against the code before: the cases "a grant that is read after a pause", "a grant with a pause before its dial" and "a grant through a VM without tokens" failed, 1 grant sent each, 0 wanted. Tests of transport/relay and transport/http1 pass (3 runs with the race detector), and in edge those of late grants, cut off VMs, planned stops and leaving backend servers.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -166,7 +166,7 @@
 		updatesPending: make(chan struct{}, 1),
 	}
 	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
-	e.relayClient, e.relayHandler = relay.NewClient(e.bodies), relay.NewHandler(e.bodies, e.attemptForOther)
+	e.relayClient, e.relayHandler = relay.NewClient(e.bodies, relay.WithClock(o.Clock)), relay.NewHandler(e.bodies, e.attemptForOther, relay.WithClock(o.Clock))
 	e.crashes = e.newLedger()
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
--- a/edge/lategrants_test.go
+++ b/edge/lategrants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
 // serveCommands starts a backend server that carries out all commands, and returns its address and the paths of the commands.
@@ -55,3 +57,54 @@
 		})
 	}
 }
+
+// Another VM that stood still before it read the attempt, or before it wrote the grant, must not send an old grant.
+func TestGrantsThroughAVMThatStoodStill(t *testing.T) {
+	const pause = 3 * time.Second
+	tests := map[string]struct {
+		release                bool
+		beforeRead, beforeDial time.Duration
+		// isOlder says that the other VM is of a build without tokens.
+		isOlder bool
+		sent    int
+	}{
+		"a grant without a pause":              {sent: 1},
+		"a grant that is read after a pause":   {beforeRead: pause},
+		"a grant with a pause before its dial": {beforeDial: pause},
+		"a release that is read after a pause": {release: true, beforeRead: pause, sent: 1},
+		"a grant through a VM without tokens":  {isOlder: true},
+		"a release through such a VM":          {release: true, isOlder: true, sent: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v, other := newLeavingVM(t), newLeavingVM(t)
+			address, commands := serveCommands(t)
+			other.backends = http1.NewClient(http1.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+				other.clock.now = other.clock.now.Add(test.beforeDial)
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			}))
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.Method == http.MethodPost:
+					other.clock.now = other.clock.now.Add(test.beforeRead)
+				case test.isOlder:
+					w.WriteHeader(http.StatusBadRequest)
+					return
+				}
+				other.relayHandler.ServeHTTP(w, r)
+			}))
+			t.Cleanup(server.Close)
+			v.put("hickorylug/vm/b", fmt.Sprintf(`{"VM":"b","Domain":"east","Address":%q,"Incarnation":"i"}`, strings.TrimPrefix(server.URL, "http://")))
+			a := relay.Attempt{
+				Server: "s1", Born: 1, Address: address, Method: http.MethodPost, Target: "/", Host: address, Header: http.Header{}, Timeout: time.Second, Command: true,
+			}
+			if !test.release {
+				a.NotAfter = v.clock.now.Add(ownership.GrantTimeout)
+			}
+			r, _ := v.attemptThroughOthers(t.Context(), a)
+			is.Equal(len(commands), test.sent)
+			is.Equal(r.Failure != nil && !r.Failure.Sent, test.sent == 0)
+		})
+	}
+}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -5,6 +5,10 @@
 // It never asks a further VM, and it declines what it can't or shouldn't send.
 // Both are spoken over HTTP with CBOR bodies.
 //
+// An attempt with a latest time is bounded by the clock of the VM that makes it,
+// however late that VM reads it: the VM that asks first gets a token, a reading of
+// that clock, and sends it with the time that is left.
+//
 // # Usage
 //
 //	h := relay.NewHandler(send) // at the other VM, served at relay.Path
@@ -36,6 +40,7 @@
 	// maxAttemptBytes limits an encoded attempt, and maxResultBytes an encoded result.
 	maxAttemptBytes = 16 << 20
 	maxResultBytes  = 48 << 20
+	maxTokenBytes   = 100
 )
 
 // ErrDeclined marks errors after which the attempt was certainly not made.
@@ -72,6 +77,15 @@
 	Detached bool `cbor:"13,keyasint"`
 	// NotAfter is the latest time at which this VM may begin to write the request; 0 means no limit.
 	NotAfter clock.Instant `cbor:"-"`
+	// Token says that the VM may begin to write the request until Timeout has passed since it gave the token out; nil means no limit.
+	Token *Token `cbor:"15,keyasint,omitempty"`
+}
+
+// Token is a reading of the clock of the VM that gave it out. It means nothing to other VMs.
+type Token struct {
+	// Process is a random number of the process, since the clock starts anew with the machine.
+	Process uint64        `cbor:"1,keyasint"`
+	At      clock.Instant `cbor:"2,keyasint"`
 }
 
 // IsLate reports whether the latest time to write the request has passed.
@@ -104,18 +118,28 @@
 
 // Client asks other VMs to make attempts. It is safe for concurrent use.
 type Client struct {
-	client *http1.Client
-	quota  *http1.Quota
+	options Options
+	client  *http1.Client
+	quota   *http1.Quota
 }
 
 // NewClient returns a client without connections. Long results are read within the quota.
-func NewClient(quota *http1.Quota) *Client {
-	return &Client{client: http1.NewClient(http1.WithDialTimeout(dialTimeout)), quota: quota}
+func NewClient(quota *http1.Quota, opts ...Option) *Client {
+	return &Client{options: newOptions(opts), client: http1.NewClient(http1.WithDialTimeout(dialTimeout)), quota: quota}
 }
 
 // Do asks the VM at an address to make an attempt. The error is marked with ErrDeclined unless the attempt may have been made.
 func (c *Client) Do(ctx context.Context, vm id.VM, address string, a Attempt) (r Result, err error) {
 	defer func() { err = errors.Wrapf(err, "send through VM %s", vm) }()
+	if a.NotAfter > 0 {
+		if a.Token, err = c.getToken(ctx, vm, address); err != nil {
+			return r, errors.Mark(err, ErrDeclined)
+		}
+		// The token is older than this reading of the clock, so the other VM's limit is no later than NotAfter.
+		if a.Timeout = min(a.Timeout, a.NotAfter.Sub(c.options.Clock.Boot())); a.Timeout <= 0 {
+			return r, errors.Mark(errors.New("no time is left"), ErrDeclined)
+		}
+	}
 	data, err := cbor.Marshal(a)
 	if err != nil {
 		return r, errors.Mark(err, ErrDeclined)
@@ -140,3 +164,24 @@
 	}
 	return r, decode(data, &r)
 }
+
+// getToken gets a token from the VM at an address. VMs of a build without tokens answer as to an invalid attempt.
+func (c *Client) getToken(ctx context.Context, vm id.VM, address string) (t *Token, err error) {
+	defer func() { err = errors.Wrap(err, "get a token") }()
+	response, err := c.client.Do(ctx, http1.Request{
+		Address: address, Server: string(vm), Method: http.MethodGet, Target: Path, Host: address, Header: http.Header{},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.Status != http.StatusOK {
+		return nil, errors.Newf("unexpected HTTP status %d", response.Status)
+	}
+	data, err := http1.ReadBody(response.Body, maxTokenBytes, c.quota)
+	if err != nil {
+		return nil, err
+	}
+	t = &Token{}
+	return t, decode(data, t)
+}
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
@@ -175,3 +177,98 @@
 		})
 	}
 }
+
+// steppingClock is a clock that goes on by a step after each reading.
+type steppingClock struct {
+	clock.System
+	now  atomic.Int64
+	step time.Duration
+}
+
+func newSteppingClock(step time.Duration) *steppingClock {
+	c := &steppingClock{step: step}
+	c.now.Store(int64(time.Hour))
+	return c
+}
+
+func (c *steppingClock) Boot() clock.Instant {
+	return clock.Instant(c.now.Add(int64(c.step))).Add(-c.step)
+}
+
+// An attempt must be made by its latest time, by the clock of the VM that makes it, also if that VM stands still before it reads the attempt.
+func TestAttemptsAreNotMadeAfterTheirLatestTime(t *testing.T) {
+	const left = 250 * time.Millisecond
+	tests := map[string]struct {
+		// other is how long the other VM stands still after each reading of its clock.
+		other time.Duration
+		// restarted says that the other VM restarts after it gave out the token.
+		restarted bool
+		limited   bool
+		made      bool
+	}{
+		"no pause":                            {limited: true, made: true},
+		"a pause of the other VM":             {other: time.Second, limited: true},
+		"short pauses of the other VM":        {other: left / 4, limited: true, made: true},
+		"a restart of the other VM":           {restarted: true, limited: true},
+		"no limit, a pause of the other VM":   {other: time.Second, made: true},
+		"no limit, a restart of the other VM": {restarted: true, made: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			asking, other := newSteppingClock(0), newSteppingClock(test.other)
+			var got []relay.Attempt
+			newHandler := func() *relay.Handler {
+				return relay.NewHandler(nil, func(_ context.Context, a relay.Attempt) (relay.Result, bool) {
+					got = append(got, a)
+					return relay.Result{Status: http.StatusOK}, true
+				}, relay.WithClock(other))
+			}
+			first, next := newHandler(), newHandler()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if test.restarted && r.Method == http.MethodPost {
+					next.ServeHTTP(w, r)
+					return
+				}
+				first.ServeHTTP(w, r)
+			}))
+			defer server.Close()
+			a := relay.Attempt{Server: "s", Method: http.MethodPost, Timeout: time.Second}
+			if test.limited {
+				a.NotAfter = asking.Boot().Add(left)
+			}
+			_, err := relay.NewClient(nil, relay.WithClock(asking)).Do(t.Context(), "vm2", strings.TrimPrefix(server.URL, "http://"), a)
+			is.Equal(err == nil, test.made)
+			is.Equal(errors.Is(err, relay.ErrDeclined), !test.made)
+			server.Close()
+			is.Equal(len(got) == 1, test.made)
+			if test.made {
+				want := clock.Instant(0)
+				if test.limited {
+					want = clock.Instant(time.Hour).Add(left)
+				}
+				is.Equal(got[0].NotAfter, want)
+			}
+		})
+	}
+}
+
+// The time left is what remains after the token has come: it is counted from the token.
+func TestAttemptsWithoutTimeAfterTheTokenAreDeclined(t *testing.T) {
+	is := is.New(t)
+	asking := newSteppingClock(0)
+	posted := make(chan struct{}, 1)
+	h := relay.NewHandler(nil, func(context.Context, relay.Attempt) (relay.Result, bool) {
+		posted <- struct{}{}
+		return relay.Result{Status: http.StatusOK}, true
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asking.now.Add(int64(time.Second))
+		h.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	a := relay.Attempt{Server: "s", Method: http.MethodPost, Timeout: time.Minute, NotAfter: asking.Boot().Add(250 * time.Millisecond)}
+	_, err := relay.NewClient(nil, relay.WithClock(asking)).Do(t.Context(), "vm2", strings.TrimPrefix(server.URL, "http://"), a)
+	is.True(errors.Is(err, relay.ErrDeclined))
+	is.Equal(len(posted), 0)
+}
