The kernel sends the bytes of a grant again for 200 ms, not for 2 s

Cause: what was written to a socket is sent again by the kernel until TCP_USER_TIMEOUT, 2 s, also after the process was killed. A grant that was held up by a cut could arrive that long after its leader was gone. While the process lives, the call that is given up resets its connection.

Change: http1.Request.UserTimeout sets TCP_USER_TIMEOUT before the request is written, until its response was read; then the client's default is back before the connection is kept. Edge sets 200 ms for grants with a latest time. Releases and callers' requests are sent as before.

Evidence: TestGrantsAreNotSentAgainForLong reads the option of the real connection at the time at which the backend server has the command; against the code before: "a grant" failed, 2 s, 200 ms wanted. TestUserTimeoutOfOneRequest shows the option before the write, when the head comes and after the response, and the default for requests before and after on the same connection. That the kernel stops then is its documented behaviour (tcp(7)); no test holds segments back.

--- a/edge/lategrants_test.go
+++ b/edge/lategrants_test.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -108,3 +110,46 @@
 		})
 	}
 }
+
+// The kernel must not send the bytes of a grant again for long: it does so also after the process was killed, once a cut has healed.
+func TestGrantsAreNotSentAgainForLong(t *testing.T) {
+	tests := map[string]struct {
+		release bool
+		want    time.Duration
+	}{
+		"a grant":   {want: 200 * time.Millisecond},
+		"a release": {release: true, want: 2 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := newLeavingVM(t)
+			sockets, got := make(chan *net.TCPConn, 1), make(chan int, 1)
+			v.backends = http1.NewClient(http1.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+				d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+					return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 2000) })
+				}}
+				c, err := d.DialContext(ctx, "tcp", address)
+				if err == nil {
+					sockets <- c.(*net.TCPConn)
+				}
+				return c, err
+			}))
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				raw, err := (<-sockets).SyscallConn()
+				is.NoErr(err)
+				is.NoErr(raw.Control(func(fd uintptr) {
+					ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+					is.NoErr(err)
+					got <- ms
+				}))
+			}))
+			t.Cleanup(server.Close)
+			v.register("s1", strings.TrimPrefix(server.URL, "http://"), 1)
+			v.keys.execute(t.Context(), &call{Command: ownership.Command{
+				Service: "plans", Incarnation: fleet.Incarnation{Server: "s1", Born: 1}, To: 1, Fence: 1, Release: test.release, IssuedAt: v.clock.now,
+			}})
+			is.Equal(time.Duration(<-got)*time.Millisecond, test.want)
+		})
+	}
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -14,6 +14,9 @@
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
+// grantUserTimeout bounds the time in which the kernel sends the bytes of a grant again, also after this process was killed.
+const grantUserTimeout = 200 * time.Millisecond
+
 // errLinksHang is the cause of attempts that end because this VM's links to all backend servers hang.
 var errLinksHang = errors.New("the links of this VM hang")
 
@@ -70,6 +73,9 @@
 			return nil
 		},
 	}
+	if a.NotAfter > 0 {
+		request.UserTimeout = grantUserTimeout
+	}
 	if a.Command {
 		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, "") }
 	} else {
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -72,6 +72,8 @@
 	socket net.Conn
 	heads  *headLimiter
 	reader *bufio.Reader
+	// userTimeout is the socket's TCP_USER_TIMEOUT.
+	userTimeout time.Duration
 	// carried holds the ids of the latest requests.
 	carried []string
 	// usableUntil is the time from which the server may close the idle connection.
@@ -94,19 +96,37 @@
 	heads := &headLimiter{socket: socket, remaining: unlimited}
 	return &connection{
 		client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
-		usableUntil: time.Now().Add(c.options.IdleTimeout),
+		usableUntil: time.Now().Add(c.options.IdleTimeout), userTimeout: c.options.UserTimeout,
 	}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func (o Options) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, o.UserTimeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	return errors.CombineErrors(err, optionErr)
 }
 
+// setUserTimeout sets TCP_USER_TIMEOUT unless it is d already.
+func (c *connection) setUserTimeout(d time.Duration) (err error) {
+	defer func() { err = errors.Wrap(err, "set TCP_USER_TIMEOUT") }()
+	if d == c.userTimeout {
+		return nil
+	}
+	raw, err := c.socket.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	c.userTimeout = d
+	return setUserTimeout(raw, d)
+}
+
 // maxCarriedIDs limits the ids that a connection remembers: a late copy of a response comes soon after it.
 const maxCarriedIDs = 32
 
@@ -151,6 +171,15 @@
 	c.client.release(c.key)
 }
 
+// keep keeps the connection for later requests, without the settings of this one.
+func (c *connection) keep() {
+	if c.setUserTimeout(c.client.options.UserTimeout) != nil {
+		c.reset()
+		return
+	}
+	c.client.putIdle(c)
+}
+
 // roundTrip sends an encoded request and reads the head of its response.
 func (c *connection) roundTrip(ctx context.Context, r Request, data []byte) (response *Response, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
@@ -284,7 +313,7 @@
 	stopped := b.stop()
 	if stopped && b.isReusable() {
 		b.connection.usableUntil = time.Now().Add(b.idleTimeout())
-		b.connection.client.putIdle(b.connection)
+		b.connection.keep()
 		return nil
 	}
 	b.connection.reset()
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -14,6 +14,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"maps"
@@ -49,6 +50,8 @@
 	BeforeWrite func() error
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
+	// UserTimeout replaces Options.UserTimeout until the response was read; 0 means that it doesn't.
+	UserTimeout time.Duration
 	// NewConnection requires a new connection, since an idle one may have been dropped without notice.
 	NewConnection bool
 }
@@ -141,10 +144,13 @@
 			conn.reset()
 		}
 	}()
+	if err := conn.setUserTimeout(cmp.Or(r.UserTimeout, c.options.UserTimeout)); err != nil {
+		return nil, err
+	}
 	if r.BeforeWrite != nil {
 		if err := r.BeforeWrite(); err != nil {
 			isSound = true
-			c.putIdle(conn)
+			conn.keep()
 			return nil, err
 		}
 	}
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -9,9 +9,11 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/hickorylug/hickorylug/transport/http1"
 )
@@ -379,3 +381,77 @@
 		})
 	}
 }
+
+// getUserTimeout returns the TCP_USER_TIMEOUT of a connection.
+func getUserTimeout(t *testing.T, c net.Conn) (d time.Duration) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms := 0
+	controlErr := raw.Control(func(fd uintptr) { ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
+	if err = errors.CombineErrors(controlErr, err); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// The kernel must not send the bytes of a request again for longer than it asks for, and a later request on the connection must not end early.
+func TestUserTimeoutOfOneRequest(t *testing.T) {
+	const standard, short = 2 * time.Second, 200 * time.Millisecond
+	tests := map[string]struct {
+		timeout time.Duration
+		held    bool
+		// during is the setting right before the request is written, and until its response has come.
+		during time.Duration
+	}{
+		"none":                       {during: standard},
+		"its own":                    {timeout: short, during: short},
+		"its own, but not sent":      {timeout: short, held: true, during: short},
+		"none, but it isn't sent":    {held: true, during: standard},
+		"the same as that of others": {timeout: standard, during: standard},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, response("1", "one"), response("1", "one"), response("1", "one"))
+			var socket net.Conn
+			c := http1.NewClient(http1.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+				d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+					return raw.Control(func(fd uintptr) {
+						_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(standard.Milliseconds()))
+					})
+				}}
+				var err error
+				socket, err = d.DialContext(ctx, "tcp", address)
+				return socket, err
+			}))
+			for _, r := range []struct {
+				timeout, during time.Duration
+				held            bool
+			}{{0, standard, false}, {test.timeout, test.during, test.held}, {0, standard, false}} {
+				var got []time.Duration
+				attempt := request(s, "1")
+				attempt.UserTimeout = r.timeout
+				attempt.BeforeWrite = func() error {
+					got = append(got, getUserTimeout(t, socket))
+					if r.held {
+						return errors.New("held back")
+					}
+					return nil
+				}
+				attempt.OnHead = func(int, http.Header) { got = append(got, getUserTimeout(t, socket)) }
+				resp, err := c.Do(context.Background(), attempt)
+				_, err = read(t, resp, err)
+				is.Equal(err != nil, r.held)
+				for _, d := range got {
+					is.Equal(d, r.during)
+				}
+				is.Equal(len(got) == 1, r.held)
+				is.Equal(getUserTimeout(t, socket), standard)
+			}
+			is.Equal(c.OpenedConnections(), int64(1))
+		})
+	}
+}
