What the wait for a former owner's hold rests on

Comments only. deliverySlack (500 ms) now rests on a bound of the write (GrantTimeout, by the clock of the VM that writes) and of what the kernel sends again (TCP_USER_TIMEOUT of 200 ms).

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -25,7 +25,13 @@
 	ReleaseTimeout = 2500 * time.Millisecond
 	// clockDriftPercent is how much slower than this VM's clock a backend server's clock may run.
 	clockDriftPercent = 2
-	// deliverySlack covers the network delay of a grant and a pause of the sender right after it issued the grant.
+	// deliverySlack covers the time from the issue of a grant to its arrival. The VM that writes it begins within GrantTimeout,
+	// which it checks by its own clock right before the write, also for another VM. After that a VM that runs resets the
+	// connection when the call is given up; the kernel of one that was killed or stands still sends the bytes again until
+	// TCP_USER_TIMEOUT, 200 ms, has passed since the first time that it did, which is at most twice.
+	//
+	// Not covered: a write late in GrantTimeout whose VM then stands still while segments are lost, a VM that stands still
+	// between the check and the write, and a suspended machine with unacknowledged bytes, whose kernel doesn't count that time.
 	deliverySlack = 500 * time.Millisecond
 	// failoverSlack covers the time that a former leader needs to notice that it was replaced. It keeps leading as long
 	// as most VMs have reported to it within 700 ms that they can't reach the store; VMs that receive the heartbeats of
@@ -35,7 +41,7 @@
 	retryDelay = 100 * time.Millisecond
 )
 
-// maxHoldTime is the longest time for which a backend server may hold keys after a grant was sent.
+// maxHoldTime is the longest time for which a backend server may hold keys after a grant was issued, if it arrives within deliverySlack.
 const maxHoldTime = GrantTTL*(100+clockDriftPercent)/100 + deliverySlack
 
 // FormerGrantTime is the time after the election of a leader from which no backend server holds keys that a former leader has granted.
