--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -32,7 +32,7 @@
 	"github.com/hickorylug/hickorylug/transport/http1"
 )
 
-// Path is the path at which a VM takes attempts of other VMs.
+// Path is the path at which a VM takes attempts of other VMs by POST, and gives out tokens for them by GET.
 const Path = "/v1/attempts"
 
 const (
