--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -72,6 +72,8 @@
 	socket net.Conn
 	heads  *headLimiter
 	reader *bufio.Reader
+	// userTimeout is the socket's TCP_USER_TIMEOUT.
+	userTimeout time.Duration
 	// carried holds the ids of the latest requests.
 	carried []string
 	// usableUntil is the time from which the server may close the idle connection.
@@ -92,18 +94,39 @@
 		return nil, err
 	}
 	heads := &headLimiter{socket: socket, remaining: unlimited}
-	return &connection{client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes)}, nil
+	return &connection{
+		client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
+		usableUntil: time.Now().Add(c.options.IdleTimeout), userTimeout: c.options.UserTimeout,
+	}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func (o Options) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, o.UserTimeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	return errors.CombineErrors(err, optionErr)
 }
 
+// setUserTimeout sets TCP_USER_TIMEOUT unless it is d already.
+func (c *connection) setUserTimeout(d time.Duration) (err error) {
+	defer func() { err = errors.Wrap(err, "set TCP_USER_TIMEOUT") }()
+	if d == c.userTimeout {
+		return nil
+	}
+	raw, err := c.socket.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	c.userTimeout = d
+	return setUserTimeout(raw, d)
+}
+
 // maxCarriedIDs limits the ids that a connection remembers: a late copy of a response comes soon after it.
 const maxCarriedIDs = 32
 
@@ -148,8 +171,17 @@
 	c.client.release(c.key)
 }
 
-// roundTrip sends a request and reads the head of its response.
-func (c *connection) roundTrip(ctx context.Context, r Request) (response *Response, err error) {
+// keep keeps the connection for later requests, without the settings of this one.
+func (c *connection) keep() {
+	if c.setUserTimeout(c.client.options.UserTimeout) != nil {
+		c.reset()
+		return
+	}
+	c.client.putIdle(c)
+}
+
+// roundTrip sends an encoded request and reads the head of its response.
+func (c *connection) roundTrip(ctx context.Context, r Request, data []byte) (response *Response, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
 		if err != nil {
@@ -157,7 +189,7 @@
 		}
 	}()
 	c.recordID(r.ID)
-	written, err := c.write(r)
+	written, err := c.write(data)
 	if err != nil {
 		return nil, err
 	}
@@ -172,11 +204,8 @@
 	return &Response{Status: got.StatusCode, Header: got.Header, Body: b, Length: got.ContentLength}, nil
 }
 
-// write sends the request. written is closed once all of it has been written.
-//
-// A backend server may answer before it has read a long body, so a long request
-// is written concurrently with reading the response.
-func (c *connection) write(r Request) (written <-chan struct{}, err error) {
+// encode returns the bytes of the request.
+func (r Request) encode() (data []byte, err error) {
 	var b bytes.Buffer
 	b.Grow(512 + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -188,14 +217,22 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
+	return b.Bytes(), nil
+}
+
+// write sends an encoded request. written is closed once all of it has been written.
+//
+// A backend server may answer before it has read a long body, so a long request
+// is written concurrently with reading the response.
+func (c *connection) write(data []byte) (written <-chan struct{}, err error) {
 	done := make(chan struct{})
-	if b.Len() <= inlineWriteBytes {
-		_, err := c.socket.Write(b.Bytes())
+	if len(data) <= inlineWriteBytes {
+		_, err := c.socket.Write(data)
 		close(done)
 		return done, err
 	}
 	go func() {
-		if _, err := c.socket.Write(b.Bytes()); err == nil {
+		if _, err := c.socket.Write(data); err == nil {
 			close(done)
 		}
 	}()
@@ -276,7 +313,7 @@
 	stopped := b.stop()
 	if stopped && b.isReusable() {
 		b.connection.usableUntil = time.Now().Add(b.idleTimeout())
-		b.connection.client.putIdle(b.connection)
+		b.connection.keep()
 		return nil
 	}
 	b.connection.reset()
