Failing tests: a former leader leads beside the next one without the store

Without its lease a leader leads on while most VMs report that they can't reach the store. A report counts from when it is read, so that those queued during a freeze count after it; and a VM that hears no leader reports to all, so that it counts for the former leader and for the next one's majority.

Both fail on today's code, in virtual time: "not true: !former.Leads(...)" 2.5 s after the election, and both lead for more than 1.5 s.

--- a/coordination/leader/leader_test.go
+++ b/coordination/leader/leader_test.go
@@ -130,3 +130,46 @@
 	is.Equal(e.SilentFor(won.Add(time.Minute), "b"), 59*time.Second)
 	is.Equal(e.SilentFor(won.Add(time.Minute), "c"), time.Minute)
 }
+
+const (
+	// formerAllowance is how long after its election a leader allows for a former one.
+	formerAllowance = 1500 * time.Millisecond
+	// reportPeriod is the time between two heartbeats of a follower.
+	reportPeriod = 400 * time.Millisecond
+)
+
+// report is a heartbeat of a follower that can't reach the store.
+func report(now clock.Instant, e *leader.Elector, from id.VM) {
+	e.RecordHeartbeat(now, from, false, 0, true)
+}
+
+// The reports were sent before the second leader was elected, and are read by the former one after it was frozen.
+func TestFormerLeaderLeadsByQueuedReports(t *testing.T) {
+	is := is.New(t)
+	former := leader.NewElector("a", start)
+	former.Won(start, 7)
+	elected := start.Add(2 * time.Second)
+	thawed := elected.Add(formerAllowance + time.Second)
+	for _, m := range members[2:] {
+		report(thawed, former, m)
+	}
+	is.True(!former.Leads(thawed, members))
+}
+
+// Three VMs hear neither leader and report to all, so that both leaders count them.
+func TestTwoLeadersCountTheSameVMs(t *testing.T) {
+	is := is.New(t)
+	former, next := leader.NewElector("a", start), leader.NewElector("b", start)
+	former.Won(start, 7)
+	elected := start.Add(2 * time.Second)
+	next.Won(elected, 8)
+	for now := elected; now < elected.Add(2*formerAllowance); now = now.Add(reportPeriod) {
+		for _, m := range members[2:] {
+			report(now, former, m)
+			report(now, next, m)
+		}
+		if now.Sub(elected) > formerAllowance {
+			is.True(!former.Leads(now, members) || !next.HasMajority(now, members))
+		}
+	}
+}
