A VM that hasn't read the store since its start doesn't report it unreachable

Cause: a VM that restarts forgets the term of the leader that it followed. If it can't reach the store, its report could let a former leader act although a later one counts on it.

Change: the report needs an answer of the store since the start; with it the VM learns the term of the record. VMs that start during an outage thus don't help the leader to act through it.

Not covered: a restart while the later leader's record is gone from the store, and in an era of which the VM knows no leader.

--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -98,7 +98,7 @@
 	stamp := e.elector.Stamp(now)
 	heartbeat := &gossip.Heartbeat{
 		Position: position, StoreStaleness: now.Sub(e.storeSyncedAt), Leading: e.elector.Leads(now, members), Leaving: e.resigned.Load(),
-		SettlingTime: max(0, e.removalsHeldUntil.Sub(now)), StoreUnreachable: e.storeFailedAt > e.storeAnsweredAt && now.Sub(e.storeFailedAt) < e.storeFailureTTL(),
+		SettlingTime: max(0, e.removalsHeldUntil.Sub(now)), StoreUnreachable: e.missesStore(now),
 		KnownTerm: e.elector.KnownTerm(), Stamp: &stamp,
 	}
 	if heartbeat.Leading {
@@ -107,6 +107,12 @@
 	return e.withSender(gossip.Message{Heartbeat: heartbeat})
 }
 
+// missesStore reports whether the store answered this VM before and doesn't now. A VM that has just started may have forgotten the term of a
+// leader that it knew, so that it must have read the store before its report may let a former leader act.
+func (e *Edge) missesStore(now clock.Instant) bool {
+	return e.storeAnsweredAt > 0 && e.storeFailedAt > e.storeAnsweredAt && now.Sub(e.storeFailedAt) < e.storeFailureTTL()
+}
+
 // withSender fills in the sender fields of a message.
 func (e *Edge) withSender(m gossip.Message) gossip.Message {
 	m.From, m.Incarnation, m.Domain = e.settings.VM, e.incarnation, e.settings.FailureDomain
--- a/edge/leadership_test.go
+++ b/edge/leadership_test.go
@@ -51,6 +51,28 @@
 	}
 }
 
+// A VM that hasn't read the store since its start may have forgotten a leader, and must not let a former one act.
+func TestReportsThatTheStoreIsUnreachable(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	tests := map[string]struct {
+		answeredAt, failedAt clock.Instant
+		want                 bool
+	}{
+		"not called yet":         {},
+		"answers":                {answeredAt: now, failedAt: now.Add(-time.Second)},
+		"fails":                  {answeredAt: now.Add(-2 * time.Second), failedAt: now.Add(-time.Second), want: true},
+		"failed long ago":        {answeredAt: now.Add(-time.Minute), failedAt: now.Add(-30 * time.Second)},
+		"fails since this start": {failedAt: now.Add(-time.Second)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newElectionEdge(&fixedClock{now: now})
+			e.storeAnsweredAt, e.storeFailedAt = test.answeredAt, test.failedAt
+			is.New(t).Equal(e.heartbeatMessage().Heartbeat.StoreUnreachable, test.want)
+		})
+	}
+}
+
 // Heartbeats must carry the leader's stamp there and back, and tell the highest known term.
 func TestHeartbeatsAnswerTheLeader(t *testing.T) {
 	is := is.New(t)
