--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -108,7 +108,7 @@
 }
 
 // missesStore reports whether the store answered this VM before and doesn't now. A VM that has just started may have forgotten the term of a
-// leader that it knew, so that it must have read the store before its report may let a former leader act.
+// leader that it knew, so that it must have read the store before its report may let a former leader act. The caller holds mu.
 func (e *Edge) missesStore(now clock.Instant) bool {
 	return e.storeAnsweredAt > 0 && e.storeFailedAt > e.storeAnsweredAt && now.Sub(e.storeFailedAt) < e.storeFailureTTL()
 }
@@ -297,7 +297,7 @@
 }
 
 // mustAnswer reports whether a heartbeat is to be answered at once: that of a new leader, which waits until most VMs follow it, and that of a
-// former one, which acts until it learns of the later term.
+// former one, which acts until it learns of the later term. The caller holds mu.
 func (e *Edge) mustAnswer(now clock.Instant, heartbeat *gossip.Heartbeat, isNewLeader bool) bool {
 	isFormerLeader := heartbeat.Leading && heartbeat.Term < e.elector.KnownTerm()
 	if !isNewLeader && (!isFormerLeader || now.Sub(e.formerAnsweredAt) < followerHeartbeatPeriod) {
