Model of ownership: promise what the pages promise of backend servers, and no more

Cause: the model let a release record its fence, carried each call out at once, ended a former leader at the election, and showed the leader each new process at once. PROTOCOL.md promises 409 only for a fence below one that a grant has shown, calls take time, and a new process under the same id takes what is meant for the former one.

Change: the model plays events in virtual time. Calls take time, overtake each other, arrive after they were given up, or are carried out 1 to 12 s later; former leaders act on from their own table; entries come late or again; the store comes back from older copies, and its table may be unreadable. It checks each grant that is taken: no other process holds the keys, and its fence is above those of other servers. One test for each cause, five leaders that are wrong on purpose, and moves in calm histories. Seeds are fixed, in place of rapid's: the same verdict each run. TestModelFindsWrongLeaders replaces TestModelFindsLeaderThatSkipsHoldWait and has its case.

--- /dev/null
+++ b/coordination/ownership/model_calls_test.go
@@ -0,0 +1,138 @@
+package ownership_test
+
+import (
+	"time"
+
+	"github.com/hickorylug/hickorylug/coordination/ownership"
+	"github.com/hickorylug/hickorylug/state/clock"
+)
+
+// maxTransit is the latest arrival of a grant after it was issued: what its sender's deadline and a pause after it allow.
+const maxTransit = 500 * time.Millisecond
+
+// callFate is what happens to a call on its way.
+type callFate struct {
+	// transit is the time to the server, and back that of the answer.
+	transit, back time.Duration
+	// work is the time until the requests in flight of a release have ended.
+	work time.Duration
+	// late is the time from the arrival of a grant until it is carried out; a late one gets no answer.
+	late time.Duration
+	// lost says that the answer is lost, and giveUp when the leader gives the call up.
+	lost   bool
+	giveUp time.Duration
+}
+
+func drawFate(s *siteModel, release bool) (f callFate) {
+	f = callFate{transit: s.drawTime(time.Millisecond, 15*time.Millisecond), back: s.drawTime(time.Millisecond, 15*time.Millisecond), giveUp: ownership.GrantTimeout}
+	if release {
+		f.giveUp = ownership.ReleaseTimeout
+		f.work = s.drawTime(0, 50*time.Millisecond)
+	}
+	if s.chance(s.faults.lostAnswers) {
+		f.lost = true
+	}
+	if !release && s.chance(s.faults.lateGrants) {
+		f.late = s.drawTime(time.Second, 12*time.Second)
+	}
+	if s.chance(s.faults.heldUpCalls) {
+		f.holdUp(s, release)
+	}
+	return f
+}
+
+// holdUp delays a call, its answer or both, or lets the connection break before the answer.
+func (f *callFate) holdUp(s *siteModel, release bool) {
+	switch s.random.IntN(3) {
+	case 0:
+		f.transit = s.drawTime(0, maxTransit)
+	case 1:
+		f.transit, f.back = s.drawTime(0, ownership.GrantTimeout), s.drawTime(0, ownership.GrantTimeout)
+	default:
+		f.transit, f.giveUp = s.drawTime(0, maxTransit), s.drawTime(0, f.giveUp)
+	}
+	if release {
+		f.work = s.drawTime(0, ownership.ReleaseTimeout)
+	}
+}
+
+// modelCall is a call on its way.
+type modelCall struct {
+	ownership.Command
+	site     *siteModel
+	leader   *modelLeader
+	fate     callFate
+	reported bool
+}
+
+func (s *siteModel) send(l *modelLeader, cmd ownership.Command) {
+	c := &modelCall{Command: cmd, site: s, leader: l}
+	if l.answersItself(cmd) {
+		c.report(ownership.Done, false)
+		return
+	}
+	if l.entries[cmd.Incarnation.Server] != cmd.Incarnation.Born {
+		// The leader has no address for another incarnation than the registered one.
+		c.report(outcomeUnsent, false)
+		return
+	}
+	c.fate = drawFate(s, cmd.Release)
+	s.note("%s sends %s", l.name(), describe(cmd))
+	s.after(c.fate.transit, c.arrive)
+	s.after(c.fate.giveUp, func() { c.report(ownership.Unanswered, false) })
+}
+
+// arrive hands the call to the process that runs under the id, which may be another than the one that is meant.
+func (c *modelCall) arrive() {
+	s := c.site
+	server := s.server(c.Incarnation.Server)
+	process := server.process
+	switch {
+	case server.cut:
+	case process == nil:
+		c.report(ownership.Unanswered, true)
+	case c.Release:
+		finishedAt := s.now.Add(c.fate.work)
+		process.release(c.Command, finishedAt)
+		s.after(c.fate.work, func() { c.answer(server, process, ownership.Done) })
+	case c.fate.late > 0:
+		arrivedAt := s.now
+		s.after(c.fate.late, func() { s.applyGrant(server, process, c.Command, arrivedAt) })
+	default:
+		c.answer(server, process, s.applyGrant(server, process, c.Command, s.now))
+	}
+}
+
+// answer sends the answer back, if the process still runs.
+func (c *modelCall) answer(server *modelServer, process *modelProcess, outcome ownership.Outcome) {
+	if c.fate.lost || server.process != process || server.cut {
+		return
+	}
+	c.site.after(c.fate.back, func() { c.report(outcome, false) })
+}
+
+func (c *modelCall) report(outcome ownership.Outcome, connectionRefused bool) {
+	if c.reported {
+		return
+	}
+	c.reported = true
+	c.leader.recordOutcome(c.Command, outcome, connectionRefused)
+}
+
+// applyGrant lets a process carry out a grant and checks that no other one holds its keys or had them with a higher fence.
+func (s *siteModel) applyGrant(server *modelServer, process *modelProcess, cmd ownership.Command, arrivedAt clock.Instant) ownership.Outcome {
+	if server.process != process {
+		return ownership.Unanswered
+	}
+	outcome := process.grant(cmd, arrivedAt)
+	span := spanOf(cmd)
+	hold, holds := process.holding(s.now, span)
+	s.note("%s born %d carries out %s, arrived %v ago: %v, until %v", server.id, process.incarnation.Born, describe(cmd), s.now.Sub(arrivedAt), outcome == ownership.Done, hold.until.Sub(modelStart))
+	if outcome != ownership.Done || !holds {
+		return outcome
+	}
+	s.checkHolders(server, span)
+	s.checkFences(server, span)
+	server.had = addSpan(server.had, span)
+	return outcome
+}
--- /dev/null
+++ b/coordination/ownership/model_histories_test.go
@@ -0,0 +1,133 @@
+package ownership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// histories is the number of histories of a test.
+	histories = 60
+	// formerLeaderTime is longer than former leaders usually act on after an election.
+	formerLeaderTime = 6 * time.Second
+	// maxCalmMove allows three calls to servers that finish their work at once, and is far below the time of a hold.
+	maxCalmMove = 600 * time.Millisecond
+)
+
+// withMoves returns disruptions during which keys also move for other reasons.
+func withMoves(f modelFaults) modelFaults {
+	f.departures, f.balances = 0.4, 0.5
+	return f
+}
+
+// Disruptions of which each has a test of its own.
+var (
+	promptCalls      = withMoves(modelFaults{cuts: 0.2, lostAnswers: 0.1, isolations: 0.1})
+	lateRenewals     = withMoves(modelFaults{lateGrants: 0.2, lostAnswers: 0.1})
+	overtakenCalls   = withMoves(modelFaults{heldUpCalls: 0.3, lostAnswers: 0.1})
+	restartedServers = withMoves(modelFaults{restarts: 0.3})
+	staleEntries     = withMoves(modelFaults{restarts: 0.2, staleEntries: 0.3})
+	formerLeaders    = withMoves(modelFaults{elections: 0.2, formerTime: formerLeaderTime})
+	reelectedLeaders = withMoves(modelFaults{reelections: 0.3, lostAnswers: 0.1})
+	restoredStore    = withMoves(modelFaults{restorations: 0.2, elections: 0.1, once: true})
+	unreadableTable  = withMoves(modelFaults{corruptions: 0.2, elections: 0.1, once: true})
+	allDisruptions   = withMoves(modelFaults{
+		lostAnswers: 0.05, heldUpCalls: 0.1, lateGrants: 0.05, cuts: 0.1, restarts: 0.05, staleEntries: 0.05, elections: 0.05, reelections: 0.02,
+		isolations: 0.05, restorations: 0.02, corruptions: 0.02, formerTime: formerLeaderTime,
+	})
+)
+
+func TestKeysNeverHaveTwoHolders(t *testing.T) { checkHistories(t, 2*histories, allDisruptions) }
+
+func TestPromptCallsHaveNoSecondHolder(t *testing.T) { checkHistories(t, histories, promptCalls) }
+
+// Guards against a grant that is carried out after the release of its keys was answered.
+func TestLateRenewalAfterReleaseHasNoSecondHolder(t *testing.T) {
+	checkHistories(t, histories, lateRenewals)
+}
+
+// Guards against a renewal that arrives after the release that was sent after it.
+func TestReleaseThatOvertakesRenewalHasNoSecondHolder(t *testing.T) {
+	checkHistories(t, histories, overtakenCalls)
+}
+
+// Guards against a new process that took grants meant for the former one, whose entry then seems to free the keys.
+func TestRestartUnderSameIDHasNoSecondHolder(t *testing.T) {
+	checkHistories(t, histories, restartedServers)
+}
+
+// Guards against an entry of a former process that comes again.
+func TestStaleEntryHasNoSecondHolder(t *testing.T) { checkHistories(t, histories, staleEntries) }
+
+// Guards against a former leader that renews grants after the next one has had the keys released.
+func TestFormerLeaderThatActsOnHasNoSecondHolder(t *testing.T) {
+	checkHistories(t, histories, formerLeaders)
+}
+
+// Guards against answers to calls of an earlier leadership of the same VM.
+func TestReelectedLeaderHasNoSecondHolder(t *testing.T) {
+	checkHistories(t, histories, reelectedLeaders)
+}
+
+func TestRestoredStoreHasNoSecondHolder(t *testing.T) { checkHistories(t, histories, restoredStore) }
+
+func TestUnreadableTableHasNoSecondHolder(t *testing.T) {
+	checkHistories(t, histories, unreadableTable)
+}
+
+// Guards against the same raised fences after each restoration.
+func TestSecondRestorationRaisesFencesFurther(t *testing.T) {
+	f := restoredStore
+	f.once = false
+	checkHistories(t, histories, f)
+}
+
+// Guards against the same first fences each time that the table can't be read.
+func TestSecondUnreadableTableRaisesFencesFurther(t *testing.T) {
+	f := unreadableTable
+	f.once = false
+	checkHistories(t, histories, f)
+}
+
+// Guards against a model that finds nothing: a leader that is wrong on purpose must be found.
+func TestModelFindsWrongLeaders(t *testing.T) {
+	tests := map[string]struct {
+		faults modelFaults
+		flaw   modelFlaw
+	}{
+		"doesn't wait for holds":                                 {promptCalls, modelFlaw{skipsHoldWait: true}},
+		"believes at once that an incarnation has ended":         {restartedServers, modelFlaw{believesEnded: true}},
+		"believes a release while a grant is unanswered":         {lateRenewals, modelFlaw{believesRelease: true}},
+		"assumes that former leaders have gone at the election":  {formerLeaders, modelFlaw{ignoresFormerLeaders: true}},
+		"keeps the fences of a table from an older store's copy": {restoredStore, modelFlaw{keepsFences: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, problem := findProblem(histories, test.faults, test.flaw)
+			is.True(problem != "") // the model finds the broken promise
+		})
+	}
+}
+
+// Guards against moves that wait out a hold although all calls are answered.
+func TestCalmMoveTakesFewCalls(t *testing.T) {
+	tests := map[string]modelFaults{
+		"one leader":         withMoves(modelFaults{}),
+		"a change of leader": withMoves(modelFaults{elections: 0.2}),
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(histories / 3) {
+				s := newSiteModel(seed, faults, modelFlaw{})
+				s.run()
+				is.Equal(s.problem, "")
+				is.True(len(s.moveStarts) > 0)
+				is.True(s.slowestMove < maxCalmMove)
+			}
+		})
+	}
+}
--- a/coordination/ownership/model_test.go
+++ b/coordination/ownership/model_test.go
@@ -1,273 +1,238 @@
 package ownership_test
 
 import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// heldRange is a range of keys that a modelled backend server holds until a time.
-type heldRange struct {
-	from, to fleet.Key
-	fence    fleet.Fence
-	until    clock.Instant
+const (
+	modelStart = clock.Instant(time.Hour)
+	// modelTick is the period of the leader's plans and calls.
+	modelTick = 50 * time.Millisecond
+	// modelTime is the length of a history.
+	modelTime = 20 * time.Second
+)
+
+// siteModel is a model of one keyed service in virtual time: its backend servers, the calls to them, the store and the leaders.
+//
+// It promises what the pages promise and no more. Leaders act every modelTick;
+// between these times the calls arrive, are carried out and are answered.
+type siteModel struct {
+	random *rand.Rand
+	faults modelFaults
+	flaw   modelFlaw
+	now    clock.Instant
+	// queue holds the events to come, and sequence numbers them.
+	queue    eventQueue
+	sequence int
+	servers  []*modelServer
+	store    modelStore
+	// leaders are those that still act; the last one is the current one.
+	leaders   []*modelLeader
+	elections int
+	// problem is the first broken promise.
+	problem string
+	// moveStarts are the times at which leaders first saw moves, and slowestMove is the longest time until a grant.
+	moveStarts  map[modelMove]clock.Instant
+	slowestMove time.Duration
+	// trace holds what happened if tracing is set.
+	tracing bool
+	trace   []string
+}
+
+func newSiteModel(seed uint64, faults modelFaults, flaw modelFlaw) *siteModel {
+	s := &siteModel{random: rand.New(rand.NewPCG(seed, 44)), faults: faults, flaw: flaw, now: modelStart, moveStarts: map[modelMove]clock.Instant{}}
+	for _, name := range []id.Server{"a", "b", "c"} {
+		server := &modelServer{id: name}
+		server.start()
+		server.registered = server.born
+		s.servers = append(s.servers, server)
+	}
+	s.elect(nil)
+	return s
 }
 
-// backend is a model of a backend server that checks fences and whose clock is 2 % slow.
-type backend struct {
-	incarnation fleet.Incarnation
-	up          bool
-	reachable   bool
-	held        []heldRange
-	// seenFences are the fences received so far, by range of keys.
-	seenFences []heldRange
+func (s *siteModel) server(name id.Server) *modelServer {
+	at := slices.IndexFunc(s.servers, func(server *modelServer) bool { return server.id == name })
+	return s.servers[at]
 }
 
-func overlaps(aFrom, aTo, bFrom, bTo fleet.Key) bool { return aFrom <= bTo && bFrom <= aTo }
+func (s *siteModel) drawServer() *modelServer { return s.servers[s.random.IntN(len(s.servers))] }
 
-// applyGrant applies a grant whose hold time starts at its arrival.
-func (b *backend) applyGrant(cmd ownership.Command, arrivedAt clock.Instant) ownership.Outcome {
-	for _, h := range b.seenFences {
-		if overlaps(h.from, h.to, cmd.From, cmd.To) && h.fence > cmd.Fence {
-			return ownership.Refused
-		}
+func (s *siteModel) chance(share float64) bool { return share > 0 && s.random.Float64() < share }
+
+// happens reports whether an event with a rate per second happens in this tick.
+func (s *siteModel) happens(rate float64) bool { return s.chance(rate * modelTick.Seconds()) }
+
+// drawTime returns a time between two bounds; more than half of the times are in the lowest eighth.
+func (s *siteModel) drawTime(least, most time.Duration) time.Duration {
+	if s.random.IntN(2) == 0 {
+		most = least + (most-least)/8
 	}
-	b.recordFence(cmd)
-	b.endHolds(cmd)
-	b.held = append(b.held, heldRange{cmd.From, cmd.To, cmd.Fence, arrivedAt.Add(ownership.GrantTTL * 102 / 100)})
-	return ownership.Done
+	return least + time.Duration(s.random.Int64N(int64(most-least)+1))
 }
 
-func (b *backend) recordFence(cmd ownership.Command) {
-	b.seenFences = append(b.seenFences, heldRange{cmd.From, cmd.To, cmd.Fence, 0})
+func (s *siteModel) current() *modelLeader { return s.leaders[len(s.leaders)-1] }
+
+// run plays a history until its end or the first broken promise.
+func (s *siteModel) run() {
+	for end := s.now.Add(modelTime); s.now < end && s.problem == ""; {
+		s.tick()
+	}
 }
 
-// endHolds removes the keys of a command from the held ranges.
-func (b *backend) endHolds(cmd ownership.Command) {
-	var kept []heldRange
-	for _, h := range b.held {
-		if !overlaps(h.from, h.to, cmd.From, cmd.To) {
-			kept = append(kept, h)
-			continue
-		}
-		if h.from < cmd.From {
-			kept = append(kept, heldRange{h.from, cmd.From - 1, h.fence, h.until})
-		}
-		if h.to > cmd.To {
-			kept = append(kept, heldRange{cmd.To + 1, h.to, h.fence, h.until})
-		}
+func (s *siteModel) tick() {
+	s.disrupt()
+	s.leaders = slices.DeleteFunc(s.leaders, func(l *modelLeader) bool { return l.actsUntil > 0 && s.now >= l.actsUntil })
+	for _, l := range s.leaders {
+		l.tick()
 	}
-	b.held = kept
+	s.advance(modelTick)
 }
 
-// delayedGrant is a grant that the backend server applies after the call has timed out; its hold time starts at its arrival.
-type delayedGrant struct {
-	command   ownership.Command
-	arrivedAt clock.Instant
-	appliedAt clock.Instant
+// advance carries out the events of a time.
+func (s *siteModel) advance(elapsed time.Duration) {
+	until := s.now.Add(elapsed)
+	for len(s.queue) > 0 && s.queue[0].at <= until && s.problem == "" {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = until
 }
 
-// siteModel is a model of one service, its backend servers and its leader.
-type siteModel struct {
-	t        *rapid.T
-	now      clock.Instant
-	backends map[id.Server]*backend
-	table    *fleet.Table
-	granter  *ownership.Granter
-	delayed  []delayedGrant
-	dead     map[fleet.Incarnation]bool
-	eligible map[id.Server]bool
-	// suspended holds the backend servers that refused a connection recently.
-	suspended map[id.Server]bool
-	// skipsHoldWait makes the leader skip the wait for previous holders, to show that the check detects it.
-	skipsHoldWait bool
+// event is something that happens at a time; events of the same time happen in the order in which they were made.
+type event struct {
+	at       clock.Instant
+	sequence int
+	run      func()
 }
 
-func newSiteModel(t *rapid.T, skipsHoldWait bool) *siteModel {
-	s := &siteModel{
-		t: t, now: clock.Instant(time.Hour), backends: map[id.Server]*backend{}, dead: map[fleet.Incarnation]bool{},
-		eligible: map[id.Server]bool{}, suspended: map[id.Server]bool{}, skipsHoldWait: skipsHoldWait,
-	}
-	for _, n := range []id.Server{"a", "b", "c"} {
-		s.backends[n] = &backend{incarnation: fleet.Incarnation{Server: n, Born: 1}, up: true, reachable: true}
-		s.eligible[n] = true
-	}
-	s.granter = ownership.NewGranter(s.now)
-	return s
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
 }
 
-func (s *siteModel) drawServer() id.Server {
-	return rapid.SampledFrom([]id.Server{"a", "b", "c"}).Draw(s.t, "server")
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *eventQueue) Push(e any) { *q = append(*q, e.(event)) }
+
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
 }
 
-// plan writes the next table in the way the leader does.
-func (s *siteModel) plan() {
-	var candidates []ownership.Candidate
-	for n, b := range s.backends {
-		candidates = append(candidates, ownership.Candidate{Incarnation: b.incarnation, Eligible: s.eligible[n], Warm: true, Capacity: 40})
-	}
-	if s.table == nil {
-		s.table, _ = ownership.Plan(service, nil, candidates, ownership.Load{})
-		return
-	}
-	if next, moved, settled := s.granter.Revise(s.table, candidates, ownership.Load{}); moved || settled {
-		s.table = next
-	}
+func (s *siteModel) after(delay time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.queue, event{s.now.Add(delay), s.sequence, run})
 }
 
-// sendDueCommands sends the commands that are due; each is carried out, lost, or carried out after the timeout.
-func (s *siteModel) sendDueCommands() {
-	if s.table == nil {
-		return
-	}
-	isDead := func(i fleet.Incarnation) bool { return s.dead[i] }
-	if s.skipsHoldWait {
-		isDead = func(i fleet.Incarnation) bool { return !s.eligible[i.Server] || s.dead[i] }
-	}
-	for _, cmd := range s.granter.Due(s.now, s.table, ownership.Liveness{IsDead: isDead, IsSuspended: func(i fleet.Incarnation) bool { return s.suspended[i.Server] }, IsLost: func(i fleet.Incarnation) bool { return !s.eligible[i.Server] }}) {
-		b := s.backends[cmd.Incarnation.Server]
-		if !b.up || !b.reachable || b.incarnation != cmd.Incarnation {
-			s.granter.Report(s.now, cmd, ownership.Unanswered, "")
+// checkHolders checks that no other process holds keys that a server has just been granted.
+func (s *siteModel) checkHolders(server *modelServer, span keySpan) {
+	for _, other := range s.servers {
+		if other == server || other.process == nil {
 			continue
 		}
-		switch rapid.IntRange(0, 5).Draw(s.t, "result") {
-		case 0:
-			s.granter.Report(s.now, cmd, ownership.Unanswered, "")
-		case 1:
-			if !cmd.Release {
-				delay := time.Duration(rapid.IntRange(1, 12).Draw(s.t, "delay")) * time.Second
-				s.delayed = append(s.delayed, delayedGrant{cmd, s.now, s.now.Add(delay)})
-			}
-			s.granter.Report(s.now, cmd, ownership.Unanswered, "")
-		default:
-			s.granter.Report(s.now, cmd, s.apply(b, cmd), "")
+		if h, found := other.process.holding(s.now, span); found && s.problem == "" {
+			s.problem = fmt.Sprintf("%s and %s hold keys %d to %d at the same time, with fences %d and %d", other.id, server.id, max(h.from, span.from), min(h.to, span.to), h.fence, span.fence)
+			s.note("%s", s.problem)
 		}
 	}
 }
 
-func (s *siteModel) apply(b *backend, cmd ownership.Command) ownership.Outcome {
-	if cmd.Release {
-		b.recordFence(cmd)
-		b.endHolds(cmd)
-		return ownership.Done
-	}
-	return b.applyGrant(cmd, s.now)
-}
-
-// advance moves the clock forward, applies the delayed grants that are due and removes the holds that have expired.
-func (s *siteModel) advance(elapsed time.Duration) {
-	s.now = s.now.Add(elapsed)
-	var pending []delayedGrant
-	for _, d := range s.delayed {
-		b := s.backends[d.command.Incarnation.Server]
-		switch {
-		case d.appliedAt > s.now:
-			pending = append(pending, d)
-		case b.up && b.incarnation == d.command.Incarnation:
-			b.applyGrant(d.command, d.arrivedAt)
+// checkFences checks that keys have come with a fence above all with which other servers had them; the same grant may come again.
+func (s *siteModel) checkFences(server *modelServer, span keySpan) {
+	for _, had := range server.had {
+		if had.fence == span.fence && had.covers(span) {
+			return
 		}
 	}
-	s.delayed = pending
-	for _, b := range s.backends {
-		var kept []heldRange
-		for _, h := range b.held {
-			if h.until > s.now {
-				kept = append(kept, h)
+	for _, other := range s.servers {
+		if other == server {
+			continue
+		}
+		for _, had := range other.had {
+			if had.overlaps(span) && had.fence >= span.fence && s.problem == "" {
+				s.problem = fmt.Sprintf("%s is granted keys %d to %d with fence %d, and %s had them with fence %d", server.id, max(had.from, span.from), min(had.to, span.to), span.fence, other.id, had.fence)
+				s.note("%s", s.problem)
 			}
 		}
-		b.held = kept
 	}
 }
 
-// restart ends the incarnation of a backend server; the next one starts without state.
-func (s *siteModel) restart(n id.Server) {
-	b := s.backends[n]
-	s.dead[b.incarnation] = true
-	s.backends[n] = &backend{incarnation: fleet.Incarnation{Server: n, Born: b.incarnation.Born + 1}, up: true, reachable: true}
+// modelMove is a move as the leader of a term sees it.
+type modelMove struct {
+	term  int
+	fence fleet.Fence
 }
 
-// findConflict returns two backend servers that hold the same keys.
-func (s *siteModel) findConflict() (a, b id.Server, found bool) {
-	for n, one := range s.backends {
-		for m, other := range s.backends {
-			if n >= m || !one.up || !other.up {
-				continue
-			}
-			for _, h := range one.held {
-				for _, g := range other.held {
-					if overlaps(h.from, h.to, g.from, g.to) {
-						return n, m, true
-					}
-				}
-			}
+// measureMoves measures how long the moves of a leader's table take.
+func (s *siteModel) measureMoves(l *modelLeader) {
+	for _, r := range l.table.Ranges {
+		move := modelMove{l.term, r.Fence}
+		start, known := s.moveStarts[move]
+		switch {
+		case !r.Moving() || l.actsUntil > 0:
+		case !known:
+			s.moveStarts[move] = s.now
+		case !l.granter.IsGranted(service, r):
+			s.slowestMove = max(s.slowestMove, s.now.Sub(start))
 		}
 	}
-	return "", "", false
 }
 
-// step applies one random event, then plans and sends the due commands.
-func (s *siteModel) step() {
-	switch rapid.IntRange(0, 8).Draw(s.t, "event") {
-	case 0:
-		n := s.drawServer()
-		s.eligible[n] = !s.eligible[n]
-	case 1:
-		n := s.drawServer()
-		s.backends[n].reachable = !s.backends[n].reachable
-	case 2:
-		s.restart(s.drawServer())
-	case 3:
-		// Another VM becomes the leader; it knows only the table.
-		s.granter = ownership.NewGranter(s.now)
-	case 4:
-		n := s.drawServer()
-		s.suspended[n] = !s.suspended[n]
-	default:
-		s.advance(time.Duration(rapid.IntRange(50, 1500).Draw(s.t, "ms")) * time.Millisecond)
+// note adds a line to the trace.
+func (s *siteModel) note(format string, args ...any) {
+	if s.tracing {
+		s.trace = append(s.trace, fmt.Sprintf("%8.3f ", s.now.Sub(modelStart).Seconds())+fmt.Sprintf(format, args...))
 	}
-	s.plan()
-	s.sendDueCommands()
 }
 
-const steps = 120
+func describe(cmd ownership.Command) string {
+	what := "grant"
+	if cmd.Release {
+		what = "release"
+	}
+	return fmt.Sprintf("%s of %d to %d with fence %d for %s born %d", what, cmd.From, cmd.To, cmd.Fence, cmd.Incarnation.Server, cmd.Incarnation.Born)
+}
 
-func TestKeysNeverHaveTwoHolders(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		s := newSiteModel(t, false)
-		s.plan()
-		for range steps {
-			s.step()
-			if a, b, found := s.findConflict(); found {
-				t.Fatalf("%s and %s hold the same keys", a, b)
-			}
+// findProblem plays histories and returns the first seed whose history breaks a promise.
+func findProblem(histories uint64, faults modelFaults, flaw modelFlaw) (seed uint64, problem string) {
+	for seed := range histories {
+		s := newSiteModel(seed, faults, flaw)
+		if s.run(); s.problem != "" {
+			return seed, s.problem
 		}
-	})
+	}
+	return 0, ""
 }
 
-// Guards against a model that can't detect two holders: a leader that doesn't wait for previous holders must be found.
-func TestModelFindsLeaderThatSkipsHoldWait(t *testing.T) {
-	found := false
-	for seed := range 200 {
-		rapid.Custom(func(t *rapid.T) bool {
-			s := newSiteModel(t, true)
-			s.plan()
-			for range steps {
-				s.step()
-				if _, _, conflict := s.findConflict(); conflict {
-					found = true
-				}
-			}
-			return true
-		}).Example(seed)
-		if found {
-			return
-		}
+// shownTrace is the number of lines of a broken history that a failing test prints.
+const shownTrace = 60
+
+func checkHistories(t *testing.T, histories uint64, faults modelFaults) {
+	t.Helper()
+	seed, problem := findProblem(histories, faults, modelFlaw{})
+	if problem == "" {
+		return
 	}
-	t.Fatal("no conflict was found although the leader does not wait for previous holders")
+	s := newSiteModel(seed, faults, modelFlaw{})
+	s.tracing = true
+	s.run()
+	t.Fatalf("seed %d: %s\n%s", seed, problem, strings.Join(s.trace[max(0, len(s.trace)-shownTrace):], "\n"))
 }
