Model of ownership: a leader without the latest table after a restoration

Cause: a leader whose stored table couldn't be read had knowsTables (edge/tables.go) like any other, so it leads on with an older copy of the store.

Change: a test that plays an unreadable table, an election and a restoration in this order, for a VM that knew no table and one that knew an older one.

--- a/coordination/ownership/model_faults_test.go
+++ b/coordination/ownership/model_faults_test.go
@@ -163,8 +163,7 @@
 	store.table, store.copies = store.copies[at], store.copies[:at]
 	s.note("the store comes back from an older copy, fence %d", fenceOf(store.table))
 	former := s.current()
-	knowsTables := (former.continues || store.settledEra == store.era-1) && (former.table == nil || !former.table.Unreadable)
-	if s.chance(0.5) && knowsTables {
+	if knows := former.continues || store.settledEra == store.era-1; knows && s.chance(0.5) {
 		s.elect(former)
 		former.continues = true
 		return
--- a/coordination/ownership/model_histories_test.go
+++ b/coordination/ownership/model_histories_test.go
@@ -89,6 +89,29 @@
 	checkHistories(t, histories, olderTables)
 }
 
+// Guards against a leader that leads on after a restoration though it never knew the latest table, which couldn't be read.
+func TestLeaderWithoutLatestTableDoesNotLeadOn(t *testing.T) {
+	tests := map[string]modelFaults{
+		"it knew no table":       withMoves(modelFaults{}),
+		"it knew an older table": withMoves(modelFaults{oldKnowledge: 1}),
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(histories / 2) {
+				s := newSiteModel(seed, faults, modelFlaw{})
+				s.play(modelTime / 4)
+				s.store.unreadable = true
+				s.elect(nil)
+				s.play(time.Second)
+				s.restore()
+				s.play(modelTime / 2)
+				is.Equal(s.problem, "")
+			}
+		})
+	}
+}
+
 // Guards against the same raised fences after each restoration.
 func TestSecondRestorationRaisesFencesFurther(t *testing.T) {
 	f := restoredStore
--- a/coordination/ownership/model_test.go
+++ b/coordination/ownership/model_test.go
@@ -85,8 +85,11 @@
 func (s *siteModel) current() *modelLeader { return s.leaders[len(s.leaders)-1] }
 
 // run plays a history until its end or the first broken promise.
-func (s *siteModel) run() {
-	for end := s.now.Add(modelTime); s.now < end && s.problem == ""; {
+func (s *siteModel) run() { s.play(modelTime) }
+
+// play plays a part of a history, unless a promise is broken.
+func (s *siteModel) play(length time.Duration) {
+	for end := s.now.Add(length); s.now < end && s.problem == ""; {
 		s.tick()
 	}
 }
