Wait for former leaders until a majority is known to follow, not for 1.5 s

What callers could see: two backend servers hold the same keys while two leaders act beside each other.

Cause: the granter assumed that a former leader acts no longer than 1.5 s after the election.

Change: the granter, settle and the replacement of an unreadable table wait until FormerLeaderUntil, plus the hold time; while too few VMs are known to follow, nothing counts as expired. Releases in that time are fenced. A tick's time is read before the question whether this VM leads, so that a pause in between makes its commands older. Grants that are in flight or without answer are remembered each, by range, and a release counts only if none of them was open when it was issued.

The model's leader tells the granter of successors, announced moves and former leaders. TestCalmMoveTakesFewCalls bounds moves that were under way at an election by the hold time: what the former leader sent isn't known. TestTablesAreSettledAfterARestoration lets the new time pass instead of the old constant.

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -34,19 +34,12 @@
 	// Not covered: a write late in GrantTimeout whose VM then stands still while segments are lost, a VM that stands still
 	// between the check and the write, and a suspended machine with unacknowledged bytes, whose kernel doesn't count that time.
 	deliverySlack = 500 * time.Millisecond
-	// failoverSlack covers the time that a former leader needs to notice that it was replaced. It keeps leading as long
-	// as most VMs have reported to it within 700 ms that they can't reach the store; VMs that receive the heartbeats of
-	// the new leader, one each 150 ms, stop reporting to the former one.
-	failoverSlack = 1500 * time.Millisecond
 	// retryDelay is the time between two attempts of a command that failed.
 	retryDelay = 100 * time.Millisecond
 )
 
-// maxHoldTime is the longest time for which a backend server may hold keys after a grant was issued, if it arrives within deliverySlack.
-const maxHoldTime = GrantTTL*(100+clockDriftPercent)/100 + deliverySlack
-
-// FormerGrantTime is the time after the election of a leader from which no backend server holds keys that a former leader has granted.
-const FormerGrantTime = failoverSlack + maxHoldTime
+// MaxHoldTime is the longest time for which a backend server may hold keys after a grant was issued, if it arrives within deliverySlack.
+const MaxHoldTime = GrantTTL*(100+clockDriftPercent)/100 + deliverySlack
 
 // Command is a grant or release call to a backend server.
 type Command struct {
@@ -69,8 +62,8 @@
 	IssuedAt clock.Instant
 	// key identifies the range that the command is for; its fence differs from that of a fencing grant.
 	key rangeKey
-	// isolated says that a former leader may still have renewed grants when the command was issued.
-	isolated bool
+	// inDoubt says that the previous owner may still have taken an earlier grant when the command was issued.
+	inDoubt bool
 }
 
 // Vacancy is why the previous owner of moving keys holds them no more.
@@ -128,9 +121,9 @@
 	abandoned bool
 	// grantedAt is when the owner first confirmed a grant of the keys.
 	grantedAt clock.Instant
-	// refused says that a backend server refused a grant, having seen a higher fence.
-	refused  bool
-	inFlight bool
+	// refusedAt is when a backend server refused a grant, having seen a higher fence; 0 if none was refused.
+	refusedAt clock.Instant
+	inFlight  bool
 	// nextCommandAt is when the next command for the range may be sent.
 	nextCommandAt clock.Instant
 	// inherited says that a former leader planned the move, so that the new owner may hold the keys already.
@@ -138,7 +131,7 @@
 	// fencings counts the fencing grants without answer; fenced says that the previous owner took the latest one.
 	fencings int
 	fenced   bool
-	// released says that the previous owner has answered a release, and outdated that it may have taken an earlier grant since.
+	// released says that the previous owner has answered a release, and outdated that it may take an earlier grant after it.
 	released, outdated bool
 	// heldFrom is when the latest grant of the keys to the previous owner was issued that it may have taken.
 	heldFrom clock.Instant
@@ -159,7 +152,7 @@
 
 // NewGranter returns the granter of a leader that is elected now.
 func NewGranter(now clock.Instant) *Granter {
-	return &Granter{formerUntil: now.Add(failoverSlack), ranges: map[rangeKey]*rangeState{}, holders: map[holder]*grants{}, planned: map[rangeKey]bool{}}
+	return &Granter{formerUntil: now, ranges: map[rangeKey]*rangeState{}, holders: map[holder]*grants{}, planned: map[rangeKey]bool{}}
 }
 
 // Liveness holds what the leader knows about the incarnations of backend servers, and about former leaders.
@@ -177,7 +170,9 @@
 	IsLeaving func(i fleet.Incarnation) bool
 	// IsMoved reports whether a former leader has announced that the new owner took the keys of a move; nil means that none was announced.
 	IsMoved func(service id.Service, fence fleet.Fence) bool
-	// Isolated says that this VM reaches too few others to know that no former leader still renews grants.
+	// FormerUntil is until when former leaders may issue grants; 0 means until the election.
+	FormerUntil clock.Instant
+	// Isolated says that this VM reaches too few others to know until when former leaders may issue grants.
 	Isolated bool
 }
 
@@ -196,12 +191,13 @@
 
 // Due returns the commands to be sent now for a table.
 func (g *Granter) Due(now clock.Instant, t *fleet.Table, liveness Liveness) (commands []Command) {
+	g.formerUntil = max(g.formerUntil, liveness.FormerUntil)
 	known := map[rangeKey]bool{}
 	for _, r := range t.Ranges {
 		key := rangeKey{t.Service, r.From, r.To, r.Fence}
 		known[key] = true
 		s := g.rangeState(now, key, r, liveness)
-		if s.inFlight || now < s.nextCommandAt || s.refused {
+		if s.inFlight || now < s.nextCommandAt || s.refusedAt > 0 {
 			continue
 		}
 		if c, ok := g.nextCommand(now, key, r, s, liveness); ok {
@@ -218,7 +214,7 @@
 	isGone := func(key rangeKey) bool { return key.service == t.Service && key.fence <= t.Fence && !known[key] }
 	maps.DeleteFunc(g.ranges, func(key rangeKey, _ *rangeState) bool { return isGone(key) })
 	maps.DeleteFunc(g.planned, func(key rangeKey, _ bool) bool { return isGone(key) })
-	maps.DeleteFunc(g.holders, func(_ holder, sent *grants) bool { return sent.isOver(now) })
+	maps.DeleteFunc(g.holders, func(_ holder, sent *grants) bool { return sent.expire(now) })
 }
 
 // rangeState returns the state of a range; the next command for a part of a split range is due at once.
@@ -241,9 +237,7 @@
 // Granted keys are granted again, to renew the grant. Moving keys are granted to
 // the new owner once the previous one holds them no more.
 func (g *Granter) nextCommand(now clock.Instant, key rangeKey, r fleet.Range, s *rangeState, liveness Liveness) (c Command, ok bool) {
-	c = Command{
-		Service: key.service, Incarnation: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: s.handover, IssuedAt: now, key: key, isolated: liveness.Isolated,
-	}
+	c = Command{Service: key.service, Incarnation: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: s.handover, IssuedAt: now, key: key}
 	if s.granted {
 		ok = !liveness.IsSuspended(r.Owner) && !liveness.IsDead(r.Owner)
 		return g.issue(c, ok), ok
@@ -265,9 +259,9 @@
 	if isSent {
 		h := holder{c.Service, c.Incarnation.Server}
 		if g.holders[h] == nil {
-			g.holders[h] = &grants{inFlight: map[grantID]bool{}}
+			g.holders[h] = &grants{open: map[grantID]bool{}}
 		}
-		g.holders[h].issued(c.id())
+		g.holders[h].open[c.id()] = true
 	}
 	return c
 }
@@ -278,7 +272,7 @@
 	switch {
 	case s.released && !s.outdated:
 		return Released
-	case now > max(g.formerUntil, s.heldFrom).Add(maxHoldTime) && !liveness.Isolated:
+	case now > max(g.formerUntil, s.heldFrom).Add(MaxHoldTime) && !liveness.Isolated:
 		return Expired
 	case liveness.IsDead(former) && !hasSuccessor:
 		return Ended
@@ -287,12 +281,15 @@
 	}
 }
 
-// isInDoubt reports whether a backend server may still take a grant that was issued before, by this leader or a former one.
-func (g *Granter) isInDoubt(now clock.Instant, service id.Service, server id.Server, isolated bool) bool {
-	return isolated || now <= g.formerUntil.Add(maxHoldTime) || g.holders[holder{service, server}].isInDoubt(now)
+// isInDoubt reports whether the previous owner may still take a grant that was issued before the move, by this leader or a former one.
+func (g *Granter) isInDoubt(now clock.Instant, key rangeKey, s *rangeState, server id.Server, liveness Liveness) bool {
+	if s.fenced {
+		return false
+	}
+	return liveness.Isolated || now <= g.formerUntil.Add(MaxHoldTime) || g.holders[holder{key.service, server}].isInDoubt(key)
 }
 
-// vacate returns the command after which the previous owner of moving keys holds them no more.
+// vacate returns the command after which the previous owner of moving keys holds them no more; ok is false if that takes time only.
 //
 // A release ends what the previous owner holds, but not what it may still take:
 // grants that it hasn't answered, or those of a former leader. In such a case it
@@ -304,18 +301,14 @@
 	if next, hasSuccessor := liveness.successor(c.Incarnation); hasSuccessor {
 		c.Incarnation = next
 	}
-	inDoubt := !s.fenced && g.isInDoubt(now, c.Service, c.Incarnation.Server, liveness.Isolated)
+	c.inDoubt = g.isInDoubt(now, c.key, s, c.Incarnation.Server, liveness)
 	fence, hasFence := fencingFence(r, s)
-	switch {
-	case inDoubt && hasFence && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation):
+	if c.inDoubt && hasFence && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation) {
 		c.Fencing, c.Fence, s.heldFrom = true, fence, now
 		return g.issue(c, true), true
-	case s.released:
-		return c, false
-	default:
-		c.Release = true
-		return c, true
 	}
+	c.Release = true
+	return c, !s.released || !c.inDoubt
 }
 
 // reservedFences is the number of fences below that of a move that are reserved for fencing grants to the previous owner. Each of them is used
@@ -349,12 +342,11 @@
 			s.fencings++
 		}
 	case outcome == Refused:
-		s.refused = true
+		s.refusedAt = now
 	case c.Fencing:
 		s.fenced, s.released, s.nextCommandAt = true, false, now
 	case c.Release:
-		s.outdated = !s.fenced && g.isInDoubt(now, c.Service, c.Incarnation.Server, c.isolated)
-		s.released, s.handover, s.nextCommandAt = true, handover, now
+		s.released, s.outdated, s.handover, s.nextCommandAt = true, c.inDoubt, handover, now
 	default:
 		if !s.granted {
 			s.grantedAt = now
@@ -392,7 +384,7 @@
 }
 
 // renewsFence reports whether a range needs a new fence, since a backend server has seen a higher one.
-func (g *Granter) renewsFence(service id.Service, r fleet.Range) bool {
+func (g *Granter) renewsFence(now clock.Instant, service id.Service, r fleet.Range) bool {
 	s, ok := g.ranges[rangeKey{service, r.From, r.To, r.Fence}]
-	return ok && s.refused
+	return ok && s.refusedAt > 0 && now >= s.refusedAt
 }
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -92,7 +92,7 @@
 	g := ownership.NewGranter(electedAt)
 	var lastToB, firstToC clock.Instant
 	for now := electedAt; now < electedAt.Add(10*time.Second) && firstToC == 0; now = now.Add(50 * time.Millisecond) {
-		if next, moved, settled := g.Revise(table, candidates, nil); moved || settled {
+		if next, moved, settled := g.Revise(now, table, candidates, nil); moved || settled {
 			table = next
 		}
 		for _, cmd := range g.Due(now, table, liveness) {
@@ -192,12 +192,12 @@
 		g.Report(now, cmd, ownership.Done, "")
 	}
 	// From then on, no grant of a former leader can be on its way.
-	now = now.Add(ownership.FormerGrantTime + time.Second)
+	now = now.Add(ownership.MaxHoldTime + time.Second)
 	commands := g.Due(now, table, leaving)
 	is.Equal(len(commands), 1)
 	is.Equal(commands[0].From, held.From)
 	g.Report(now, commands[0], ownership.Done, "")
-	next, changed, _ := g.Revise(table, []ownership.Candidate{{Incarnation: b}, {Incarnation: c, Eligible: true, Warm: true, Capacity: 10}}, nil)
+	next, changed, _ := g.Revise(now, table, []ownership.Candidate{{Incarnation: b}, {Incarnation: c, Eligible: true, Warm: true, Capacity: 10}}, nil)
 	is.True(changed)
 	for _, key := range []fleet.Key{0, 10} {
 		r, _ := next.Find(key)
@@ -231,7 +231,7 @@
 	for _, c := range g.Due(now.Add(-10*time.Millisecond), table, healthy) {
 		g.Report(now, c, renewal, "")
 	}
-	moved, _, _ = g.Revise(table, []ownership.Candidate{{Incarnation: a}, {Incarnation: b, Eligible: true, Warm: true, Capacity: 40}}, nil)
+	moved, _, _ = g.Revise(now, table, []ownership.Candidate{{Incarnation: a}, {Incarnation: b, Eligible: true, Warm: true, Capacity: 40}}, nil)
 	return g, moved
 }
 
--- a/coordination/ownership/grants.go
+++ b/coordination/ownership/grants.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"maps"
+
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -17,34 +19,31 @@
 	server  id.Server
 }
 
-// grantID identifies a grant in flight.
+// grantID identifies a grant among those of its holder.
 type grantID struct {
 	key      rangeKey
 	fence    fleet.Fence
 	issuedAt clock.Instant
 }
 
+// overlaps reports whether the grant is for one of the keys of a range.
+func (g grantID) overlaps(key rangeKey) bool { return g.key.from <= key.to && key.from <= g.key.to }
+
 // grants records the grants that this leader has sent to one holder.
 type grants struct {
-	inFlight map[grantID]bool
-	// lastAt is when the latest grant was issued that the backend server may have taken, and unansweredAt the latest such one that it
-	// didn't answer, which it may still take.
-	lastAt, unansweredAt clock.Instant
+	// open holds the grants that are in flight or weren't answered, which the backend server may still take.
+	open map[grantID]bool
+	// lastAt is when the latest grant was issued that the backend server may have taken.
+	lastAt clock.Instant
 }
 
-// issued records that a grant is sent.
-func (g *grants) issued(grant grantID) { g.inFlight[grant] = true }
-
 // ended records the outcome of a grant.
 func (g *grants) ended(grant grantID, outcome Outcome) {
-	delete(g.inFlight, grant)
-	switch outcome {
-	case Unanswered:
-		g.unansweredAt = max(g.unansweredAt, grant.issuedAt)
-		g.lastAt = max(g.lastAt, grant.issuedAt)
-	case Done:
+	if outcome != Unanswered {
+		delete(g.open, grant)
+	}
+	if outcome == Done {
 		g.lastAt = max(g.lastAt, grant.issuedAt)
-	case Refused, Undelivered:
 	}
 }
 
@@ -54,18 +53,27 @@
 		return 0
 	}
 	at = g.lastAt
-	for grant := range g.inFlight {
+	for grant := range g.open {
 		at = max(at, grant.issuedAt)
 	}
 	return at
 }
 
-// isInDoubt reports whether the backend server may still take a grant that it hasn't answered.
-func (g *grants) isInDoubt(now clock.Instant) bool {
-	return g != nil && (len(g.inFlight) > 0 || g.unansweredAt > 0 && now <= g.unansweredAt.Add(maxHoldTime))
+// isInDoubt reports whether the backend server may still take an earlier grant for one of the keys of a range.
+func (g *grants) isInDoubt(key rangeKey) bool {
+	if g == nil {
+		return false
+	}
+	for grant := range g.open {
+		if grant.overlaps(key) {
+			return true
+		}
+	}
+	return false
 }
 
-// isOver reports whether no grant of this leader can matter any more.
-func (g *grants) isOver(now clock.Instant) bool {
-	return len(g.inFlight) == 0 && now > g.lastAt.Add(maxHoldTime)
+// expire forgets the grants whose time has passed, and reports whether none is left.
+func (g *grants) expire(now clock.Instant) (isOver bool) {
+	maps.DeleteFunc(g.open, func(grant grantID, _ bool) bool { return now > grant.issuedAt.Add(MaxHoldTime) })
+	return len(g.open) == 0 && now > g.lastAt.Add(MaxHoldTime)
 }
--- a/coordination/ownership/model_histories_test.go
+++ b/coordination/ownership/model_histories_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/ownership"
 )
 
 const (
@@ -162,6 +164,7 @@
 				is.Equal(s.problem, "")
 				is.True(len(s.moveStarts) > 0)
 				is.True(s.slowestMove < maxCalmMove)
+				is.True(s.slowestInheritedMove < ownership.MaxHoldTime+maxCalmMove)
 			}
 		})
 	}
--- a/coordination/ownership/model_leader_test.go
+++ b/coordination/ownership/model_leader_test.go
@@ -12,7 +12,7 @@
 )
 
 // outcomeUnsent is the outcome of a call that surely didn't reach a server.
-const outcomeUnsent = ownership.Unanswered
+const outcomeUnsent = ownership.Undelivered
 
 const (
 	// maxFailedCalls, evictionDelay and refusalCooldown are those of the product's leader.
@@ -54,6 +54,8 @@
 	// actsUntil is when a former leader stops; 0 means that this VM is the leader.
 	actsUntil clock.Instant
 	table     *fleet.Table
+	// inheritedFence is the highest fence of a former leader.
+	inheritedFence fleet.Fence
 	// revision is that of the table that the VM last read or wrote.
 	revision int
 	// entries are the start times in the servers' entries as this VM knows them, and latest the latest ones that it has seen.
@@ -104,6 +106,7 @@
 		l.entries[server.id] = server.registered
 	}
 	l.read()
+	l.inheritedFence = fenceOf(l.table)
 	l.granter = ownership.NewGranter(l.granterStart())
 	s.store.term = l.term
 	s.note("%s is elected in term %d, table fence %d", l.name(), l.term, fenceOf(l.table))
@@ -177,10 +180,31 @@
 		IsSuspended: l.isSuspended,
 		IsLost:      l.isLost,
 		IsLeaving:   func(i fleet.Incarnation) bool { return l.site.server(i.Server).leaving },
+		Successor:   l.successor,
+		IsMoved:     func(_ id.Service, fence fleet.Fence) bool { return l.site.announced[fence] },
+		FormerUntil: l.formerUntil(),
 		Isolated:    l.isolated,
 	}
 }
 
+// successor returns the latest incarnation that has started under the id of an ended one.
+func (l *modelLeader) successor(i fleet.Incarnation) (next fleet.Incarnation, ok bool) {
+	born := max(l.entries[i.Server], l.latest[i.Server])
+	return fleet.Incarnation{Server: i.Server, Born: born}, born > i.Born
+}
+
+// formerUntil returns until when former leaders may act on.
+func (l *modelLeader) formerUntil() clock.Instant {
+	if l.site.flaw.ignoresFormerLeaders {
+		return 0
+	}
+	until := l.electedAt.Add(l.site.faults.formerTime)
+	if l.site.flaw.skipsHoldWait {
+		until *= 100
+	}
+	return until
+}
+
 func (l *modelLeader) candidates() (out []ownership.Candidate) {
 	for _, server := range l.site.servers {
 		i := fleet.Incarnation{Server: server.id, Born: l.entries[server.id]}
@@ -196,7 +220,10 @@
 		outcome = ownership.Done
 	}
 	l.granter.Report(l.time(), cmd, outcome, "")
-	if outcome != ownership.Unanswered {
+	if outcome == ownership.Done && !cmd.Release && !cmd.Fencing && l.actsUntil == 0 {
+		l.site.announced[cmd.Fence] = true
+	}
+	if outcome.IsAnswered() {
 		delete(l.failures, cmd.Incarnation)
 		return
 	}
--- a/coordination/ownership/model_store_test.go
+++ b/coordination/ownership/model_store_test.go
@@ -103,8 +103,8 @@
 	}
 	now, load := l.site.now, l.load
 	l.load = nil
-	current := l.table
-	if current != nil && current.Unreadable {
+	current, isLost := l.table, l.table != nil && l.table.Unreadable
+	if isLost {
 		if !l.formerGrantsExpired() {
 			return
 		}
@@ -116,8 +116,8 @@
 		}
 		return
 	}
-	next, moved, settled := l.granter.Revise(current, l.candidates(), load)
-	if moved || settled && now.Sub(l.writtenAt) > settledMoveWriteDelay {
+	next, moved, settled := l.granter.Revise(l.time(), current, l.candidates(), load)
+	if moved || isLost || settled && now.Sub(l.writtenAt) > settledMoveWriteDelay {
 		l.write(next, nil)
 	}
 }
@@ -153,7 +153,7 @@
 
 // formerGrantsExpired reports whether the leader takes the grants of all former leaders as expired.
 func (l *modelLeader) formerGrantsExpired() bool {
-	return l.site.now.Sub(l.electedAt) >= ownership.FormerGrantTime && !l.isolated
+	return l.site.now > l.formerUntil().Add(ownership.MaxHoldTime) && !l.isolated
 }
 
 func (l *modelLeader) refence() *fleet.Table {
--- a/coordination/ownership/model_test.go
+++ b/coordination/ownership/model_test.go
@@ -40,18 +40,22 @@
 	// leaders are those that still act; the last one is the current one.
 	leaders   []*modelLeader
 	elections int
+	// announced holds the fences of the moves that leaders have announced as done.
+	announced map[fleet.Fence]bool
 	// problem is the first broken promise.
 	problem string
 	// moveStarts are the times at which leaders first saw moves, and slowestMove is the longest time until a grant.
 	moveStarts  map[modelMove]clock.Instant
 	slowestMove time.Duration
+	// slowestInheritedMove is the same for moves that a former leader planned.
+	slowestInheritedMove time.Duration
 	// trace holds what happened if tracing is set.
 	tracing bool
 	trace   []string
 }
 
 func newSiteModel(seed uint64, faults modelFaults, flaw modelFlaw) *siteModel {
-	s := &siteModel{random: rand.New(rand.NewPCG(seed, 44)), faults: faults, flaw: flaw, now: modelStart, moveStarts: map[modelMove]clock.Instant{}}
+	s := &siteModel{random: rand.New(rand.NewPCG(seed, 44)), faults: faults, flaw: flaw, now: modelStart, moveStarts: map[modelMove]clock.Instant{}, announced: map[fleet.Fence]bool{}}
 	for _, name := range []id.Server{"a", "b", "c"} {
 		server := &modelServer{id: name}
 		server.start()
@@ -193,6 +197,8 @@
 		case !r.Moving() || l.actsUntil > 0:
 		case !known:
 			s.moveStarts[move] = s.now
+		case !l.granter.IsGranted(service, r) && r.Fence <= l.inheritedFence:
+			s.slowestInheritedMove = max(s.slowestInheritedMove, s.now.Sub(start))
 		case !l.granter.IsGranted(service, r):
 			s.slowestMove = max(s.slowestMove, s.now.Sub(start))
 		}
@@ -208,8 +214,11 @@
 
 func describe(cmd ownership.Command) string {
 	what := "grant"
-	if cmd.Release {
+	switch {
+	case cmd.Release:
 		what = "release"
+	case cmd.Fencing:
+		what = "fencing grant"
 	}
 	return fmt.Sprintf("%s of %d to %d with fence %d for %s born %d", what, cmd.From, cmd.To, cmd.Fence, cmd.Incarnation.Server, cmd.Incarnation.Born)
 }
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -18,6 +18,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -366,9 +367,9 @@
 // owner doesn't take them can be moved again. Settled reports whether moves
 // were completed. Moved is false where the table differs only by completed
 // moves, which may be written together with the next change.
-func (g *Granter) Revise(t *fleet.Table, candidates []Candidate, load Load) (next *fleet.Table, moved, settled bool) {
+func (g *Granter) Revise(now clock.Instant, t *fleet.Table, candidates []Candidate, load Load) (next *fleet.Table, moved, settled bool) {
 	next, settled = CompleteMoves(t, func(r fleet.Range) bool { return g.IsSettled(t.Service, r) })
-	next, renewed := renewFences(next, func(r fleet.Range) bool { return g.renewsFence(t.Service, r) })
+	next, renewed := renewFences(next, func(r fleet.Range) bool { return g.renewsFence(now, t.Service, r) })
 	next, moved = Plan(t.Service, next, candidates, load)
 	for _, r := range next.Ranges {
 		if r.Fence > t.Fence {
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -19,7 +19,7 @@
 // sendDueCalls makes the grant and release calls that are due for a table.
 func (k *keyManager) sendDueCalls(ctx context.Context, now clock.Instant, t *fleet.Table) {
 	s := k.edge.snapshot.Load()
-	isolated := k.edge.isIsolated(now)
+	formerUntil, known := k.edge.formerLeaderUntil()
 	k.mu.Lock()
 	commands := k.granter.Due(now, t, ownership.Liveness{
 		IsDead:      func(inc fleet.Incarnation) bool { return k.hasEnded(s, inc) },
@@ -28,7 +28,8 @@
 		IsLost:      func(inc fleet.Incarnation) bool { return k.isLost(now, inc) },
 		IsLeaving:   k.edge.departures.IsLeaving,
 		IsMoved:     k.edge.dispatcher.IsMoved,
-		Isolated:    isolated,
+		FormerUntil: formerUntil,
+		Isolated:    !known,
 	})
 	k.mu.Unlock()
 	for _, command := range commands {
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -144,8 +144,10 @@
 // run plans key ownership and makes the due calls until the context ends.
 func (k *keyManager) run(ctx context.Context) error {
 	for {
+		// A pause after this reading makes the commands of the tick older, rather than this leadership longer.
+		now := k.edge.clock.Boot()
 		if k.edge.leads() {
-			k.tick(ctx)
+			k.tick(ctx, now)
 		}
 		select {
 		case <-k.edge.clock.After(keyManagerTick):
@@ -156,13 +158,12 @@
 	}
 }
 
-func (k *keyManager) tick(ctx context.Context) {
+func (k *keyManager) tick(ctx context.Context, now clock.Instant) {
 	s := k.edge.snapshot.Load()
 	if s.Configuration == nil || s.Leader == nil || s.Leader.Term != k.edge.ownTerm() {
 		// A record of another term is in the copy from which the store came back: this VM has yet to be elected in the new era.
 		return
 	}
-	now := k.edge.clock.Boot()
 	k.mu.Lock()
 	for _, meter := range k.load {
 		meter.Decay(now)
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/leader"
+	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -42,14 +43,6 @@
 	return e.elector.Term()
 }
 
-// isIsolated reports whether this VM has recent heartbeats from too few VMs for a majority.
-func (e *Edge) isIsolated(now clock.Instant) bool {
-	members := e.members()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.elector.HasMajority(now, members)
-}
-
 // formerLeaderUntil returns until when a former leader may act; known is false while too few VMs are known to follow this one.
 func (e *Edge) formerLeaderUntil() (until clock.Instant, known bool) {
 	members := e.members()
@@ -59,6 +52,12 @@
 	return leader.FormerLeaderUntil(e.electedAt, followedSince), known
 }
 
+// haveFormerGrantsExpired reports whether no backend server can hold keys that a former leader has granted.
+func (e *Edge) haveFormerGrantsExpired(now clock.Instant) bool {
+	until, known := e.formerLeaderUntil()
+	return known && now > until.Add(ownership.MaxHoldTime)
+}
+
 // campaign tries to become the leader.
 func (e *Edge) campaign(ctx context.Context) {
 	won, leaseStart, term, lease := e.acquireLeadership(ctx)
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/standin/kv"
@@ -84,7 +85,7 @@
 			is.Equal(settle(), test.continues)
 			if !test.continues {
 				is.True(e.snapshot.Load().Tables["plans"].Fence < test.minFence)
-				c.now = c.now.Add(ownership.FormerGrantTime)
+				c.now = c.now.Add(leader.ReportTTL + ownership.MaxHoldTime + 1)
 				is.True(!settle())
 			}
 			for range 3 {
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -28,7 +28,7 @@
 	current := t
 	if t != nil && t.Unreadable {
 		// Grants may have been made under the table that is lost.
-		if now.Sub(k.leadingSince) < ownership.FormerGrantTime || k.edge.isIsolated(now) {
+		if !k.edge.haveFormerGrantsExpired(now) {
 			return
 		}
 		current = ownership.Refence(name, nil)
@@ -58,14 +58,14 @@
 // one can't know which grants were made under tables that are lost. It waits
 // until they have expired, and begins with fences above theirs.
 func (k *keyManager) settle(ctx context.Context, now clock.Instant, s *fleet.Snapshot) (ready bool) {
-	isolated := k.edge.isIsolated(now)
+	expired := k.edge.haveFormerGrantsExpired(now)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s.SettledEra >= s.Leader.Term.Era() {
 		k.settled = true
 		return true
 	}
-	if !k.continues && (now.Sub(k.leadingSince) < ownership.FormerGrantTime || isolated) {
+	if !k.continues && !expired {
 		return false
 	}
 	if k.writeInFlight || now.Sub(k.settleTriedAt) < settleRetryPeriod {
@@ -147,7 +147,7 @@
 	if t == nil {
 		return ownership.Plan(name, nil, candidates, load)
 	}
-	next, moved, settled := k.granter.Revise(t, candidates, load)
+	next, moved, settled := k.granter.Revise(now, t, candidates, load)
 	return next, moved || settled && now.Sub(k.tableChangedAt[name]) > settledMoveWriteDelay
 }
 
