Grant refused keys again only after the hold time

What callers could see: two backend servers hold the same keys where the owner by this leader's table refuses a grant.

Cause: a refusal says that the backend server has seen a higher fence, which this leader doesn't know of: another leader had the keys released for somebody else, whose grant may run on. The range got a new fence at once, and again until it was above the unknown one.

Change: a range whose owner refused it gets a new fence after the hold time. A refused fencing grant is answered by a new fence at once, since nobody is granted the keys by it.

Evidence: TestRefusedKeysWaitForTheHoldTime fails without the wait.

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -121,9 +121,11 @@
 	abandoned bool
 	// grantedAt is when the owner first confirmed a grant of the keys.
 	grantedAt clock.Instant
-	// refusedAt is when a backend server refused a grant, having seen a higher fence; 0 if none was refused.
-	refusedAt clock.Instant
-	inFlight  bool
+	// refusedAt is when a backend server refused a grant, having seen a higher fence; 0 if none was refused. fencingRefused says that it was
+	// a fencing grant.
+	refusedAt      clock.Instant
+	fencingRefused bool
+	inFlight       bool
 	// nextCommandAt is when the next command for the range may be sent.
 	nextCommandAt clock.Instant
 	// inherited says that a former leader planned the move, so that the new owner may hold the keys already.
@@ -342,7 +344,7 @@
 			s.fencings++
 		}
 	case outcome == Refused:
-		s.refusedAt = now
+		s.refusedAt, s.fencingRefused = now, c.Fencing
 	case c.Fencing:
 		s.fenced, s.released, s.nextCommandAt = true, false, now
 	case c.Release:
@@ -384,7 +386,10 @@
 }
 
 // renewsFence reports whether a range needs a new fence, since a backend server has seen a higher one.
+//
+// This leader doesn't know of the higher fence, so another backend server may
+// hold the keys under it until its grant expires.
 func (g *Granter) renewsFence(now clock.Instant, service id.Service, r fleet.Range) bool {
 	s, ok := g.ranges[rangeKey{service, r.From, r.To, r.Fence}]
-	return ok && s.refusedAt > 0 && now >= s.refusedAt
+	return ok && s.refusedAt > 0 && (s.fencingRefused || now > s.refusedAt.Add(MaxHoldTime))
 }
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -281,3 +281,22 @@
 		})
 	}
 }
+
+// Guards against keys with two holders where an owner refuses a grant: another backend server may hold them under the higher fence.
+func TestRefusedKeysWaitForTheHoldTime(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	is := is.New(t)
+	a := incarnation("a")
+	never := func(fleet.Incarnation) bool { return false }
+	table := &fleet.Table{Service: service, Fence: 1, Ranges: []fleet.Range{{From: 0, To: fleet.KeyCount - 1, Owner: a, Fence: 1}}}
+	candidates := []ownership.Candidate{{Incarnation: a, Eligible: true, Warm: true, Capacity: 40}}
+	g := ownership.NewGranter(now)
+	for _, c := range g.Due(now, table, ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}) {
+		g.Report(now, c, ownership.Refused, "")
+	}
+	_, moved, _ := g.Revise(now.Add(ownership.MaxHoldTime), table, candidates, nil)
+	is.True(!moved)
+	next, moved, _ := g.Revise(now.Add(ownership.MaxHoldTime+1), table, candidates, nil)
+	is.True(moved)
+	is.True(next.Ranges[0].Fence > table.Fence)
+}
