Begin with fences that rise with each lost table

What callers could see: a backend server takes keys with a fence that isn't above those with which others had them.

Cause: fences after a lost table were raised by a constant, from what the older copy had. A second restoration from a copy before the first raise, or a second table that couldn't be read, gave the same fences again.

Change: they begin at a number made of the store's era and revision, which never repeats, and at least at the constant above what is known.

TestFencesRiseWithEachLostTable bounds the numbers by those that are exact in JSON.

--- a/coordination/ownership/model_store_test.go
+++ b/coordination/ownership/model_store_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 )
 
 // modelStore is the platform's store with the key table of one service and the leader's record.
@@ -108,7 +109,7 @@
 		if !l.formerGrantsExpired() {
 			return
 		}
-		current = ownership.Refence(service, nil)
+		current = ownership.Refence(service, nil, l.revisionNow())
 	}
 	if current == nil {
 		if next, changed := ownership.Plan(service, nil, l.candidates(), nil); changed {
@@ -151,6 +152,11 @@
 	return l.continues
 }
 
+// revisionNow returns the revision of the store that the leader knows.
+func (l *modelLeader) revisionNow() id.Revision {
+	return id.Era(l.site.store.era).Revision(uint64(1 + l.site.store.revision + l.site.elections))
+}
+
 // formerGrantsExpired reports whether the leader takes the grants of all former leaders as expired.
 func (l *modelLeader) formerGrantsExpired() bool {
 	return l.site.now > l.formerUntil().Add(ownership.MaxHoldTime) && !l.isolated
@@ -162,7 +168,7 @@
 		t = nil
 	}
 	if !l.site.flaw.keepsFences {
-		return ownership.Refence(service, t)
+		return ownership.Refence(service, t, l.revisionNow())
 	}
 	if t == nil {
 		return &fleet.Table{Service: service}
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -404,17 +404,31 @@
 	return next, changed
 }
 
-// lostFences is more than the number of fences that are issued in the time that an older copy of the store may lack.
-const lostFences = 1 << 20
+const (
+	// lostFences is more than the number of fences that are issued in the time that an older copy of the store may lack.
+	lostFences = 1 << 20
+	// eraFences is the number of fences of an era of the store, and revisionFences is more than the average number that is issued between two
+	// revisions. An era begins above all fences of the one before, and a later revision of it above those of an earlier one.
+	eraFences      = 1 << 40
+	revisionFences = 1 << 8
+	// maxRevisionFences bounds the fences that revisions of one era begin with.
+	maxRevisionFences = eraFences / 2
+)
+
+// firstFence returns a fence above all that backend servers may have seen under tables that are lost, before a revision of the store.
+func firstFence(at id.Revision) fleet.Fence {
+	return fleet.Fence(at.Era())*eraFences + fleet.Fence(min(at.Number(), maxRevisionFences/revisionFences))*revisionFences
+}
 
 // Refence returns the table with fences above all that backend servers may have seen, given that the latest tables are lost and all grants
-// under them have expired. t may be nil.
-func Refence(service id.Service, t *fleet.Table) *fleet.Table {
+// under them have expired. at is a revision of the store after them. t may be nil.
+func Refence(service id.Service, t *fleet.Table, at id.Revision) *fleet.Table {
 	next := &fleet.Table{Service: service}
 	if t != nil {
 		next = t.Clone()
+		next.Unreadable, next.Unsaved = false, false
 	}
-	next.Fence += lostFences
+	next.Fence = max(next.Fence, firstFence(at)) + lostFences
 	for i := range next.Ranges {
 		next.Fence++
 		r := &next.Ranges[i]
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -185,11 +185,11 @@
 // Fences must be above all that backend servers may have seen under a table that is lost.
 func TestRefence(t *testing.T) {
 	is := is.New(t)
-	is.True(ownership.Refence("s", nil).Fence > 0)
+	is.True(ownership.Refence("s", nil, 1).Fence > 0)
 	a, b := fleet.Incarnation{Server: "a", Born: 1}, fleet.Incarnation{Server: "b", Born: 1}
 	next := ownership.Refence("s", &fleet.Table{Service: "s", Fence: 9, Ranges: []fleet.Range{
 		{From: 0, To: 9, Owner: a, Fence: 3}, {From: 10, To: 65535, Owner: b, Fence: 9, PreviousOwner: &a, PreviousFence: 4},
-	}})
+	}}, 1)
 	is.True(next.IsValid())
 	for i, r := range next.Ranges {
 		is.True(r.Fence > 100_000)
@@ -197,3 +197,16 @@
 		is.True(i == 0 || r.Fence > next.Ranges[i-1].Fence)
 	}
 }
+
+// Guards against fences that begin where they began when a table was lost before.
+func TestFencesRiseWithEachLostTable(t *testing.T) {
+	is := is.New(t)
+	before := fleet.Fence(0)
+	for _, at := range []id.Revision{1, 2, 1000, 1 << 31, id.Era(1).Revision(1), id.Era(1).Revision(2), id.Era(2).Revision(1), id.Era(4000).Revision(1)} {
+		next := ownership.Refence("s", nil, at)
+		is.True(next.Fence > before+100)
+		before = next.Fence
+	}
+	// Fences are exact as numbers of JSON.
+	is.True(before < 1<<53)
+}
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -31,7 +31,7 @@
 		if !k.edge.haveFormerGrantsExpired(now) {
 			return
 		}
-		current = ownership.Refence(name, nil)
+		current = ownership.Refence(name, nil, max(s.Leader.Term, t.Revision))
 	}
 	next, changed := k.nextTable(now, current, name, k.candidates(now, s, name))
 	if !changed {
@@ -87,7 +87,7 @@
 	next := t
 	k.mu.Lock()
 	if !k.continues && !k.refenced[name] {
-		next = ownership.Refence(name, t)
+		next = ownership.Refence(name, t, term)
 	}
 	k.mu.Unlock()
 	if k.writeTable(ctx, term, t, next) {
