Use a key table only if this leadership has read the latest one

What callers could see: two backend servers hold the same keys after the stored key table couldn't be read.

Cause: where the stored table can't be read, the one that a VM knew stays in force, which may be an older one: a new leader granted keys by it at once. A leader with such a table also counted as one that knows the tables, and led on by them after a restoration of the store.

Change: a leader uses a table once it was read from the store in its leadership, in which nobody else writes; it may go on with that one if another writer spoils it. Otherwise it waits until the grants of former leaders have expired, and stores what it knows with new fences.

--- a/coordination/ownership/model_faults_test.go
+++ b/coordination/ownership/model_faults_test.go
@@ -163,9 +163,9 @@
 	store.table, store.copies = store.copies[at], store.copies[:at]
 	s.note("the store comes back from an older copy, fence %d", fenceOf(store.table))
 	former := s.current()
-	if knows := former.continues || store.settledEra == store.era-1; knows && s.chance(0.5) {
+	if knows := former.knowsLatest && (former.continues || store.settledEra == store.era-1); knows && s.chance(0.5) {
 		s.elect(former)
-		former.continues = true
+		former.continues, former.knowsLatest = true, true
 		return
 	}
 	s.elect(nil)
--- a/coordination/ownership/model_leader_test.go
+++ b/coordination/ownership/model_leader_test.go
@@ -63,6 +63,8 @@
 	ended           map[fleet.Incarnation]bool
 	failures        map[fleet.Incarnation]*modelFailures
 	isolated        bool
+	// knowsLatest says that the VM knows the latest table: it has read it in its leadership.
+	knowsLatest bool
 	// ready says that the VM granted keys in its last tick as the leader.
 	ready bool
 	// continues says that the VM led until the store came back from an older copy, and refenced that it has raised the fences since.
@@ -99,7 +101,7 @@
 // lead begins a leadership with what the store holds.
 func (l *modelLeader) lead() {
 	s := l.site
-	l.term, l.electedAt, l.actsUntil, l.continues, l.refenced, l.writing, l.ready = s.elections, s.now, 0, false, false, false, false
+	l.term, l.electedAt, l.actsUntil, l.continues, l.knowsLatest, l.refenced, l.writing, l.ready = s.elections, s.now, 0, false, false, false, false, false
 	l.latest, l.ended = map[id.Server]fleet.StartTime{}, map[fleet.Incarnation]bool{}
 	l.failures = map[fleet.Incarnation]*modelFailures{}
 	for _, server := range s.servers {
@@ -138,7 +140,7 @@
 			l.plan()
 		}
 	}
-	if !l.ready || l.table == nil || l.table.Unreadable {
+	if !l.ready || l.table == nil || !l.knowsLatest {
 		return
 	}
 	l.site.measureMoves(l)
--- a/coordination/ownership/model_store_test.go
+++ b/coordination/ownership/model_store_test.go
@@ -51,6 +51,7 @@
 	}
 	if !store.unreadable {
 		l.table = fleet.NewerTable(l.table, store.table)
+		l.knowsLatest = l.knowsLatest || l.table != nil && !l.table.Unsaved
 		return
 	}
 	if l.table = fleet.NewerTable(l.table, nil); l.table == nil {
@@ -104,12 +105,12 @@
 	}
 	now, load := l.site.now, l.load
 	l.load = nil
-	current, isLost := l.table, l.table != nil && l.table.Unreadable
+	current, isLost := l.table, l.table != nil && !l.knowsLatest
 	if isLost {
 		if !l.formerGrantsExpired() {
 			return
 		}
-		current = ownership.Refence(service, nil, l.revisionNow())
+		current = ownership.Refence(service, current, l.revisionNow())
 	}
 	if current == nil {
 		if next, changed := ownership.Plan(service, nil, l.candidates(), nil); changed {
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -50,6 +50,8 @@
 	continues bool
 	// settled is set once the store has the latest tables in this leadership.
 	settled bool
+	// latest holds the services whose latest table this VM knows.
+	latest map[id.Service]bool
 	// refenced holds the services whose tables got new fences in this leadership, since the latest ones may be lost.
 	refenced map[id.Service]bool
 	// settleTriedAt is when settle last wrote to the store.
@@ -89,6 +91,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.continues, k.settled, k.refenced, k.settleTriedAt = continues, false, map[id.Service]bool{}, 0
+	if !continues {
+		k.latest = map[id.Service]bool{}
+	}
 	k.granter, k.leadingSince, k.newGrants = ownership.NewGranter(now), now, nil
 	k.rebalancedAt, k.tableChangedAt = map[id.Service]clock.Instant{}, map[id.Service]clock.Instant{}
 	if k.paces == nil {
@@ -169,6 +174,7 @@
 		meter.Decay(now)
 	}
 	k.recordIncarnations(s)
+	k.recordTables(s)
 	k.mu.Unlock()
 	if !k.settle(ctx, now, s) {
 		return
@@ -179,12 +185,19 @@
 		}
 		k.plan(ctx, now, s, name)
 		k.limitRequests(now, s, name)
-		if t := s.Tables[name]; t != nil {
+		if t := s.Tables[name]; t != nil && k.knowsLatest(name) {
 			k.sendDueCalls(ctx, now, t)
 		}
 	}
 }
 
+// knowsLatest reports whether this VM knows the latest table of a service.
+func (k *keyManager) knowsLatest(name id.Service) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.latest[name]
+}
+
 // completedMoves returns the moves that are granted but still listed as moving in the tables.
 //
 // Most heartbeats carry recent moves only, since older ones were already sent several times.
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -35,6 +35,21 @@
 	}
 }
 
+// newSettlingEdge returns the only VM of a site, which isn't run.
+func newSettlingEdge(t *testing.T, storeURL string, c clock.Clock) *Edge {
+	t.Helper()
+	e, err := New(settings.Edge{
+		VM: "a", FailureDomain: "east", CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3", MetricsAddress: "127.0.0.1:4",
+		Store: strings.TrimPrefix(storeURL, "http://"), LogLevel: "info", GraceTime: unit.Duration(time.Second), ServerHeartbeat: unit.Duration(time.Second),
+		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
+		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
+	}, WithClock(c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
 // An older copy of the store lacks the latest table. Keys must not be granted by the one that it has while they may be held under another.
 func TestTablesAreSettledAfterARestoration(t *testing.T) {
 	const copied, lost fleet.Fence = 5, 9
@@ -55,13 +70,7 @@
 			server := httptest.NewServer(store)
 			defer server.Close()
 			c := &fixedClock{now: clock.Instant(time.Hour)}
-			e, err := New(settings.Edge{
-				VM: "a", FailureDomain: "east", CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3", MetricsAddress: "127.0.0.1:4",
-				Store: strings.TrimPrefix(server.URL, "http://"), LogLevel: "info", GraceTime: unit.Duration(time.Second), ServerHeartbeat: unit.Duration(time.Second),
-				RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
-				MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
-			}, WithClock(c))
-			is.NoErr(err)
+			e := newSettlingEdge(t, server.URL, c)
 			ctx := context.Background()
 			store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
 			storeTable(t, e, "s1", copied)
@@ -102,3 +111,39 @@
 		})
 	}
 }
+
+// Guards against grants by an older table while the latest one, which this VM hasn't read, can't be read any more.
+func TestOlderTableIsNotUsedInPlaceOfUnreadableOne(t *testing.T) {
+	is := is.New(t)
+	const known, lost fleet.Fence = 5, 9
+	store := kv.NewStore(rand.Float64)
+	server := httptest.NewServer(store)
+	defer server.Close()
+	c := &fixedClock{now: clock.Instant(time.Hour)}
+	e := newSettlingEdge(t, server.URL, c)
+	ctx := context.Background()
+	store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
+	storeTable(t, e, "s1", known)
+	is.NoErr(e.readAll(ctx))
+	storeTable(t, e, "s2", lost)
+	store.Put(platform.KeyTable("plans"), []byte("?"))
+	e.campaign(ctx)
+	is.True(e.leads())
+	tick := func() {
+		e.keys.tick(ctx, c.now)
+		e.tasks.Wait()
+		e.recordStoreSuccess()
+	}
+	tick()
+	is.Equal(e.snapshot.Load().Tables["plans"].Fence, known)
+	is.True(!e.keys.knowsLatest("plans"))
+	is.True(!e.keys.knowsTables())
+	c.now = c.now.Add(leader.ReportTTL + ownership.MaxHoldTime + 1)
+	e.recordStoreSuccess()
+	tick()
+	tick()
+	table := e.snapshot.Load().Tables["plans"]
+	is.True(table.Fence > lost)
+	is.True(!table.Unsaved)
+	is.True(e.keys.knowsLatest("plans"))
+}
--- a/edge/tables.go
+++ b/edge/tables.go
@@ -25,16 +25,16 @@
 	if t == nil && now.Sub(k.lastAppearedAt) < firstTableDelay {
 		return
 	}
-	current := t
-	if t != nil && t.Unreadable {
+	current, isLost := t, t != nil && !k.latest[name]
+	if isLost {
 		// Grants may have been made under the table that is lost.
 		if !k.edge.haveFormerGrantsExpired(now) {
 			return
 		}
-		current = ownership.Refence(name, nil, max(s.Leader.Term, t.Revision))
+		current = ownership.Refence(name, t, max(s.Leader.Term, t.Revision))
 	}
 	next, changed := k.nextTable(now, current, name, k.candidates(now, s, name))
-	if !changed {
+	if !changed && !isLost {
 		return
 	}
 	k.tableChangedAt[name] = now
@@ -49,9 +49,23 @@
 func (k *keyManager) knowsTables() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for name := range k.edge.snapshot.Load().Tables {
+		if !k.latest[name] {
+			return false
+		}
+	}
 	return k.continues || k.settled
 }
 
+// recordTables records of which services this VM knows the latest key table: it was read in this leadership, in which no other VM writes.
+func (k *keyManager) recordTables(s *fleet.Snapshot) {
+	for name, t := range s.Tables {
+		if !t.Unreadable && !t.Unsaved {
+			k.latest[name] = true
+		}
+	}
+}
+
 // settle brings the key tables of the store up to date after it came back from an older copy; ready is false while no keys may be granted.
 //
 // A leader that led on knows the latest tables and stores them again. Any other
