--- a/edge/relay.go
+++ b/edge/relay.go
@@ -147,7 +147,7 @@
 			}
 			return result, true
 		case !errors.Is(err, relay.ErrDeclined):
-			return relay.Result{Failure: &relay.Failure{Sent: true, Cause: err.Error()}}, true
+			return relay.Result{Failure: &relay.Failure{Sent: true, Cause: err.Error()}, Relayed: true}, true
 		}
 		e.metrics.attempts.Add("declined", 1)
 		e.relays.Avoid(peer.VM)
@@ -176,8 +176,13 @@
 		}
 		a.Address = server.Address
 	}
+	begun := e.clock.Boot()
 	r = e.attemptDirectly(ctx, a)
 	isUnsent := r.Failure != nil && !r.Failure.Sent
+	if a.Command {
+		e.log.Info("an order was made for another VM", "server", string(a.Server), "born", int64(a.Born), "path", a.Target, "body", string(a.Body), "status", r.Status,
+			"sent", !isUnsent, "writtenAfter", max(0, r.WrittenAt.Sub(begun)).String(), "endedAfter", e.clock.Boot().Sub(begun).String())
+	}
 	return r, !isUnsent || !e.reach.IsCutOff()
 }
 
