Refused keys wait for the hold time in later tables, too, and after a refused fencing grant

What callers could see: two backend servers hold the same keys where a backend server refuses a grant and its keys then get another range: they move, are split off, or are merged with the next range.

Cause: a refusal says that an unknown leader may have granted the keys under a higher fence, for as long as its grant runs. It was kept with the range only, so a table that changes them forgot it, and the keys were granted at once. After a refused fencing grant there was no wait at all; but a fencing grant grants the keys to the former owner again, and with each new fence it comes closer to being taken, beside the unknown holder.

Why it works: refusals are kept by keys for MaxHoldTime, and no command for a range with such keys is due before. All tests of coordination/ownership pass (58 s).

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -123,6 +123,11 @@
 	fence   fleet.Fence
 }
 
+// overlaps reports whether two ranges have a key in common.
+func (k rangeKey) overlaps(other rangeKey) bool {
+	return k.service == other.service && k.from <= other.to && other.from <= k.to
+}
+
 // rangeState is the granter's state of a range.
 type rangeState struct {
 	granted bool
@@ -131,11 +136,9 @@
 	abandoned bool
 	// grantedAt is when the owner first confirmed a grant of the keys.
 	grantedAt clock.Instant
-	// refusedAt is when a backend server refused a grant, having seen a higher fence; 0 if none was refused. fencingRefused says that it was
-	// a fencing grant.
-	refusedAt      clock.Instant
-	fencingRefused bool
-	inFlight       bool
+	// refusedAt is when a backend server refused a grant, having seen a higher fence; 0 if none was refused.
+	refusedAt clock.Instant
+	inFlight  bool
 	// nextCommandAt is when the next command for the range may be sent.
 	nextCommandAt clock.Instant
 	// inherited says that a former leader planned the move, so that the new owner may hold the keys already.
@@ -160,11 +163,13 @@
 	holders     map[holder]*grants
 	// planned holds the moves that this leader has planned.
 	planned map[rangeKey]bool
+	// refusals holds when a grant of a range was last refused. They outlast the range, since its keys may get another one.
+	refusals map[rangeKey]clock.Instant
 }
 
 // NewGranter returns the granter of a leader that is elected now.
 func NewGranter(now clock.Instant) *Granter {
-	return &Granter{formerUntil: now, ranges: map[rangeKey]*rangeState{}, holders: map[holder]*grants{}, planned: map[rangeKey]bool{}}
+	return &Granter{formerUntil: now, ranges: map[rangeKey]*rangeState{}, holders: map[holder]*grants{}, planned: map[rangeKey]bool{}, refusals: map[rangeKey]clock.Instant{}}
 }
 
 // Liveness holds what the leader knows about the incarnations of backend servers, and about former leaders.
@@ -221,19 +226,31 @@
 	return commands
 }
 
-// forget removes the state of ranges that the table no longer has, and of holders whose grants are over.
+// forget removes the state of ranges that the table no longer has, and of holders and refusals whose time is over.
 func (g *Granter) forget(now clock.Instant, t *fleet.Table, known map[rangeKey]bool) {
 	isGone := func(key rangeKey) bool { return key.service == t.Service && key.fence <= t.Fence && !known[key] }
 	maps.DeleteFunc(g.ranges, func(key rangeKey, _ *rangeState) bool { return isGone(key) })
 	maps.DeleteFunc(g.planned, func(key rangeKey, _ bool) bool { return isGone(key) })
 	maps.DeleteFunc(g.holders, func(_ holder, sent *grants) bool { return sent.expire(now) })
+	maps.DeleteFunc(g.refusals, func(_ rangeKey, at clock.Instant) bool { return now > at.Add(MaxHoldTime) })
+}
+
+// refusedUntil returns until when another backend server may hold keys of a range under a fence that this leader doesn't know; 0 if no grant
+// of them was refused.
+func (g *Granter) refusedUntil(key rangeKey) (until clock.Instant) {
+	for refused, at := range g.refusals {
+		if refused.overlaps(key) {
+			until = max(until, at.Add(MaxHoldTime+1))
+		}
+	}
+	return until
 }
 
-// rangeState returns the state of a range; the next command for a part of a split range is due at once.
+// rangeState returns the state of a range; the next command for a part of a split range is due at once, unless a grant of its keys was refused.
 func (g *Granter) rangeState(now clock.Instant, key rangeKey, r fleet.Range, liveness Liveness) *rangeState {
 	s, ok := g.ranges[key]
 	if !ok {
-		s = &rangeState{nextCommandAt: now, inherited: !g.planned[key]}
+		s = &rangeState{nextCommandAt: max(now, g.refusedUntil(key)), inherited: !g.planned[key]}
 		if r.Moving() {
 			s.heldFrom = g.holders[holder{key.service, r.PreviousOwner.Server}].latest()
 		}
@@ -354,7 +371,7 @@
 			s.fencings++
 		}
 	case outcome == Refused:
-		s.refusedAt, s.fencingRefused = now, c.Fencing
+		s.refusedAt, g.refusals[c.key] = now, now
 	case c.Fencing:
 		s.fenced, s.released, s.nextCommandAt = true, false, now
 	case c.Release:
@@ -401,5 +418,5 @@
 // hold the keys under it until its grant expires.
 func (g *Granter) renewsFence(now clock.Instant, service id.Service, r fleet.Range) bool {
 	s, ok := g.ranges[rangeKey{service, r.From, r.To, r.Fence}]
-	return ok && s.refusedAt > 0 && (s.fencingRefused || now > s.refusedAt.Add(MaxHoldTime))
+	return ok && s.refusedAt > 0 && now > s.refusedAt.Add(MaxHoldTime)
 }
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -300,3 +300,65 @@
 	is.True(moved)
 	is.True(next.Ranges[0].Fence > table.Fence)
 }
+
+// Guards against two holders where refused keys get a new owner, or the same one for a longer range, before the unknown grant has run out.
+func TestRefusedKeysWaitForTheHoldTimeInLaterTables(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	a, b := incarnation("a"), incarnation("b")
+	never := func(fleet.Incarnation) bool { return false }
+	healthy := ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}
+	tests := map[string]fleet.Range{
+		"the keys move":                     {From: 0, To: 9, Owner: b, Fence: 9, PreviousOwner: &a, PreviousFence: 1},
+		"some of the keys move":             {From: 3, To: 4, Owner: b, Fence: 9, PreviousOwner: &a, PreviousFence: 1},
+		"the range is merged with the next": {From: 0, To: 19, Owner: a, Fence: 9},
+		"a part of the range stays":         {From: 5, To: 9, Owner: a, Fence: 1},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := ownership.NewGranter(now.Add(-time.Minute))
+			first := &fleet.Table{Service: service, Fence: 1, Ranges: []fleet.Range{{From: 0, To: 9, Owner: a, Fence: 1}}}
+			for _, c := range g.Due(now, first, healthy) {
+				g.Report(now, c, ownership.Refused, "")
+			}
+			next, grantedAt := &fleet.Table{Service: service, Fence: 9, Ranges: []fleet.Range{r}}, clock.Instant(0)
+			for at := now; grantedAt == 0 && at < now.Add(10*time.Second); at = at.Add(50 * time.Millisecond) {
+				for _, c := range g.Due(at, next, healthy) {
+					if !c.Release {
+						grantedAt = at
+					}
+					g.Report(at, c, ownership.Done, "")
+				}
+			}
+			is.True(grantedAt > now.Add(ownership.MaxHoldTime))
+			is.True(grantedAt < now.Add(ownership.MaxHoldTime+time.Second))
+		})
+	}
+}
+
+// Guards against two holders after a refused fencing grant: the next one is a grant to the former owner, too.
+func TestRefusedFencingGrantWaitsForTheHoldTime(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	is := is.New(t)
+	never := func(fleet.Incarnation) bool { return false }
+	healthy := ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}
+	candidates := []ownership.Candidate{{Incarnation: incarnation("a")}, {Incarnation: incarnation("b"), Eligible: true, Warm: true, Capacity: 40}}
+	g, table := movingKeys(now, ownership.Unanswered)
+	first := g.Due(now, table, healthy)
+	is.Equal(commandsOf(first), []string{"fence a1"})
+	g.Report(now, first[0], ownership.Refused, "")
+	grantedAt := clock.Instant(0)
+	for at := now; grantedAt == 0 && at < now.Add(10*time.Second); at = at.Add(50 * time.Millisecond) {
+		if next, moved, settled := g.Revise(at, table, candidates, nil); moved || settled {
+			table = next
+		}
+		for _, c := range g.Due(at, table, healthy) {
+			if !c.Release {
+				grantedAt = at
+			}
+			g.Report(at, c, ownership.Done, "")
+		}
+	}
+	is.True(grantedAt > now.Add(ownership.MaxHoldTime))
+	is.True(grantedAt < now.Add(ownership.MaxHoldTime+time.Second))
+}
--- a/coordination/ownership/grants.go
+++ b/coordination/ownership/grants.go
@@ -26,9 +26,6 @@
 	issuedAt clock.Instant
 }
 
-// overlaps reports whether the grant is for one of the keys of a range.
-func (g grantID) overlaps(key rangeKey) bool { return g.key.from <= key.to && key.from <= g.key.to }
-
 // grants records the grants that this leader has sent to one holder.
 type grants struct {
 	// open holds the grants that are in flight or weren't answered, which the backend server may still take.
@@ -65,7 +62,7 @@
 		return false
 	}
 	for grant := range g.open {
-		if grant.overlaps(key) {
+		if grant.key.overlaps(key) {
 			return true
 		}
 	}
