Fencing grants that never left don't prolong the wait for the former owner

What callers could see: keys stay with a former owner that can't be reached, for as long as connections to it fail.

Cause: the wait for its hold began anew when a fencing grant was issued, also if it certainly wasn't sent. Such grants are tried again every 100 ms, and don't use up the fences. They end after 0.6 s, once the owner counts as lost, but not while the links of this VM are suspected, where failed calls aren't counted.

Evidence: TestFencingGrantsThatNeverLeftDoNotProlongTheWait, a renewal without answer and fencing grants that are never sent: no grant to the next owner within 20 s on; now within MaxHoldTime and 1 s of the move.

Why it works: the wait begins anew when the outcome is known and the former owner may have taken the grant; until then the range has a command in flight and nothing else is due for it.

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -333,7 +333,7 @@
 	c.inDoubt = g.isInDoubt(now, c.key, s, c.Incarnation.Server, liveness)
 	fence, hasFence := fencingFence(r, s)
 	if c.inDoubt && hasFence && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation) {
-		c.Fencing, c.Fence, s.heldFrom = true, fence, now
+		c.Fencing, c.Fence = true, fence
 		return g.issue(c, true), true
 	}
 	c.Release = true
@@ -364,6 +364,9 @@
 		return
 	}
 	s.inFlight = false
+	if c.Fencing && (outcome == Done || outcome == Unanswered) {
+		s.heldFrom = max(s.heldFrom, c.IssuedAt)
+	}
 	switch {
 	case !outcome.IsAnswered():
 		s.nextCommandAt = now.Add(retryDelay)
--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -362,3 +362,24 @@
 	is.True(grantedAt > now.Add(ownership.MaxHoldTime))
 	is.True(grantedAt < now.Add(ownership.MaxHoldTime+time.Second))
 }
+
+// Guards against keys that stay with an unreachable owner: fencing grants that never left don't prolong its hold.
+func TestFencingGrantsThatNeverLeftDoNotProlongTheWait(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	is := is.New(t)
+	never := func(fleet.Incarnation) bool { return false }
+	healthy := ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}
+	g, table := movingKeys(now, ownership.Unanswered)
+	grantedAt := clock.Instant(0)
+	for at := now; grantedAt == 0 && at < now.Add(20*time.Second); at = at.Add(50 * time.Millisecond) {
+		for _, c := range g.Due(at, table, healthy) {
+			outcome := ownership.Undelivered
+			if c.Vacancy != "" {
+				grantedAt, outcome = at, ownership.Done
+			}
+			g.Report(at, c, outcome, "")
+		}
+	}
+	is.True(grantedAt > now.Add(ownership.GrantTTL))
+	is.True(grantedAt < now.Add(ownership.MaxHoldTime+time.Second))
+}
