Fencing grants go on a new connection

What callers could see: two backend servers hold the same keys, where a backend server writes the answer to a renewal twice.

Cause: responses to commands carry no id. On a kept connection the late copy of a renewal's 200 counted as the answer to the fencing grant that follows. The former owner then counts as fenced, the release (on a connection of its own) may overtake the fencing grant, and the keys go to the next owner while the former one takes the fencing grant.

Evidence: TestCommandsThatEndAHoldHaveTheirOwnConnection, case "a fencing grant", failed without the change: 1 connection, 2 wanted.

Why it works: no earlier command was sent on the connection, as for releases. Renewals still share connections.

--- a/edge/commands.go
+++ b/edge/commands.go
@@ -115,8 +115,8 @@
 	result := e.attempt(ctx, relay.Attempt{
 		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: request.Path, Host: server.Address,
 		Header: header, Body: body, Timeout: timeout, Command: true,
-		// Responses to commands carry no id: a late copy of that to a grant would end the former owner's hold too early.
-		NewConnection: c.Release, NotAfter: c.LatestWrite(),
+		// Responses to commands carry no id: a late copy of that to a grant would end the former owner's hold, or the doubt about it, too early.
+		NewConnection: c.Release || c.Fencing, NotAfter: c.LatestWrite(),
 	})
 	c.writtenAt, c.relayed = result.WrittenAt, result.Relayed
 	switch {
--- a/edge/lategrants_test.go
+++ b/edge/lategrants_test.go
@@ -153,3 +153,34 @@
 		})
 	}
 }
+
+// A late copy of the answer to a renewal on its connection must not count as the answer to the command that follows.
+func TestCommandsThatEndAHoldHaveTheirOwnConnection(t *testing.T) {
+	tests := map[string]struct {
+		command ownership.Command
+		want    int
+	}{
+		"a renewal":       {want: 1},
+		"a fencing grant": {command: ownership.Command{Fencing: true}, want: 2},
+		"a release":       {command: ownership.Command{Release: true}, want: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := newLeavingVM(t)
+			address, commands := serveCommands(t)
+			v.register("s1", address, 1)
+			opened := 0
+			v.backends = http1.NewClient(http1.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+				opened++
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			}))
+			for _, command := range []ownership.Command{{}, test.command} {
+				command.Service, command.Incarnation, command.To, command.Fence, command.IssuedAt = "plans", fleet.Incarnation{Server: "s1", Born: 1}, 1, 1, v.clock.now
+				v.keys.execute(t.Context(), &call{Command: command})
+			}
+			is.Equal(len(commands), 2)
+			is.Equal(opened, test.want)
+		})
+	}
+}
