Answers to a former leader never report the store as unreachable

What callers could see while a build before and this one run beside each other: two backend servers hold the same keys.

Cause: since VMs answer a former leader's heartbeats, so that it learns of the later term. One of a build without KnownTerm ignores the term, but counts the report that the store is unreachable, for 0.7 s each time; answers come every 0.4 s. Before, such VMs sent it nothing, as they heard the later leader. So it could act on beside the later leader, whom it doesn't hear.

Evidence: by reading; TestAnswersToFormerLeadersAreNoReports states what is sent. No mixed builds were run.

Why it works: a heartbeat without the report ends one that counted before. Leaders of this build end by the term in any case.

--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -240,7 +240,7 @@
 	heartbeat := m.Heartbeat
 	leads, answers := e.recordHeartbeat(m)
 	if answers {
-		e.sendToVM(m.From, e.heartbeatMessage())
+		e.sendToVM(m.From, e.answerTo(leads))
 	}
 	complete := true
 	if m.Update != nil {
@@ -260,6 +260,14 @@
 	}
 }
 
+// answerTo returns the heartbeat that answers the present leader or, if leads is false, a former one. A former leader whose build doesn't know
+// of later terms would count a report that the store is unreachable, and act on.
+func (e *Edge) answerTo(leads bool) gossip.Message {
+	m := e.heartbeatMessage()
+	m.Heartbeat.StoreUnreachable = m.Heartbeat.StoreUnreachable && leads
+	return m
+}
+
 // recordHeartbeat records a heartbeat for the election and reports whether its sender is the present leader, and whether it is to be answered
 // at once.
 func (e *Edge) recordHeartbeat(m gossip.Message) (leads, answers bool) {
--- a/edge/leadership_test.go
+++ b/edge/leadership_test.go
@@ -114,3 +114,13 @@
 	is.True(e.mustAnswer(c.now.Add(followerHeartbeatPeriod), former, false))
 	is.True(!e.mustAnswer(c.now.Add(time.Minute), &gossip.Heartbeat{Term: 7}, false))
 }
+
+// An answer must not let a former leader act on whose build doesn't know of later terms.
+func TestAnswersToFormerLeadersAreNoReports(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	is := is.New(t)
+	e := newElectionEdge(&fixedClock{now: now})
+	e.storeAnsweredAt, e.storeFailedAt = now.Add(-2*time.Second), now.Add(-time.Second)
+	is.True(e.answerTo(true).Heartbeat.StoreUnreachable)
+	is.True(!e.answerTo(false).Heartbeat.StoreUnreachable)
+}
