Lead on with known key tables only if no other VM has led in the era

What callers could see: two backend servers hold the same keys after a restoration of the store, a change of the leader and back, and a stored key table that can't be read.

Cause: that a VM may lead on in an era was never taken back.

Evidence: TestLeaderDoesNotLeadOnAfterAnotherOneInTheEra: the cases "another leader was heard" and "the tables of the era are settled" failed without the change (the older table counted as the latest).

Why it works: another leader's term in the era, or the record that its tables are settled, ends it; until then no other VM can have granted keys in it. The VM may lead on again after it lost the leadership to nobody.

--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -61,11 +61,8 @@
 // campaign tries to become the leader.
 func (e *Edge) campaign(ctx context.Context) {
 	won, leaseStart, term, lease := e.acquireLeadership(ctx)
-	e.mu.Lock()
-	continues := won && e.continuesIn == term.Era() && term.Era() > 0
-	e.mu.Unlock()
 	if won {
-		e.keys.reset(e.clock.Boot(), continues)
+		e.keys.reset(e.clock.Boot(), e.continuesAt(term))
 	}
 	if e.recordCampaign(won, leaseStart, term, lease) {
 		// The followers answer at once, so that it is soon known that they follow.
@@ -73,6 +70,16 @@
 	}
 }
 
+// continuesAt reports whether this VM, which has won a term, led until the era of the term began, so that its key tables are the latest. They
+// may not be once another VM has led in that era, or the tables were settled in it.
+func (e *Edge) continuesAt(term id.Revision) bool {
+	era, settled := term.Era(), e.snapshot.Load().SettledEra
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.elector.KnownTerm()
+	return era > 0 && e.continuesIn == era && settled < era && (known.Era() < era || known == e.elector.Term())
+}
+
 // recordCampaign records the outcome of a campaign and reports whether this VM leads.
 func (e *Edge) recordCampaign(won bool, leaseStart clock.Instant, term id.Revision, lease platform.Lease) (leads bool) {
 	e.mu.Lock()
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -147,3 +147,42 @@
 	is.True(!table.Unsaved)
 	is.True(e.keys.knowsLatest("plans"))
 }
+
+// Guards against grants by an older table where another VM has led since the store came back, and its table can't be read.
+func TestLeaderDoesNotLeadOnAfterAnotherOneInTheEra(t *testing.T) {
+	tests := map[string]struct {
+		// other says that another VM has led in the new era, and settled that the tables were settled in it.
+		other, settled bool
+		want           bool
+	}{
+		"no other leader":                   {want: true},
+		"another leader was heard":          {other: true},
+		"the tables of the era are settled": {settled: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := kv.NewStore(rand.Float64)
+			server := httptest.NewServer(store)
+			defer server.Close()
+			c := &fixedClock{now: clock.Instant(time.Hour)}
+			e := newSettlingEdge(t, server.URL, c)
+			ctx := context.Background()
+			store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
+			storeTable(t, e, "s1", 5)
+			is.NoErr(e.readAll(ctx))
+			e.keys.latest["plans"], e.continuesIn = true, 1
+			store.Restore(store.Copy())
+			store.Put(platform.KeyTable("plans"), []byte("?"))
+			if test.other {
+				e.elector.LearnTerm(c.now, id.Era(1).Revision(1))
+			}
+			if test.settled {
+				store.Put(platform.KeySettledEra(), platform.EncodeEra(1))
+			}
+			e.campaign(ctx)
+			is.True(e.leads())
+			is.Equal(e.keys.knowsLatest("plans"), test.want)
+		})
+	}
+}
