Known red: a restart under the same id beside a former leader that still acts

A process that starts under the id of a former owner doesn't know the fence under which the keys were taken from it, so a former leader that hasn't noticed the restart renews its old grant beside the next owner.

--- a/coordination/ownership/model_histories_test.go
+++ b/coordination/ownership/model_histories_test.go
@@ -32,6 +32,7 @@
 	restartedServers = withMoves(modelFaults{restarts: 0.3})
 	staleEntries     = withMoves(modelFaults{restarts: 0.2, staleEntries: 0.3})
 	formerLeaders    = withMoves(modelFaults{elections: 0.2, formerTime: formerLeaderTime})
+	restartedBeside  = withMoves(modelFaults{restarts: 0.2, elections: 0.2, formerTime: formerLeaderTime})
 	reelectedLeaders = withMoves(modelFaults{reelections: 0.3, lostAnswers: 0.1})
 	restoredStore    = withMoves(modelFaults{restorations: 0.2, elections: 0.1, once: true})
 	restoredLeaders  = withMoves(modelFaults{restorations: 0.1, corruptions: 0.1, elections: 0.1, formerTime: formerLeaderTime, once: true})
@@ -70,6 +71,12 @@
 	checkHistories(t, histories, formerLeaders)
 }
 
+// Guards against a former leader's grant to a process that has started since, and so forgot the fence under which the keys were taken from it.
+func TestRestartBesideFormerLeaderHasNoSecondHolder(t *testing.T) {
+	const longHistories = 3 * histories
+	checkHistories(t, longHistories, restartedBeside)
+}
+
 // Guards against answers to calls of an earlier leadership of the same VM.
 func TestReelectedLeaderHasNoSecondHolder(t *testing.T) {
 	checkHistories(t, histories, reelectedLeaders)
