The latest time of a relayed grant bounds its write, not its answer

What callers could see: keys of a sound owner move, or lapse, while the leader reaches backend servers through other VMs only.

Cause: an attempt with a latest time was given only the time left to write it, in which the other VM also had to get the answer: 150 ms less the round trip for the token since, where a direct grant has 250 ms (GrantTimeout). After three such calls the owner counts as lost.

Evidence: TestAttemptsAreNotMadeAfterTheirLatestTime now also asks for how long the other VM waits; two of its cases failed without the change. Its attempts have an hour rather than a second, so that the two times can be told apart; nothing else in it differs.

Why it works: the time left to write has a field of its own (WriteTime), counted from the token as before; the time of the whole call stays as it was. Tests of transport/relay and, by name, those of edge on grants, late copies, cuts and relays pass.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -29,9 +29,6 @@
 // sent is never made again here.
 func (e *Edge) attempt(ctx context.Context, a relay.Attempt) relay.Result {
 	deadline := e.clock.Boot().Add(a.Timeout)
-	if a.NotAfter > 0 {
-		deadline = min(deadline, a.NotAfter)
-	}
 	if e.reach.IsSuspected() {
 		if r, ok := e.attemptThroughOthers(ctx, a); ok || e.reach.IsCutOff() {
 			return r
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -77,7 +77,7 @@
 	if a.Token == nil {
 		return true
 	}
-	a.NotAfter = a.Token.At.Add(a.Timeout)
+	a.NotAfter = a.Token.At.Add(a.WriteTime)
 	return a.Token.Process == h.process && !a.IsLate(h.options.Clock.Boot())
 }
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -77,8 +77,9 @@
 	Detached bool `cbor:"13,keyasint"`
 	// NotAfter is the latest time at which this VM may begin to write the request; 0 means no limit.
 	NotAfter clock.Instant `cbor:"-"`
-	// Token says that the VM may begin to write the request until Timeout has passed since it gave the token out; nil means no limit.
-	Token *Token `cbor:"15,keyasint,omitempty"`
+	// Token says that the VM may begin to write the request until WriteTime has passed since it gave the token out; nil means no limit.
+	Token     *Token        `cbor:"15,keyasint,omitempty"`
+	WriteTime time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // Token is a reading of the clock of the VM that gave it out. It means nothing to other VMs.
@@ -136,7 +137,7 @@
 			return r, errors.Mark(err, ErrDeclined)
 		}
 		// The token is older than this reading of the clock, so the other VM's limit is no later than NotAfter.
-		if a.Timeout = min(a.Timeout, a.NotAfter.Sub(c.options.Clock.Boot())); a.Timeout <= 0 {
+		if a.WriteTime = a.NotAfter.Sub(c.options.Clock.Boot()); a.WriteTime <= 0 {
 			return r, errors.Mark(errors.New("no time is left"), ErrDeclined)
 		}
 	}
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -218,9 +218,12 @@
 			is := is.New(t)
 			asking, other := newSteppingClock(0), newSteppingClock(test.other)
 			var got []relay.Attempt
+			var answeredWithin time.Duration
 			newHandler := func() *relay.Handler {
-				return relay.NewHandler(nil, func(_ context.Context, a relay.Attempt) (relay.Result, bool) {
+				return relay.NewHandler(nil, func(ctx context.Context, a relay.Attempt) (relay.Result, bool) {
 					got = append(got, a)
+					deadline, _ := ctx.Deadline()
+					answeredWithin = time.Until(deadline)
 					return relay.Result{Status: http.StatusOK}, true
 				}, relay.WithClock(other))
 			}
@@ -233,7 +236,7 @@
 				first.ServeHTTP(w, r)
 			}))
 			defer server.Close()
-			a := relay.Attempt{Server: "s", Method: http.MethodPost, Timeout: time.Second}
+			a := relay.Attempt{Server: "s", Method: http.MethodPost, Timeout: time.Hour}
 			if test.limited {
 				a.NotAfter = asking.Boot().Add(left)
 			}
@@ -248,6 +251,7 @@
 					want = clock.Instant(time.Hour).Add(left)
 				}
 				is.Equal(got[0].NotAfter, want)
+				is.True(answeredWithin > left) // the latest time is that of the write, not of the answer
 			}
 		})
 	}
