Test that a former owner isn't fenced once its keys were free

Taking out the guard (a vacancy that is certain stays so) left all tests of coordination/ownership green on; this test fails then, in both cases. No change of behaviour.

--- a/coordination/ownership/granter_test.go
+++ b/coordination/ownership/granter_test.go
@@ -383,3 +383,32 @@
 	is.True(grantedAt > now.Add(ownership.GrantTTL))
 	is.True(grantedAt < now.Add(ownership.MaxHoldTime+time.Second))
 }
+
+// Guards against a fencing grant to the former owner when the next one may hold the keys already.
+func TestFormerOwnerIsNotGrantedKeysOnceTheyWereFree(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	never := func(fleet.Incarnation) bool { return false }
+	isA := func(i fleet.Incarnation) bool { return i == incarnation("a") }
+	healthy := ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}
+	isolated, ended := healthy, healthy
+	isolated.Isolated, ended.IsDead = true, isA
+	tests := map[string]struct {
+		after    time.Duration
+		liveness ownership.Liveness
+	}{
+		"it seemed to have ended":         {liveness: ended},
+		"its hold had run out before now": {after: ownership.MaxHoldTime + time.Second, liveness: healthy},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g, table := movingKeys(now, ownership.Unanswered)
+			at := now.Add(test.after)
+			commands := g.Due(at, table, test.liveness)
+			is.Equal(commandsOf(commands), []string{"grant b1"})
+			g.Report(at, commands[0], ownership.Unanswered, "")
+			at = at.Add(time.Second)
+			is.Equal(commandsOf(g.Due(at, table, isolated)), []string{"grant b1"})
+		})
+	}
+}
