Test that no keys are granted by an older table

TestOlderTableIsNotUsedInPlaceOfUnreadableOne asked only for what the VM knows. Taking out the guard at the calls (knowsLatest in tick) left it green; now it also counts the calls to the owner, and fails then: 1 call, 0 wanted. No change of behaviour.

--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
 	"strings"
@@ -123,6 +124,8 @@
 	e := newSettlingEdge(t, server.URL, c)
 	ctx := context.Background()
 	store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
+	address, commands := serveCommands(t)
+	store.Put("servers/s1", fmt.Appendf(nil, `{"Service":"plans","Address":%q,"Zone":"east","Version":"v1","Slots":4,"State":"ready","WarmupLeftS":0,"Sequence":1,"born":1}`, address))
 	storeTable(t, e, "s1", known)
 	is.NoErr(e.readAll(ctx))
 	storeTable(t, e, "s2", lost)
@@ -138,6 +141,7 @@
 	is.Equal(e.snapshot.Load().Tables["plans"].Fence, known)
 	is.True(!e.keys.knowsLatest("plans"))
 	is.True(!e.keys.knowsTables())
+	is.Equal(len(commands), 0) // s2 may hold the keys
 	c.now = c.now.Add(leader.ReportTTL + ownership.MaxHoldTime + 1)
 	e.recordStoreSuccess()
 	tick()
@@ -146,6 +150,7 @@
 	is.True(table.Fence > lost)
 	is.True(!table.Unsaved)
 	is.True(e.keys.knowsLatest("plans"))
+	is.True(len(commands) > 0)
 }
 
 // Guards against grants by an older table where another VM has led since the store came back, and its table can't be read.
