A leader that half of the VMs follow needn't wait for the others

Cause: what a former leader may still do isn't known before a majority follows the new one, and registrations of VMs that are gone stay for two minutes.

Change: half of the VMs are enough. A former leader without its lease needs more than half, so that it can't have them without one that follows. This VM itself counts from when the store had answered its election, as it may have reported before.

--- a/coordination/leader/former.go
+++ b/coordination/leader/former.go
@@ -7,8 +7,12 @@
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// FollowedSince returns since when a majority of the VMs, this one included, has known this VM's term; ok is false while it isn't known, or if
-// this VM's leadership has ended. VMs don't forget a term, so the time stays the same once it is known.
+// FollowedSince returns since when at least half of the VMs, this one included, have known this VM's term; ok is false while it isn't known, or
+// if this VM's leadership has ended. VMs don't forget a term, so the time stays the same once it is known.
+//
+// Half of the VMs are enough: a former leader without its lease needs more than
+// half. So a leader with one other VM, or half of the others, needn't wait for
+// registrations of VMs that are gone.
 func (e *Elector) FollowedSince(members []id.VM) (at clock.Instant, ok bool) {
 	if !e.leading {
 		return 0, false
@@ -22,24 +26,26 @@
 			confirmed = append(confirmed, p.followedSince)
 		}
 	}
-	if 2*len(confirmed) <= len(members) {
+	enough := (len(members) + 1) / 2
+	if len(confirmed) < enough {
 		return 0, false
 	}
 	slices.Sort(confirmed)
-	e.followedTerm, e.followedSince = e.term, confirmed[len(members)/2]
+	e.followedTerm, e.followedSince = e.term, confirmed[enough-1]
 	return e.followedSince, true
 }
 
 // FormerLeaderUntil returns until when a former leader may act, by the clock of a leader that was elected by electedAt, when the store had
-// answered it, and whose term a majority has known since followedSince (FollowedSince).
+// answered it, and whose term half of the VMs have known since followedSince (FollowedSince). This VM itself counts from electedAt on, as it may
+// have reported before.
 //
 // With its lease, a former leader acts until the lease ends at the latest. The
 // record of the next one can be written only after that, or after the store came
 // back from an older copy; the lease was last renewed before that.
 //
 // Without its lease, it acts while most VMs report that they can't reach the
-// store. Any two majorities have a VM in common. This one knew the later term by
-// followedSince, and a report sent since ends the leadership of the former leader
+// store. These and half of the VMs have a VM in common. This one knew the later
+// term by followedSince, and a report sent since ends the leadership of the former leader
 // when it is read, rather than counting for it. A report that counts was thus sent
 // before, in answer to a heartbeat sent still earlier, from which ReportTTL is
 // counted by the former leader's own clock. The time for which the report was on
@@ -48,8 +54,8 @@
 //
 // Not covered are: what a former leader decided before and carries out later; VMs
 // that restart and forget the term, unless they have read its record in the store
-// since; VMs of builds without stamps; and registrations that differ so much
-// between the two leaders that their majorities have no VM in common.
+// since; VMs of builds without stamps; and registrations that differ between the
+// two leaders, so that the VMs which they count have none in common.
 func FormerLeaderUntil(electedAt, followedSince clock.Instant) clock.Instant {
-	return max(electedAt.Add(LeaseTTL), followedSince.Add(ReportTTL))
+	return max(electedAt.Add(LeaseTTL), max(electedAt, followedSince).Add(ReportTTL))
 }
