Log when a known backend server turns cold again

Its first entry was logged with its warm-up; a later one, after an evacuation for example, wasn't. So a log couldn't tell whether a VM that sent too much to a cold backend server had heard of it.

--- a/edge/store.go
+++ b/edge/store.go
@@ -287,15 +287,11 @@
 		return
 	}
 	for name, s := range next.Servers {
-		previous, known := old.Servers[name]
-		switch {
-		case !known:
-			e.log.Info("backend server appeared", "server", string(name), "service", string(s.Service), "born", int64(s.Born), "warmLeft", s.WarmupLeft.String(), "position", position)
-		case previous.Born != s.Born:
-			e.log.Info("backend server restarted", "server", string(name), "born", int64(s.Born), "position", position)
-		case s.Draining && !previous.Draining:
-			e.log.Info("backend server drains", "server", string(name), "position", position)
+		if previous, known := old.Servers[name]; known {
+			e.logServerChange(previous, s, position)
+			continue
 		}
+		e.log.Info("backend server appeared", "server", string(name), "service", string(s.Service), "born", int64(s.Born), "warmLeft", s.WarmupLeft.String(), "position", position)
 	}
 	for name, s := range old.Servers {
 		if _, still := next.Servers[name]; !still {
@@ -315,6 +311,19 @@
 	}
 }
 
+// logServerChange logs the differences between two entries of a backend server.
+func (e *Edge) logServerChange(old, next fleet.Server, position uint64) {
+	switch {
+	case old.Born != next.Born:
+		e.log.Info("backend server restarted", "server", string(next.Server), "born", int64(next.Born), "position", position)
+	case next.Draining && !old.Draining:
+		e.log.Info("backend server drains", "server", string(next.Server), "position", position)
+	}
+	if next.Revision != old.Revision && next.WarmupLeft > 0 {
+		e.log.Info("backend server is cold", "server", string(next.Server), "born", int64(next.Born), "warmLeft", next.WarmupLeft.String(), "seenBy", "store", "position", position)
+	}
+}
+
 // maxUnusedLogs is the number of items that aren't used that are logged each; of later ones, one per unusedLogPeriod is.
 const (
 	maxUnusedLogs   = 100
