Ask backend servers whether they are cold while the store has no news

Cause: a VM heard of a warm-up only from the entry in the store. A backend server may turn cold at any moment, and during an outage its entry can't be written. All VMs then sent at the full rate. After a return from an older copy it lasted up to a second longer, until the entry was written again, longest at VMs that had started meanwhile and knew only that copy.

Fix: the health response says the same. While there has been no news for a second, and for 2.2 s after that, each backend server is asked every 0.25 s by three VMs, two of them in its own failure domain, and those tell all others. Requests sent in a warm-up that goes on still count: further news of it no longer gives each VM a further request at once.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -4,9 +4,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/time/rate"
-
-	"github.com/hickorylug/hickorylug/coordination/ratelimit"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -24,8 +21,6 @@
 	// tieBreakShare limits the random part of a score, as a share of the average service time; it keeps VMs from all choosing the same
 	// backend server.
 	tieBreakShare = 0.1
-	// maxWarmupSenders is the maximum number of VMs that send to one cold backend server.
-	maxWarmupSenders = 5
 	// connectionShare is the share of a backend server's connections that all VMs together may use.
 	connectionShare = 0.9
 )
@@ -346,33 +341,3 @@
 	}
 	return &Slot{Server: c.Server, MaxConnections: maxConnections, ExpectedLatency: expected, Load: load, dispatcher: d, acquiredAt: now, queueFactor: factor}
 }
-
-// allowsWarmup reports whether this VM may send a request to a cold backend server now.
-//
-// A few VMs of its failure domain share its warm-up rate, so that all of them
-// together stay below the limit even if each sends its requests at once.
-func (d *Dispatcher) allowsWarmup(now clock.Instant, c *server, name id.Service) bool {
-	if c.Domain != d.domain || c.load(now) >= c.Slots {
-		return false
-	}
-	if c.warmupLimiter == nil {
-		share := d.warmupShare(c, d.snapshot.Configuration.Services[name].WarmupRate)
-		if share <= 0 {
-			return false
-		}
-		c.warmupLimiter = rate.NewLimiter(rate.Limit(share), 1)
-	}
-	return c.warmupLimiter.TokensAt(d.options.Clock.Now()) >= 1
-}
-
-// warmupShare returns this VM's share of the warm-up rate of a cold backend server, in requests per second; 0 means that it may send none.
-func (d *Dispatcher) warmupShare(c *server, warmupRate float64) float64 {
-	// Unreachable VMs count too: they may be partitioned from this VM and still send.
-	candidates := d.division.Senders(c.Incarnation.Server, d.localServers(c.Service))
-	// Each sender's token bucket allows a burst of one request on top of its rate.
-	senders := ratelimit.Senders(c.Incarnation.Server, candidates, min(maxWarmupSenders, int((d.options.WarmOverage-1)*warmupRate+d.options.WarmSlack)))
-	if !slices.Contains(senders, d.vm) {
-		return 0
-	}
-	return warmupRate / float64(len(senders))
-}
--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -57,6 +57,8 @@
 	coldUntil clock.Instant
 	// warmupLimiter limits the requests during the warm-up; it is nil until the first of them may be sent.
 	warmupLimiter *rate.Limiter
+	// hasWarmupNews says that it has told this VM of its warm-up, and that the other VMs haven't heard of that yet.
+	hasWarmupNews bool
 
 	// reported is the number of requests in the latest load report, to this VM or to another one.
 	reported   int
@@ -100,8 +102,7 @@
 // update replaces the registered entry; a new revision with a warm-up begins the warm-up.
 func (s *server) update(now clock.Instant, next fleet.Server) {
 	if s.Revision != next.Revision && next.WarmupLeft > 0 {
-		s.coldUntil = max(s.coldUntil, now.Add(next.WarmupLeft))
-		s.warmupLimiter = nil
+		s.warmUp(now, next.WarmupLeft)
 	}
 	s.Server = next
 }
@@ -196,6 +197,3 @@
 	pause := initialPause << min(s.consecutiveFailures, 4)
 	s.pausedUntil = now.Add(min(pause, maxPause))
 }
-
-// isCold reports whether the backend server is still warming up.
-func (s *server) isCold(now clock.Instant) bool { return now < s.coldUntil }
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -228,6 +228,7 @@
 	e.keys.addPaces(m.Paces)
 	e.applyRequestLimits(m.RequestLimits)
 	e.applyDepartures(m.From, m.Leaving)
+	e.applyWarmups(m.From, m.Warmups)
 	e.receiveCrashes(m.From, m.Crashes)
 	if m.Heartbeat != nil {
 		e.handleHeartbeat(m)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -268,6 +268,7 @@
 		{"changes", e.broadcastUpdates},
 		{"load", e.reportLoad},
 		{"reach", e.watchReach},
+		{"warmups", e.watchWarmups},
 		{"keys", e.keys.run},
 		{"registrations", e.removeLostRegistrations},
 		{"crashes", e.recordCrashes},
--- a/edge/load.go
+++ b/edge/load.go
@@ -46,6 +46,7 @@
 		e.dispatcher.Tick()
 		e.announceRequestLimits()
 		e.announceDepartures()
+		e.announceWarmups()
 		nearby := e.neighbourAddresses()
 		now := e.clock.Boot()
 		loads := e.dispatcher.Loads()
--- /dev/null
+++ b/edge/warmup.go
@@ -0,0 +1,178 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/gossip"
+	"github.com/hickorylug/hickorylug/transport/relay"
+)
+
+const (
+	// warmupCheckPeriod is the time between two checks of a backend server. It is a fraction of the second for which requests to a cold one
+	// are counted.
+	warmupCheckPeriod = 250 * time.Millisecond
+	// warmupCheckTimeout limits a check.
+	warmupCheckTimeout = 200 * time.Millisecond
+	// warmupChecksAfter is the age of the news from the store from which backend servers are asked themselves. It is a little above that
+	// between two polls of an idle store.
+	warmupChecksAfter = time.Second
+	// warmupChecksFor is how long backend servers are asked after the news were last missing: an older copy of the store lacks what they wrote
+	// until they write it again, VMs that have started meanwhile know only that copy, and a message that was delayed makes news seem recent.
+	warmupChecksFor = reappearanceTime
+	// localWarmupCheckers is the number of VMs in its own failure domain that ask the same backend server, and remoteWarmupCheckers that in
+	// others. There are several, since followers don't hear whether other followers still run.
+	localWarmupCheckers  = 2
+	remoteWarmupCheckers = 1
+)
+
+// watchWarmups asks backend servers whether they are cold while the store can't tell, until the context ends.
+//
+// A backend server may turn cold at any moment and says so in its entry in the
+// store, which VMs don't hear of during an outage. Its health responses say it too.
+func (e *Edge) watchWarmups(ctx context.Context) error {
+	var gap newsGap
+	for {
+		startedAt := e.clock.Boot()
+		if s := e.snapshot.Load(); s.Configuration != nil && gap.needsChecks(startedAt, e.newsAge()) {
+			e.checkWarmups(ctx, s)
+		}
+		select {
+		case <-e.clock.After(startedAt.Add(warmupCheckPeriod).Sub(e.clock.Boot())):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// newsGap is the latest time without news from the store.
+type newsGap struct {
+	// missedAt is when news were last missing; 0 means never.
+	missedAt clock.Instant
+}
+
+// needsChecks reports whether backend servers have to be asked now, given the age of the news.
+func (g *newsGap) needsChecks(now clock.Instant, age time.Duration) bool {
+	if age > warmupChecksAfter {
+		g.missedAt = now
+	}
+	return g.missedAt > 0 && now.Sub(g.missedAt) < warmupChecksFor
+}
+
+// checkWarmups asks the backend servers that this VM has to ask, and returns when all have answered or failed to.
+func (e *Edge) checkWarmups(ctx context.Context, s *fleet.Snapshot) {
+	domains := e.vmsByDomain(s.Peers)
+	var checks sync.WaitGroup
+	for _, server := range s.Servers {
+		service := s.Configuration.Services[server.Service]
+		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.Usable(server) || !slices.Contains(warmupCheckers(server, domains), e.settings.VM) {
+			continue
+		}
+		checks.Go(func() {
+			defer e.survivePanic()
+			e.checkWarmup(ctx, server, service.HealthPath)
+		})
+	}
+	checks.Wait()
+}
+
+// vmsByDomain returns this VM and its peers by failure domain, sorted by name.
+func (e *Edge) vmsByDomain(peers map[id.VM]fleet.Peer) map[id.Domain][]id.VM {
+	domains := map[id.Domain][]id.VM{e.settings.FailureDomain: {e.settings.VM}}
+	for vm, p := range peers {
+		if vm != e.settings.VM {
+			domains[p.Domain] = append(domains[p.Domain], vm)
+		}
+	}
+	for _, vms := range domains {
+		slices.Sort(vms)
+	}
+	return domains
+}
+
+// warmupCheckers returns the VMs that ask a backend server whether it is cold, given all VMs by failure domain.
+//
+// Most are in its own failure domain: they reach it while the domain is cut off,
+// and no bytes between domains are needed.
+func warmupCheckers(server fleet.Server, domains map[id.Domain][]id.VM) []id.VM {
+	hash := xxhash.Sum64String(string(server.Server))
+	others := slices.Sorted(maps.Keys(domains))
+	others = slices.DeleteFunc(others, func(d id.Domain) bool { return d == server.Domain })
+	checkers := drawVMs(hash, domains[server.Domain], localWarmupCheckers)
+	if len(others) == 0 {
+		return checkers
+	}
+	return append(checkers, drawVMs(hash, domains[others[hash%uint64(len(others))]], remoteWarmupCheckers)...)
+}
+
+// drawVMs returns at most n of the VMs; which ones depends on the hash.
+func drawVMs(hash uint64, vms []id.VM, n int) (drawn []id.VM) {
+	for i := range min(n, len(vms)) {
+		drawn = append(drawn, vms[(hash%uint64(len(vms))+uint64(i))%uint64(len(vms))])
+	}
+	return drawn
+}
+
+// checkWarmup asks a backend server for its remaining warm-up time.
+func (e *Edge) checkWarmup(ctx context.Context, server fleet.Server, path string) {
+	ctx, cancel := context.WithTimeout(ctx, warmupCheckTimeout)
+	defer cancel()
+	e.metrics.attempts.Add("checked", 1)
+	result := e.attempt(ctx, relay.Attempt{
+		Server: server.Server, Born: server.Born, Address: server.Address, Method: http.MethodGet, Target: path, Host: server.Address, Header: http.Header{},
+		Command: true, Timeout: warmupCheckTimeout,
+	})
+	if result.Failure != nil || result.Header.Get(platform.HeaderInstance) != string(server.Server) {
+		return
+	}
+	n := dispatch.WarmupNews{Incarnation: server.Incarnation, Left: platform.ParseWarmupLeft(result.Header)}
+	if e.dispatcher.ObserveWarmup(n) {
+		e.logWarmup(n, e.settings.VM)
+	}
+}
+
+// logWarmup logs that a backend server is cold, as it has told the given VM.
+func (e *Edge) logWarmup(n dispatch.WarmupNews, seenBy id.VM) {
+	e.log.Info("backend server is cold", "server", string(n.Incarnation.Server), "born", int64(n.Incarnation.Born), "warmLeft", n.Left.String(), "seenBy", string(seenBy), "newsAgeMs", e.newsAge().Milliseconds())
+}
+
+// announceWarmups tells all VMs which backend servers have told this VM that they are cold.
+func (e *Edge) announceWarmups() {
+	news := e.dispatcher.TakeWarmupNews()
+	if len(news) == 0 {
+		return
+	}
+	m := e.withSender(gossip.Message{Warmups: make([]gossip.Warmup, len(news))})
+	for i, n := range news {
+		m.Warmups[i] = gossip.Warmup{Server: n.Incarnation.Server, Born: n.Incarnation.Born, Left: int(n.Left.Milliseconds())}
+	}
+	e.announce(m)
+}
+
+// maxWarmupLeft limits the remaining warm-up time in a message, in milliseconds, so that it can't overflow.
+const maxWarmupLeft = 3_600_000
+
+// applyWarmups records which backend servers have told another VM that they are cold.
+func (e *Edge) applyWarmups(from id.VM, warmups []gossip.Warmup) {
+	if len(warmups) == 0 {
+		return
+	}
+	news := make([]dispatch.WarmupNews, len(warmups))
+	for i, w := range warmups {
+		news[i] = dispatch.WarmupNews{Incarnation: fleet.Incarnation{Server: w.Server, Born: w.Born}, Left: time.Duration(min(max(w.Left, 0), maxWarmupLeft)) * time.Millisecond}
+	}
+	for _, n := range e.dispatcher.ApplyWarmupNews(news) {
+		e.logWarmup(n, from)
+	}
+}
--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -32,6 +32,8 @@
 	Answer *allotment.Answer `cbor:"15,keyasint,omitempty"`
 	// Leaving are backend servers that have announced that they leave.
 	Leaving []Leaving `cbor:"16,keyasint,omitempty"`
+	// Warmups are backend servers that have said in health responses that they are cold.
+	Warmups []Warmup `cbor:"17,keyasint,omitempty"`
 	// Fragment is a part of a longer message; the other parts of this one are omitted.
 	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
 }
@@ -134,6 +136,14 @@
 	Age int `cbor:"3,keyasint,omitempty"`
 }
 
+// Warmup says that an incarnation of a backend server is cold.
+type Warmup struct {
+	Server id.Server       `cbor:"1,keyasint"`
+	Born   fleet.StartTime `cbor:"2,keyasint"`
+	// Left is the remaining warm-up time, in milliseconds.
+	Left int `cbor:"3,keyasint"`
+}
+
 // Crash reports the crash of a backend server's process and the requests that were in flight there, by fingerprint.
 type Crash struct {
 	Server id.Server       `cbor:"1,keyasint,omitempty"`
--- a/transport/gossip/message_test.go
+++ b/transport/gossip/message_test.go
@@ -29,6 +29,7 @@
 		is := is.New(t)
 		data, err := cbor.Marshal(gossip.Message{
 			From: "a", Incarnation: "i", Domain: "east", Heartbeat: heartbeat, RequestLimits: limits, Leaving: []gossip.Leaving{{Server: "s", Born: 2, Age: 30}},
+			Warmups: []gossip.Warmup{{Server: "s", Born: 2, Left: 30}},
 		})
 		is.NoErr(err)
 		var got formerMessage
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -67,7 +67,7 @@
 	Body    []byte          `cbor:"8,keyasint"`
 	// RequestID identifies the response to a caller's request.
 	RequestID string `cbor:"9,keyasint"`
-	// Command says that this is a grant or release, whose header is complete and which any response without a request's id answers.
+	// Command says that this is a grant, release or health check, whose header is complete and which any response without a request's id answers.
 	Command bool `cbor:"14,keyasint,omitempty"`
 	// Timeout is the time left for the attempt.
 	Timeout        time.Duration `cbor:"10,keyasint"`
