--- a/edge/relay.go
+++ b/edge/relay.go
@@ -176,7 +176,7 @@
 	begun := e.clock.Boot()
 	r = e.attemptDirectly(ctx, a)
 	isUnsent := r.Failure != nil && !r.Failure.Sent
-	if a.Command {
+	if a.Command && a.Method == http.MethodPost {
 		e.log.Info("an order was made for another VM", "server", string(a.Server), "born", int64(a.Born), "path", a.Target, "body", string(a.Body), "status", r.Status,
 			"sent", !isUnsent, "writtenAfter", max(0, r.WrittenAt.Sub(begun)).String(), "endedAfter", e.clock.Boot().Sub(begun).String())
 	}
