--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -62,7 +62,7 @@
 	FormerGrantAt clock.Instant
 	// IssuedAt is when the command was issued; the wait for an unreachable holder is measured from here.
 	IssuedAt clock.Instant
-	// key identifies the range that the command is for; its fence differs from that of a fencing grant.
+	// key identifies the range that the command is for; its fence differs from that of a call to the previous owner.
 	key rangeKey
 	// inDoubt says that the previous owner may still have taken an earlier grant when the command was issued.
 	inDoubt bool
@@ -322,9 +322,10 @@
 //
 // A release ends what the previous owner holds, but not what it may still take:
 // grants that it hasn't answered, or those of a former leader. In such a case it
-// is first granted the keys under a fence that is above all of these, so that it
-// refuses them. This must not be done for a move of a former leader, which may
-// have granted the keys to the new owner already.
+// is granted the keys again, after the release was answered, under a fence that
+// is above all of these, so that it refuses them; then they are released again.
+// This must not be done for a move of a former leader, which may have granted the
+// keys to the new owner already.
 func (g *Granter) vacate(now clock.Instant, c Command, r fleet.Range, s *rangeState, liveness Liveness) (command Command, ok bool) {
 	c.Incarnation, c.Handover = *r.PreviousOwner, ""
 	if next, hasSuccessor := liveness.successor(c.Incarnation); hasSuccessor {
@@ -332,12 +333,20 @@
 	}
 	c.inDoubt = g.isInDoubt(now, c.key, s, c.Incarnation.Server, liveness)
 	fence, hasFence := fencingFence(r, s)
-	if c.inDoubt && hasFence && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation) {
+	switch {
+	case !c.inDoubt || !s.released:
+		c.Release = true
+		if c.inDoubt && hasFence {
+			// A backend server that remembers the fence of the release would refuse the fencing grant.
+			c.Fence = r.PreviousFence
+		}
+		return c, true
+	case hasFence && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation):
 		c.Fencing, c.Fence = true, fence
 		return g.issue(c, true), true
+	default:
+		return c, false
 	}
-	c.Release = true
-	return c, !s.released || !c.inDoubt
 }
 
 // reservedFences is the number of fences below that of a move that are reserved for fencing grants to the previous owner. Each of them is used
