Take the term of a call from this VM, not from the leader's record

What operators could see: a panic of the leader's key manager (a nil pointer) where the leader's record vanishes from the store between the start of a tick and its calls.

The term is this VM's own in any case.

Evidence: TestCallsAreMadeWhenTheLeadersRecordGoes panicked before. With it, the tests that play a site's only VM share one set-up (newSettlingSite), which stood in the file three times; their checks are as before.

--- a/edge/commands.go
+++ b/edge/commands.go
@@ -32,8 +32,9 @@
 		Isolated:    !known,
 	})
 	k.mu.Unlock()
+	term, hold := k.edge.ownTerm(), k.holdTime()
 	for _, command := range commands {
-		c := &call{Command: command, term: s.Leader.Term, hold: k.holdTime()}
+		c := &call{Command: command, term: term, hold: hold}
 		k.edge.tasks.Go(ctx, func(ctx context.Context) {
 			defer func() {
 				if value := recover(); value != nil {
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -36,19 +36,23 @@
 	}
 }
 
-// newSettlingEdge returns the only VM of a site, which isn't run.
-func newSettlingEdge(t *testing.T, storeURL string, c clock.Clock) *Edge {
+// newSettlingSite returns the only VM of a site, which isn't run, with its store and its clock. The service "plans" is keyed.
+func newSettlingSite(t *testing.T) (e *Edge, store *kv.Store, c *fixedClock) {
 	t.Helper()
+	store, c = kv.NewStore(rand.Float64), &fixedClock{now: clock.Instant(time.Hour)}
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
 	e, err := New(settings.Edge{
 		VM: "a", FailureDomain: "east", CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3", MetricsAddress: "127.0.0.1:4",
-		Store: strings.TrimPrefix(storeURL, "http://"), LogLevel: "info", GraceTime: unit.Duration(time.Second), ServerHeartbeat: unit.Duration(time.Second),
+		Store: strings.TrimPrefix(server.URL, "http://"), LogLevel: "info", GraceTime: unit.Duration(time.Second), ServerHeartbeat: unit.Duration(time.Second),
 		RetryShare: 0.2, RetrySlack: 60, RetryWindow: unit.Duration(10 * time.Second), WarmOverage: 1.5, WarmSlack: 5,
 		MaxHold: unit.Duration(10 * time.Second), Processor: 1, Link: 1000, Memory: 1 << 28,
 	}, WithClock(c))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return e
+	store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
+	return e, store, c
 }
 
 // An older copy of the store lacks the latest table. Keys must not be granted by the one that it has while they may be held under another.
@@ -67,13 +71,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			store := kv.NewStore(rand.Float64)
-			server := httptest.NewServer(store)
-			defer server.Close()
-			c := &fixedClock{now: clock.Instant(time.Hour)}
-			e := newSettlingEdge(t, server.URL, c)
+			e, store, c := newSettlingSite(t)
 			ctx := context.Background()
-			store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
 			storeTable(t, e, "s1", copied)
 			before := store.Copy()
 			if test.knows {
@@ -117,13 +116,8 @@
 func TestOlderTableIsNotUsedInPlaceOfUnreadableOne(t *testing.T) {
 	is := is.New(t)
 	const known, lost fleet.Fence = 5, 9
-	store := kv.NewStore(rand.Float64)
-	server := httptest.NewServer(store)
-	defer server.Close()
-	c := &fixedClock{now: clock.Instant(time.Hour)}
-	e := newSettlingEdge(t, server.URL, c)
+	e, store, c := newSettlingSite(t)
 	ctx := context.Background()
-	store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
 	address, commands := serveCommands(t)
 	store.Put("servers/s1", fmt.Appendf(nil, `{"Service":"plans","Address":%q,"Zone":"east","Version":"v1","Slots":4,"State":"ready","WarmupLeftS":0,"Sequence":1,"born":1}`, address))
 	storeTable(t, e, "s1", known)
@@ -167,13 +161,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			store := kv.NewStore(rand.Float64)
-			server := httptest.NewServer(store)
-			defer server.Close()
-			c := &fixedClock{now: clock.Instant(time.Hour)}
-			e := newSettlingEdge(t, server.URL, c)
+			e, store, c := newSettlingSite(t)
 			ctx := context.Background()
-			store.Put("op/config", []byte(`{"Version":"00000001","Clusters":[{"Name":"plans","Sharded":true}]}`))
 			storeTable(t, e, "s1", 5)
 			is.NoErr(e.readAll(ctx))
 			e.keys.latest["plans"], e.continuesIn = true, 1
@@ -191,3 +180,17 @@
 		})
 	}
 }
+
+// Guards against a panic where the leader's record goes between the start of a tick and its calls.
+func TestCallsAreMadeWhenTheLeadersRecordGoes(t *testing.T) {
+	is := is.New(t)
+	e, _, c := newSettlingSite(t)
+	storeTable(t, e, "s1", 5)
+	e.campaign(t.Context())
+	s := *e.snapshot.Load()
+	s.Leader = nil
+	e.snapshot.Store(&s)
+	e.keys.sendDueCalls(t.Context(), c.now, s.Tables["plans"])
+	e.tasks.Wait()
+	is.True(e.leads())
+}
