Count former leaders by each list of VMs that they may have

A new leader takes a former one for gone once half of the VMs registered at present know its term. A former leader without the store counts the VMs that were registered when it last heard of any. The two lists may have too few VMs in common: the store came back from a copy older than some registrations, or VMs have registered since. The new leader then relied on the end of the former one's grants while that one still acted.

The election now remembers the lists that a former leader may have, and half of the VMs of each have to know the new term: lists since the revision of the last leader's heartbeat that was heard, those of an earlier era of the store until its own term is known to enough VMs, and none for more than two minutes.

In these the new leader never had the former one's list, as it started or first read the store of that era later. Without disruptions the time until former leaders are known to have gone is the same (700 histories).

--- a/coordination/leader/former.go
+++ b/coordination/leader/former.go
@@ -1,14 +1,13 @@
 package leader
 
 import (
-	"slices"
-
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// FollowedSince returns since when at least half of the VMs, this one included, have known this VM's term; ok is false while it isn't known, or
-// if this VM's leadership has ended. VMs don't forget a term, so the time stays the same once it is known.
+// FollowedSince returns since when at least half of the VMs, this one included, have known this VM's term, also by each earlier list that a
+// former leader may count; ok is false while it isn't known, or if this VM's leadership has ended. VMs don't forget a term, so the time stays the
+// same once it is known.
 //
 // Half of the VMs are enough: a former leader without its lease needs more than
 // half. So a leader with one other VM, or half of the others, needn't wait for
@@ -20,18 +19,15 @@
 	if e.followedTerm == e.term {
 		return e.followedSince, true
 	}
-	confirmed := []clock.Instant{e.wonAt}
-	for _, m := range members {
-		if p := e.peers[m]; m != e.self && p.followedTerm == e.term {
-			confirmed = append(confirmed, p.followedSince)
-		}
+	since, ok := e.followedSinceBy(members)
+	for _, l := range e.earlierLists {
+		sinceThen, known := e.followedSinceBy(l.members)
+		since, ok = max(since, sinceThen), ok && known
 	}
-	enough := (len(members) + 1) / 2
-	if len(confirmed) < enough {
+	if !ok {
 		return 0, false
 	}
-	slices.Sort(confirmed)
-	e.followedTerm, e.followedSince = e.term, confirmed[enough-1]
+	e.followedTerm, e.followedSince, e.earlierLists = e.term, since, nil
 	return e.followedSince, true
 }
 
@@ -52,10 +48,14 @@
 // its way or queued doesn't matter. If the VM in common is the former leader or
 // the later one, the same holds of what they know themselves.
 //
+// The two may count different VMs, as they know different registrations. So half
+// of the VMs have to know the later term by each list that the former leader may
+// have (RecordMembers).
+//
 // Not covered are: what a former leader decided before and carries out later; VMs
 // that restart and forget the term, unless they have read its record in the store
-// since; VMs of builds without stamps; and registrations that differ between the
-// two leaders, so that the VMs which they count have none in common.
+// since; VMs of builds without stamps; and a list that the later leader never had,
+// as it started after, or first read the store of that era after.
 func FormerLeaderUntil(electedAt, followedSince clock.Instant) clock.Instant {
 	return max(electedAt.Add(LeaseTTL), max(electedAt, followedSince).Add(ReportTTL))
 }
--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -63,6 +63,9 @@
 	// followedSince is since when a majority is known to follow followedTerm.
 	followedTerm  id.Revision
 	followedSince clock.Instant
+	// list is the present list of the registered VMs, and earlierLists those before it that a former leader may still count.
+	list         memberList
+	earlierLists []memberList
 	// startedAt is when the elector was created, and wonAt when this VM last became the leader.
 	startedAt, wonAt clock.Instant
 	// waitStart is when the wait for a leader's heartbeat began; CampaignFailed and Resigned move it so that the next campaign begins
@@ -115,7 +118,14 @@
 }
 
 // Renewed records that the store has renewed the lease, by a call that was sent at the given time.
-func (e *Elector) Renewed(sent clock.Instant) { e.leaseFrom = max(e.leaseFrom, sent) }
+func (e *Elector) Renewed(sent clock.Instant) {
+	e.leaseFrom = max(e.leaseFrom, sent)
+	e.expireLists(sent)
+	if e.followedTerm == e.term {
+		// Former leaders have gone, and a later one can't have a list that ended before.
+		e.earlierLists = nil
+	}
+}
 
 // LeaseEnded records that the lease has ended.
 func (e *Elector) LeaseEnded(now clock.Instant) {
--- a/coordination/leader/model_test.go
+++ b/coordination/leader/model_test.go
@@ -45,6 +45,8 @@
 	content  leader.Heartbeat
 	// stamps are the newest stamps that the sender had read, by term.
 	stamps map[id.Revision]leader.Stamp
+	// listed is the sender's copy of the registrations if it leads.
+	listed registrations
 }
 
 // response is one of the store's on its way to a VM's process.
@@ -75,15 +77,19 @@
 	datagrams []datagram
 	responses []response
 	stamps    map[id.Revision]leader.Stamp
+	// list is the VM's copy of the registrations, if the model has them.
+	list memberList
 }
 
 // model is a model of VMs, their links and the store; times are its own unless they are passed to an elector.
 type model struct {
-	random    *rand.Rand
-	fault     fault
-	now       clock.Instant
-	ticks     int
-	vms       []*modelVM
+	random *rand.Rand
+	fault  fault
+	now    clock.Instant
+	ticks  int
+	vms    []*modelVM
+	// registry holds the registrations in the store; nil means that the VMs are always the same.
+	registry  *registry
 	members   []id.VM
 	cut       map[[2]*modelVM]bool
 	datagrams []datagram
@@ -98,6 +104,8 @@
 	formerUntil map[id.Revision]clock.Instant
 	// overlaps counts the ticks in which a former leader acted after a later election.
 	overlaps int
+	// restorations counts how often the store came back from an older copy.
+	restorations int
 }
 
 func newModel(seed uint64, size int, f fault) *model {
@@ -126,7 +134,7 @@
 func (m *model) heartbeat(v *modelVM) leader.Heartbeat {
 	now := m.local(v)
 	stamp := v.elector.Stamp(now)
-	h := leader.Heartbeat{Leading: v.elector.Leads(now, m.members), StoreUnreachable: v.answeredAt > 0 && m.now.Sub(v.answeredAt) > storeTimeout, KnownTerm: v.elector.KnownTerm(), Stamp: &stamp}
+	h := leader.Heartbeat{Position: v.list.current.position, Leading: v.elector.Leads(now, m.membersOf(v)), StoreUnreachable: v.answeredAt > 0 && m.now.Sub(v.answeredAt) > storeTimeout, KnownTerm: v.elector.KnownTerm(), Stamp: &stamp}
 	if h.Leading {
 		h.Term = v.elector.Term()
 	}
@@ -136,19 +144,23 @@
 func (m *model) send(from *modelVM, to ...*modelVM) {
 	h := m.heartbeat(from)
 	for _, v := range to {
-		if v == from || m.cut[[2]*modelVM{from, v}] || m.random.Float64() < m.lossRate {
+		if v == nil || v == from || m.cut[[2]*modelVM{from, v}] || !m.isListed(from, v) || m.random.Float64() < m.lossRate {
 			continue
 		}
 		stamps := map[id.Revision]leader.Stamp{}
 		for term, s := range from.stamps {
 			stamps[term] = s
 		}
-		m.datagrams = append(m.datagrams, datagram{m.now.Add(m.delay()), from, v, h, stamps})
+		m.datagrams = append(m.datagrams, datagram{m.now.Add(m.delay()), from, v, h, stamps, from.list.current})
 	}
 }
 
 func (m *model) find(vm id.VM) *modelVM {
-	return m.vms[slices.IndexFunc(m.vms, func(v *modelVM) bool { return v.id == vm })]
+	at := slices.IndexFunc(m.vms, func(v *modelVM) bool { return v.id == vm })
+	if at < 0 {
+		return nil
+	}
+	return m.vms[at]
 }
 
 // withFault returns a heartbeat as a VM with the model's fault would judge it.
@@ -185,6 +197,9 @@
 	h := m.withFault(d)
 	v.elector.RecordHeartbeat(now, d.from.id, h)
 	vm, term, _ := v.elector.Leader(now)
+	if h.Leading {
+		v.list.adopt(m.now, d.listed)
+	}
 	isNew := vm == d.from.id && (vm != oldVM || term != oldTerm)
 	if isNew || h.Leading && h.Term < v.elector.KnownTerm() {
 		m.send(v, d.from)
@@ -199,11 +214,18 @@
 		if m.holder != nil {
 			return func(now clock.Instant) { v.campaigning = false; v.elector.CampaignFailed(now) }
 		}
-		m.revision++
+		if m.registry != nil {
+			m.nextRevision()
+		} else {
+			m.revision++
+		}
 		m.holder, m.term, m.leaseEnd = v, m.revision, m.now.Add(leader.LeaseTTL)
 		term := m.term
+		listed := m.registrations()
 		return func(now clock.Instant) {
 			v.campaigning, v.electedAt = false, now
+			v.list.adopt(m.now, listed)
+			m.recordMembers(v)
 			v.elector.Won(begun, term)
 			m.send(v, m.vms...)
 		}
@@ -252,6 +274,7 @@
 			v.elector.LearnTerm(now, m.term)
 		}
 	}
+	m.synchronize(v)
 	vm, _, fresh := v.elector.Leader(now)
 	leads := vm == v.id
 	if !fresh && !v.campaigning && v.elector.ShouldCampaign(now, m.random.IntN(len(m.vms))) && m.now == v.answeredAt {
@@ -354,14 +377,14 @@
 // check compares the leaders that act with what later ones believe.
 func (m *model) check() string {
 	for _, v := range m.vms {
-		if since, ok := v.elector.FollowedSince(m.members); ok && m.now >= v.frozenUntil {
+		if since, ok := v.elector.FollowedSince(m.membersOf(v)); ok && m.now >= v.frozenUntil {
 			if _, known := m.formerUntil[v.elector.Term()]; !known {
 				m.formerUntil[v.elector.Term()] = leader.FormerLeaderUntil(v.electedAt, since).Add(-v.offset)
 			}
 		}
 	}
 	for _, v := range m.vms {
-		if m.now < v.frozenUntil || !v.elector.Leads(m.local(v), m.members) {
+		if m.now < v.frozenUntil || !v.elector.Leads(m.local(v), m.membersOf(v)) {
 			continue
 		}
 		if v.elector.Term() < m.term {
@@ -380,7 +403,11 @@
 func (m *model) disrupt() {
 	pick := func() *modelVM { return m.vms[m.random.IntN(len(m.vms))] }
 	upTo := func(d time.Duration) clock.Instant { return m.now.Add(time.Duration(m.random.Int64N(int64(d)))) }
-	switch m.random.IntN(10) {
+	kinds := 10
+	if m.registry != nil {
+		kinds += registrationDisruptions
+	}
+	switch kind := m.random.IntN(kinds); kind {
 	case 0, 1:
 		a, b := pick(), pick()
 		m.cut[[2]*modelVM{a, b}] = true
@@ -411,12 +438,14 @@
 		}
 	case 9:
 		m.restart(pick())
+	default:
+		m.disruptRegistrations(kind - 10)
 	}
 }
 
 // restart replaces a VM's process, which forgets all that it knew.
 func (m *model) restart(v *modelVM) {
-	*v = modelVM{id: v.id, offset: v.offset, served: v.served, boot: v.boot + 1, elector: leader.NewElector(v.id, m.local(v)), stamps: map[id.Revision]leader.Stamp{}}
+	*v = modelVM{id: v.id, offset: v.offset, served: v.served, boot: v.boot + 1, elector: leader.NewElector(v.id, m.local(v)), stamps: map[id.Revision]leader.Stamp{}, list: v.list.afterRestart()}
 }
 
 // play plays a history of 14 s.
@@ -490,7 +519,7 @@
 					}
 					for m.now.Sub(start) < settle+outage {
 						is.Equal(m.step(), "")
-						if v.elector.Leads(m.local(v), m.members) {
+						if v.elector.Leads(m.local(v), m.membersOf(v)) {
 							gap = 0
 							continue
 						}
--- a/coordination/leader/report.go
+++ b/coordination/leader/report.go
@@ -35,6 +35,8 @@
 	// Leading says that the VM leads in Term.
 	Leading bool
 	Term    id.Revision
+	// Position is the revision of the store up to which the VM knows it.
+	Position id.Revision
 	// StoreUnreachable says that the VM called the store and got no answer.
 	//
 	// Stale store updates alone don't count as unreachable. Otherwise a leader that
@@ -79,6 +81,7 @@
 	e.peers[from] = e.peers[from].after(now, h, e.term)
 	if h.Leading && h.Term == e.highestTerm {
 		e.knownTerm, e.knownLeader, e.knownAt, e.waitStart = h.Term, from, now, now
+		e.forgetLists(h.Position)
 	}
 }
 
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -277,7 +277,8 @@
 	now := e.clock.Boot()
 	oldLeader, oldTerm, wasFresh := e.elector.Leader(now)
 	e.elector.RecordHeartbeat(now, m.From, leader.Heartbeat{
-		Leading: heartbeat.Leading, Term: heartbeat.Term, StoreUnreachable: heartbeat.StoreUnreachable, KnownTerm: heartbeat.KnownTerm, Stamp: heartbeat.Stamp,
+		Leading: heartbeat.Leading, Term: heartbeat.Term, Position: heartbeat.Position, StoreUnreachable: heartbeat.StoreUnreachable, KnownTerm: heartbeat.KnownTerm,
+		Stamp: heartbeat.Stamp,
 	})
 	if heartbeat.Leaving {
 		e.elector.Resigned(now, m.From)
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,6 +30,13 @@
 	return out
 }
 
+// recordMembers records the registered VMs for the election.
+func (e *Edge) recordMembers(s *fleet.Snapshot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.elector.RecordMembers(e.clock.Boot(), s.Position, slices.Collect(maps.Keys(s.Peers)))
+}
+
 // leads reports whether this VM may act as the leader now.
 func (e *Edge) leads() bool {
 	members := e.members()
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -194,3 +194,36 @@
 	e.tasks.Wait()
 	is.True(e.leads())
 }
+
+// Guards against a leader that takes a former one for gone by its own VM alone, since an older copy of the store lacks the VMs that follow the former one.
+func TestLeaderWaitsForVMsThatAnOlderCopyLacks(t *testing.T) {
+	is := is.New(t)
+	e, store, c := newSettlingSite(t)
+	ctx := context.Background()
+	register := func(vms ...id.VM) {
+		for _, vm := range vms {
+			store.Put(platform.KeyPeer(vm), fmt.Appendf(nil, `{"VM":%q,"Domain":"east","Address":"127.0.0.1:9"}`, vm))
+		}
+		is.NoErr(e.readAll(ctx))
+	}
+	register("a", "b")
+	before := store.Copy()
+	register("c", "d", "e")
+	is.Equal(len(e.members()), 5)
+	store.Restore(before)
+	is.NoErr(e.readAll(ctx))
+	c.now = c.now.Add(reappearanceTime + 1)
+	e.recordStoreSuccess()
+	e.publishSnapshot()
+	is.Equal(len(e.members()), 2)
+
+	is.True(e.recordCampaign(e.acquireLeadership(ctx)))
+	for _, test := range []struct {
+		follower id.VM
+		known    bool
+	}{{"b", false}, {"c", true}} {
+		e.elector.RecordHeartbeat(c.now, test.follower, leader.Heartbeat{KnownTerm: e.ownTerm(), Stamp: &leader.Stamp{}})
+		_, known := e.formerLeaderUntil()
+		is.Equal(known, test.known)
+	}
+}
--- a/edge/store.go
+++ b/edge/store.go
@@ -244,6 +244,9 @@
 	s := e.departures.Apply(e.clock.Boot(), e.withRetained(old, e.mirror.Snapshot()))
 	e.snapshot.Store(s)
 	e.dispatcher.Update(s)
+	if !fleet.IsSameMap(old.Peers, s.Peers) {
+		e.recordMembers(s)
+	}
 	if !fleet.IsSameMap(old.Crashes, s.Crashes) {
 		e.crashes.Restore(e.clock.Boot(), e.clock.Now(), s.Crashes)
 	}
