--- a/edge/guards_test.go
+++ b/edge/guards_test.go
@@ -16,8 +16,11 @@
 	"github.com/hickorylug/hickorylug/coordination/ownership"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/standin/kv"
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/gossip"
+	"github.com/hickorylug/hickorylug/transport/http1"
 )
 
 // closedAddress returns an address at which connections are refused.
@@ -291,3 +294,129 @@
 		})
 	}
 }
+
+// A renewal's answer comes late, but the lease runs from when the store renewed it.
+func TestLeaseCountsFromItsRenewal(t *testing.T) {
+	is := is.New(t)
+	e, _, c, _ := newMovingSite(t, "a", "b", "c")
+	sent := c.now.Add(leader.LeaseTTL / 2)
+	c.now = sent
+	e.clock = &steppingClock{fixedClock: c, step: leader.LeaseTTL / 8}
+	e.renewLease(t.Context())
+	is.True(c.now > sent.Add(leader.LeaseTTL/8))
+	is.True(e.elector.Leads(sent.Add(leader.LeaseTTL-1), e.members()))
+	is.True(!e.elector.Leads(sent.Add(leader.LeaseTTL), e.members()))
+}
+
+// steppingClock is a clock that goes on by a step at each reading.
+type steppingClock struct {
+	*fixedClock
+	step time.Duration
+}
+
+func (c *steppingClock) Boot() clock.Instant {
+	now := c.now
+	c.now = now.Add(c.step)
+	return now
+}
+
+// Guards against a leader that acts by a lease which the store may have ended already, by a call without answer.
+func TestLeaderWithRevokedLeaseDoesNotAct(t *testing.T) {
+	is := is.New(t)
+	e, store, _, _ := newMovingSite(t, "a", "b", "c")
+	is.True(e.leads())
+	store.SetFault(kv.Fault{Down: true})
+	is.True(!e.resign())
+	is.True(!e.leads())
+}
+
+// Guards against new fences for lost tables while too few VMs follow this one to know that former leaders have gone.
+func TestFormerGrantsMayBeHeldWhileFewVMsFollow(t *testing.T) {
+	is := is.New(t)
+	e, _, c, _ := newMovingSite(t, "a", "b", "c")
+	later := c.now.Add(time.Minute)
+	is.True(!e.haveFormerGrantsExpired(later))
+	e.elector.RecordHeartbeat(c.now, "b", leader.Heartbeat{KnownTerm: e.ownTerm(), Stamp: &leader.Stamp{}})
+	is.True(e.haveFormerGrantsExpired(later))
+}
+
+// Guards against a leader that waits for VMs of a list that the last leader didn't have any more.
+func TestListsBeforeThatOfTheLastLeaderAreForgotten(t *testing.T) {
+	tests := map[string]struct {
+		position id.Revision
+		want     bool
+	}{
+		"it had the earlier list": {position: 1},
+		"it had the later list":   {position: 100, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, store, _ := newSettlingSite(t)
+			register := func(vms ...id.VM) {
+				for _, vm := range vms {
+					store.Put(platform.KeyPeer(vm), fmt.Appendf(nil, `{"VM":%q,"Domain":"east","Address":"127.0.0.1:9"}`, vm))
+				}
+				is.NoErr(e.readAll(t.Context()))
+			}
+			register("b", "c", "d")
+			register("a", "e", "f", "g")
+			e.recordHeartbeat(gossip.Message{From: "b", Heartbeat: &gossip.Heartbeat{Leading: true, Term: 1, Position: test.position, KnownTerm: 1, Stamp: &leader.Stamp{}}})
+			is.True(e.recordCampaign(e.acquireLeadership(t.Context())))
+			for _, vm := range []id.VM{"e", "f", "g"} {
+				e.elector.RecordHeartbeat(e.clock.Boot(), vm, leader.Heartbeat{KnownTerm: e.ownTerm(), Stamp: &leader.Stamp{}})
+			}
+			_, known := e.formerLeaderUntil()
+			is.Equal(known, test.want)
+		})
+	}
+}
+
+// Guards against a grant that counts as never made, as another VM couldn't make it once more.
+func TestGrantsThatWereSentAreNotMadeAgain(t *testing.T) {
+	is := is.New(t)
+	v, other := newLeavingVM(t), newLeavingVM(t)
+	made := 0
+	hangUp := func(w http.ResponseWriter, _ *http.Request) {
+		made++
+		for _, server := range []id.Server{"x", "y", "z"} {
+			v.reach.RecordDial(server, false)
+		}
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = c.Close()
+		}
+	}
+	server, relays := httptest.NewServer(http.HandlerFunc(hangUp)), httptest.NewServer(other.relayHandler)
+	t.Cleanup(server.Close)
+	t.Cleanup(relays.Close)
+	v.backends = http1.NewClient()
+	v.put("hickorylug/vm/b", fmt.Sprintf(`{"VM":"b","Domain":"east","Address":%q,"Incarnation":"i"}`, strings.TrimPrefix(relays.URL, "http://")))
+	a := attemptAt(strings.TrimPrefix(server.URL, "http://"))
+	a.Method, a.Command, a.NotAfter = http.MethodPost, true, v.clock.now.Add(ownership.WriteTimeout)
+	r := v.attempt(t.Context(), a)
+	is.True(v.reach.IsSuspected())
+	is.True(r.Failure.Sent)
+	is.Equal(made, 1)
+}
+
+// Guards against a grant that counts as never made, as the VM that was asked to make it doesn't answer.
+func TestGrantsThroughAVMThatDoesNotAnswerMayBeTaken(t *testing.T) {
+	is := is.New(t)
+	v, other := newLeavingVM(t), newLeavingVM(t)
+	relays := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			other.relayHandler.ServeHTTP(w, r)
+			return
+		}
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = c.Close()
+		}
+	}))
+	t.Cleanup(relays.Close)
+	v.put("hickorylug/vm/b", fmt.Sprintf(`{"VM":"b","Domain":"east","Address":%q,"Incarnation":"i"}`, strings.TrimPrefix(relays.URL, "http://")))
+	a := attemptAt("127.0.0.1:9")
+	a.Method, a.Command, a.NotAfter = http.MethodPost, true, v.clock.now.Add(ownership.WriteTimeout)
+	r, ok := v.attemptThroughOthers(t.Context(), a)
+	is.True(ok)
+	is.True(r.Failure.Sent)
+}
