Grant keys only on connections older than the last confirmation of the leadership

Cause: a grant names a backend server by its id. A process that starts again under the id doesn't know the fences that the former one was shown. A former leader that had not heard of the next one opened a connection to the new process and renewed its old grant there, while the next leader, which had fenced and released the former process, had granted the keys elsewhere.

The model now has connections, each to one process.

Change: a grant is written only on a connection that was opened before the last time at which most VMs surely followed no later leader (Elector.ConfirmedAt: a renewal of the lease, or reports of most VMs that they can't reach the store). If the connection is younger, the leader renews its lease at once, which takes one cheap call to the store; one renewal serves all connections that wait. Grants through other VMs carry the limit by the other VM's own clock. Fencing grants wait until most VMs follow the leader, so that all connections on which a former leader may write go to the fenced process or to earlier ones. A grant that is withheld says nothing of the backend server; the connection is kept for the next try.

--- a/coordination/leader/report.go
+++ b/coordination/leader/report.go
@@ -53,6 +53,9 @@
 	at clock.Instant
 	// reportUntil is until when its report counts that it can't reach the store.
 	reportUntil clock.Instant
+	// reportFrom is when the heartbeat of reportTerm was sent that its last such report answers.
+	reportTerm id.Revision
+	reportFrom clock.Instant
 	// knownTerm is the highest term that the VM knew at its last heartbeat, if stamped says that its build tells it.
 	knownTerm id.Revision
 	stamped   bool
@@ -92,6 +95,7 @@
 		p.reportUntil = now.Add(unstampedReportTTL)
 	case h.Stamp.Term == term:
 		p.reportUntil = max(p.reportUntil, h.Stamp.SentAt.Add(ReportTTL))
+		p.reportTerm, p.reportFrom = term, h.Stamp.SentAt
 	}
 	if p.follows(term) && p.followedTerm != term {
 		p.followedTerm, p.followedSince = term, now
--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -325,7 +325,10 @@
 // is granted the keys again, after the release was answered, under a fence that
 // is above all of these, so that it refuses them; then they are released again.
 // This must not be done for a move of a former leader, which may have granted the
-// keys to the new owner already.
+// keys to the new owner already. It must not be done either before most VMs follow
+// this leader: until then a former one may open a connection on which it may write
+// (leader.Elector.ConfirmedAt), so that a process that has started since, and
+// doesn't know the higher fence, would take a grant of it.
 func (g *Granter) vacate(now clock.Instant, c Command, r fleet.Range, s *rangeState, liveness Liveness) (command Command, ok bool) {
 	c.Incarnation, c.Handover = *r.PreviousOwner, ""
 	if next, hasSuccessor := liveness.successor(c.Incarnation); hasSuccessor {
@@ -341,7 +344,7 @@
 			c.Fence = r.PreviousFence
 		}
 		return c, true
-	case hasFence && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation):
+	case hasFence && !liveness.Isolated && !liveness.IsLost(c.Incarnation) && !liveness.IsSuspended(c.Incarnation):
 		c.Fencing, c.Fence = true, fence
 		return g.issue(c, true), true
 	default:
--- a/coordination/ownership/model_calls_test.go
+++ b/coordination/ownership/model_calls_test.go
@@ -56,13 +56,20 @@
 	}
 }
 
+// modelConnection is a connection of a leader to a process.
+type modelConnection struct {
+	process  *modelProcess
+	openedAt clock.Instant
+}
+
 // modelCall is a call on its way.
 type modelCall struct {
 	ownership.Command
-	site     *siteModel
-	leader   *modelLeader
-	fate     callFate
-	reported bool
+	site       *siteModel
+	leader     *modelLeader
+	connection *modelConnection
+	fate       callFate
+	reported   bool
 }
 
 func (s *siteModel) send(l *modelLeader, cmd ownership.Command) {
@@ -78,19 +85,53 @@
 	}
 	c.fate = drawFate(s, cmd.Release)
 	s.note("%s sends %s", l.name(), describe(cmd))
-	s.after(c.fate.transit, c.arrive)
 	s.after(c.fate.giveUp, func() { c.report(ownership.Unanswered, false) })
+	server := s.server(cmd.Incarnation.Server)
+	if known := l.connections[cmd.Incarnation.Server]; known != nil && known.process == server.process && !cmd.Release && !cmd.Fencing {
+		c.connection = known
+		c.write(c.fate.transit)
+		return
+	}
+	dialed := s.drawTime(0, c.fate.transit)
+	s.after(dialed, func() { c.dial(server, c.fate.transit-dialed) })
 }
 
-// arrive hands the call to the process that runs under the id, which may be another than the one that is meant.
+// dial opens a connection to the process that runs under the id, which may be another than the one that is meant, and writes the call if that
+// is allowed on it.
+func (c *modelCall) dial(server *modelServer, transit time.Duration) {
+	s := c.site
+	switch {
+	case server.cut:
+		return
+	case server.process == nil:
+		c.report(ownership.Unanswered, true)
+		return
+	}
+	c.connection = &modelConnection{server.process, s.now}
+	c.leader.connections[server.id] = c.connection
+	c.write(transit)
+}
+
+// write writes the call, unless a grant isn't allowed on its connection.
+func (c *modelCall) write(transit time.Duration) {
+	s := c.site
+	if !c.Release && !s.flaw.usesAnyConnection && c.connection.openedAt > c.leader.confirmedAt() {
+		s.note("%s doesn't write %s: its leadership isn't confirmed", c.leader.name(), describe(c.Command))
+		c.report(ownership.Undelivered, false)
+		return
+	}
+	s.after(transit, c.arrive)
+}
+
+// arrive hands the call to the process of its connection.
 func (c *modelCall) arrive() {
 	s := c.site
 	server := s.server(c.Incarnation.Server)
-	process := server.process
+	process := c.connection.process
 	switch {
 	case server.cut:
-	case process == nil:
-		c.report(ownership.Unanswered, true)
+	case process != server.process:
+		c.report(ownership.Unanswered, false)
 	case c.Release:
 		finishedAt := s.now.Add(c.fate.work)
 		process.release(c.Command, finishedAt)
--- a/coordination/ownership/model_histories_test.go
+++ b/coordination/ownership/model_histories_test.go
@@ -33,6 +33,8 @@
 	staleEntries     = withMoves(modelFaults{restarts: 0.2, staleEntries: 0.3})
 	formerLeaders    = withMoves(modelFaults{elections: 0.2, formerTime: formerLeaderTime})
 	restartedBeside  = withMoves(modelFaults{restarts: 0.2, elections: 0.2, formerTime: formerLeaderTime})
+	restartedOften   = modelFaults{restarts: 0.8, elections: 0.3, departures: 0.8, balances: 0.2, formerTime: formerLeaderTime}
+	restartedApart   = withMoves(modelFaults{restarts: 0.3, elections: 0.3, isolations: 0.6, formerTime: formerLeaderTime})
 	reelectedLeaders = withMoves(modelFaults{reelections: 0.3, lostAnswers: 0.1})
 	restoredStore    = withMoves(modelFaults{restorations: 0.2, elections: 0.1, once: true})
 	restoredLeaders  = withMoves(modelFaults{restorations: 0.1, corruptions: 0.1, elections: 0.1, formerTime: formerLeaderTime, once: true})
@@ -73,8 +75,13 @@
 
 // Guards against a former leader's grant to a process that has started since, and so forgot the fence under which the keys were taken from it.
 func TestRestartBesideFormerLeaderHasNoSecondHolder(t *testing.T) {
-	const longHistories = 3 * histories
-	checkHistories(t, longHistories, restartedBeside)
+	tests := map[string]modelFaults{"seldom": restartedBeside, "often": restartedOften, "beside a leader that reaches few VMs": restartedApart}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			const longHistories = 3 * histories
+			checkHistories(t, longHistories, faults)
+		})
+	}
 }
 
 // Guards against answers to calls of an earlier leadership of the same VM.
@@ -145,6 +152,7 @@
 		"believes at once that an incarnation has ended":         {restartedServers, modelFlaw{believesEnded: true}},
 		"believes a release while a grant is unanswered":         {lateRenewals, modelFlaw{believesRelease: true}},
 		"assumes that former leaders have gone at the election":  {formerLeaders, modelFlaw{ignoresFormerLeaders: true}},
+		"grants on connections newer than its confirmation":      {restartedOften, modelFlaw{usesAnyConnection: true}},
 		"keeps the fences of a table from an older store's copy": {restoredStore, modelFlaw{keepsFences: true}},
 	}
 	for name, test := range tests {
--- a/coordination/ownership/model_leader_test.go
+++ b/coordination/ownership/model_leader_test.go
@@ -33,6 +33,8 @@
 	believesRelease bool
 	// ignoresFormerLeaders assumes that former leaders have gone long before the election.
 	ignoresFormerLeaders bool
+	// usesAnyConnection writes grants also on connections that were opened after the leadership was last confirmed.
+	usesAnyConnection bool
 	// keepsFences stores the tables of an older copy of the store with their fences.
 	keepsFences bool
 }
@@ -62,7 +64,9 @@
 	entries, latest map[id.Server]fleet.StartTime
 	ended           map[fleet.Incarnation]bool
 	failures        map[fleet.Incarnation]*modelFailures
-	isolated        bool
+	// connections are those that the VM keeps to processes of servers.
+	connections map[id.Server]*modelConnection
+	isolated    bool
 	// knowsLatest says that the VM knows the latest table: it has read it in its leadership.
 	knowsLatest bool
 	// ready says that the VM granted keys in its last tick as the leader.
@@ -84,7 +88,7 @@
 	s.elections++
 	l := vm
 	if l == nil {
-		l = &modelLeader{site: s, number: s.elections, entries: map[id.Server]fleet.StartTime{}}
+		l = &modelLeader{site: s, number: s.elections, entries: map[id.Server]fleet.StartTime{}, connections: map[id.Server]*modelConnection{}}
 		l.table = s.drawKnownTable()
 	}
 	s.leaders = append(slices.DeleteFunc(s.leaders, func(other *modelLeader) bool { return other == l }), l)
@@ -133,9 +137,28 @@
 
 func (l *modelLeader) name() string { return fmt.Sprintf("leader %d", l.number) }
 
+// confirmedAt returns the latest time at which the VM can know that most VMs followed no later leader.
+func (l *modelLeader) confirmedAt() clock.Instant {
+	at := l.site.now
+	for term, followedAt := range l.site.followed {
+		if term > l.term {
+			at = min(at, followedAt)
+		}
+	}
+	return at
+}
+
+// recordFollowed records since when the leader knows that most VMs follow it.
+func (l *modelLeader) recordFollowed() {
+	if _, known := l.site.followed[l.term]; !known && !l.isolated {
+		l.site.followed[l.term] = l.site.now
+	}
+}
+
 func (l *modelLeader) tick() {
 	l.recordIncarnations()
 	if l.actsUntil == 0 {
+		l.recordFollowed()
 		if l.ready = l.settle(); l.ready {
 			l.plan()
 		}
--- a/coordination/ownership/model_test.go
+++ b/coordination/ownership/model_test.go
@@ -40,6 +40,8 @@
 	// leaders are those that still act; the last one is the current one.
 	leaders   []*modelLeader
 	elections int
+	// followed holds since when leaders know that most VMs follow them, by term.
+	followed map[int]clock.Instant
 	// announced holds the fences of the moves that leaders have announced as done.
 	announced map[fleet.Fence]bool
 	// problem is the first broken promise.
@@ -55,7 +57,7 @@
 }
 
 func newSiteModel(seed uint64, faults modelFaults, flaw modelFlaw) *siteModel {
-	s := &siteModel{random: rand.New(rand.NewPCG(seed, 44)), faults: faults, flaw: flaw, now: modelStart, moveStarts: map[modelMove]clock.Instant{}, announced: map[fleet.Fence]bool{}}
+	s := &siteModel{random: rand.New(rand.NewPCG(seed, 44)), faults: faults, flaw: flaw, now: modelStart, moveStarts: map[modelMove]clock.Instant{}, announced: map[fleet.Fence]bool{}, followed: map[int]clock.Instant{}}
 	for _, name := range []id.Server{"a", "b", "c"} {
 		server := &modelServer{id: name}
 		server.start()
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -57,6 +57,8 @@
 	// writtenAt is when this VM began to write the call; 0 if it didn't.
 	writtenAt clock.Instant
 	relayed   bool
+	// withheld says that the call wasn't written though a connection was there.
+	withheld bool
 }
 
 // logArgs returns what a log line tells of the call: which keys, under which fence and term, and when it was written after it was issued. The
@@ -112,12 +114,19 @@
 		k.recordOutcome(c, ownership.Undelivered, "", false)
 		return
 	}
+	var openedBy func(ctx context.Context, wanted clock.Instant) clock.Instant
+	if !c.Release {
+		// Another process may have started under the id, which doesn't know the fences that the former one was shown.
+		openedBy = func(ctx context.Context, wanted clock.Instant) clock.Instant {
+			return e.confirmLeadership(ctx, c.term, wanted)
+		}
+	}
 	header := http.Header{"Content-Type": {"application/json"}, platform.HeaderExpect: {string(c.Incarnation.Server)}}
 	result := e.attempt(ctx, relay.Attempt{
 		Server: c.Incarnation.Server, Born: c.Incarnation.Born, Address: server.Address, Method: http.MethodPost, Target: request.Path, Host: server.Address,
 		Header: header, Body: body, Timeout: timeout, Command: true,
 		// Responses to commands carry no id: a late copy of that to a grant would end the former owner's hold, or the doubt about it, too early.
-		NewConnection: c.Release || c.Fencing, NotAfter: c.LatestWrite(),
+		NewConnection: c.Release || c.Fencing, NotAfter: c.LatestWrite(), OpenedBy: openedBy,
 	})
 	c.writtenAt, c.relayed = result.WrittenAt, result.Relayed
 	switch {
@@ -129,6 +138,7 @@
 		if result.Failure.Sent {
 			outcome = ownership.Unanswered
 		}
+		c.withheld = result.Failure.Withheld
 		k.recordOutcome(c, outcome, "", result.Failure.Refused)
 	case result.Status == http.StatusOK:
 		k.recordOutcome(c, ownership.Done, result.Header.Get(platform.HeaderHandover), false)
@@ -160,6 +170,12 @@
 	return s, known && s.Incarnation == inc
 }
 
+// isEvidence reports whether the outcome of a call says whether the backend server answers. That of a failed one doesn't if it was withheld, or
+// while the fault may be that of this VM's links.
+func (k *keyManager) isEvidence(c *call, outcome ownership.Outcome) bool {
+	return outcome.IsAnswered() || !c.withheld && !k.edge.reach.IsSuspected()
+}
+
 // recordOutcome records the outcome of a call and announces a completed grant to the other VMs.
 func (k *keyManager) recordOutcome(c *call, outcome ownership.Outcome, handover string, connectionRefused bool) {
 	e := k.edge
@@ -169,8 +185,7 @@
 	k.granter.Report(now, c.Command, outcome, handover)
 	moved = moved && outcome == ownership.Done
 	wasLost := k.isLost(now, c.Incarnation)
-	// A failed call says nothing of the backend server while the fault may be that of this VM's links.
-	if outcome.IsAnswered() || !e.reach.IsSuspected() {
+	if k.isEvidence(c, outcome) {
 		k.recordCallOutcome(now, c.Incarnation, outcome, connectionRefused)
 	}
 	losesKeys := !wasLost && k.isLost(now, c.Incarnation)
@@ -192,7 +207,7 @@
 	case outcome == ownership.Done && c.Fencing:
 		e.log.Info("the former owner refuses earlier grants", c.logArgs(now)...)
 	case !outcome.IsAnswered():
-		e.log.Warn("an order was not answered", c.logArgs(now, "release", c.Release, "fencing", c.Fencing, "sent", outcome == ownership.Unanswered, "refused", connectionRefused)...)
+		e.log.Warn("an order was not answered", c.logArgs(now, "release", c.Release, "fencing", c.Fencing, "sent", outcome == ownership.Unanswered, "withheld", c.withheld, "refused", connectionRefused)...)
 	case e.log.Enabled(context.Background(), slog.LevelDebug):
 		e.log.Debug("a grant was renewed", c.logArgs(now)...)
 	}
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -258,6 +258,40 @@
 	}
 }
 
+// confirmLeadership returns the latest time at which the leader of a later term than the given one was surely followed by fewer than half of the
+// VMs; 0 if this VM's last leadership isn't of that term. If wanted is later, it first renews the lease.
+func (e *Edge) confirmLeadership(ctx context.Context, term id.Revision, wanted clock.Instant) clock.Instant {
+	at, canAsk := e.confirmedAt(term)
+	if !wanted.After(at) || !canAsk {
+		return at
+	}
+	// One renewal confirms all connections that were opened before it.
+	select {
+	case e.confirming <- struct{}{}:
+		defer func() { <-e.confirming }()
+	case <-ctx.Done():
+		return at
+	}
+	if at, canAsk = e.confirmedAt(term); !wanted.After(at) || !canAsk {
+		return at
+	}
+	e.renewLease(ctx)
+	at, _ = e.confirmedAt(term)
+	return at
+}
+
+// confirmedAt returns the result of confirmLeadership as far as it is known; canAsk says that the store may confirm a later time.
+func (e *Edge) confirmedAt(term id.Revision) (at clock.Instant, canAsk bool) {
+	members := e.members()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.elector.Term() != term {
+		return 0, false
+	}
+	now := e.clock.Boot()
+	return e.elector.ConfirmedAt(now, members), !e.missesStore(now)
+}
+
 // resign gives up the leadership and announces that this VM is leaving.
 //
 // If the store doesn't confirm that the lease is revoked, no other VM can be elected yet:
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -20,8 +20,11 @@
 // errLinksHang is the cause of attempts that end because this VM's links to all backend servers hang.
 var errLinksHang = errors.New("the links of this VM hang")
 
-// errLate is the cause of attempts that are not sent, since their latest time has passed.
-var errLate = errors.New("the latest time to send it has passed")
+// Causes of attempts that are not sent although a connection is there.
+var (
+	errLate           = errors.New("the latest time to send it has passed")
+	errConnectionLate = errors.New("the leadership wasn't confirmed after the connection was opened")
+)
 
 // attempt makes an attempt at a backend server: directly or, where this VM may be cut off from all of them, through another VM.
 //
@@ -36,7 +39,7 @@
 	}
 	a.Timeout = deadline.Sub(e.clock.Boot())
 	r := e.attemptDirectly(ctx, a)
-	if f := r.Failure; f == nil || f.Sent || f.AtConnectionLimit || ctx.Err() != nil || !e.reach.IsSuspected() {
+	if f := r.Failure; f == nil || f.Sent || f.AtConnectionLimit || f.Withheld || ctx.Err() != nil || !e.reach.IsSuspected() {
 		return r
 	}
 	// Only connections failed, and those to other backend servers as well.
@@ -61,14 +64,6 @@
 		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
 		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
 		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
-		BeforeWrite: func() error {
-			now := e.clock.Boot()
-			if a.IsLate(now) {
-				return errLate
-			}
-			r.WrittenAt = now
-			return nil
-		},
 	}
 	if a.NotAfter > 0 {
 		request.UserTimeout = grantUserTimeout
@@ -83,6 +78,7 @@
 	}
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
+	request.BeforeWrite = func(age time.Duration) error { return e.beforeWrite(ctx, a, age, &r) }
 	wait := e.reach.Begin(a.Server, func() {
 		if !a.Detached {
 			abandon(errLinksHang)
@@ -94,7 +90,7 @@
 	if err != nil {
 		r.Failure = &relay.Failure{
 			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection),
-			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Cause: err.Error(),
+			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Withheld: errors.Is(err, errLate) || errors.Is(err, errConnectionLate), Cause: err.Error(),
 		}
 		return r
 	}
@@ -110,6 +106,21 @@
 	return r
 }
 
+// beforeWrite checks the conditions of an attempt right before it is written on a connection that was opened some time ago.
+func (e *Edge) beforeWrite(ctx context.Context, a relay.Attempt, age time.Duration, r *relay.Result) error {
+	if a.OpenedBy != nil {
+		if opened := e.clock.Boot().Add(-age); opened.After(a.OpenedBy(ctx, opened)) {
+			return errConnectionLate
+		}
+	}
+	now := e.clock.Boot()
+	if a.IsLate(now) {
+		return errLate
+	}
+	r.WrittenAt = now
+	return nil
+}
+
 // attemptThroughOthers makes an attempt through another VM; ok is false if all that were asked declined.
 func (e *Edge) attemptThroughOthers(ctx context.Context, a relay.Attempt) (r relay.Result, ok bool) {
 	s := e.snapshot.Load()
@@ -125,7 +136,7 @@
 			return relay.Result{Failure: failure}, true
 		}
 		result, err := e.relayClient.Do(ctx, peer.VM, peer.Address, left)
-		isUnreached := err == nil && result.Failure != nil && !result.Failure.Sent && !result.Failure.AtConnectionLimit
+		isUnreached := err == nil && result.Failure != nil && !result.Failure.Sent && !result.Failure.AtConnectionLimit && !result.Failure.Withheld
 		switch {
 		case isUnreached && !distrusted && e.reach.IsCutOff():
 			// The other VM may be cut off without knowing it yet. A second one that says the same is believed.
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -75,7 +75,8 @@
 	// userTimeout is the socket's TCP_USER_TIMEOUT.
 	userTimeout time.Duration
 	// carried holds the ids of the latest requests.
-	carried []string
+	carried  []string
+	openedAt time.Time
 	// usableUntil is the time from which the server may close the idle connection.
 	usableUntil time.Time
 }
@@ -96,7 +97,7 @@
 	heads := &headLimiter{socket: socket, remaining: unlimited}
 	return &connection{
 		client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
-		usableUntil: time.Now().Add(c.options.IdleTimeout), userTimeout: c.options.UserTimeout,
+		openedAt: time.Now(), usableUntil: time.Now().Add(c.options.IdleTimeout), userTimeout: c.options.UserTimeout,
 	}, nil
 }
 
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -45,9 +45,9 @@
 	Match func(status int, h http.Header) Match
 	// OnHead is called with the head of each response that is read on the connection, also of those to other requests; nil means no call.
 	OnHead func(status int, h http.Header)
-	// BeforeWrite is called when a connection is there, right before the request is written; nil means no call. After an error the request
-	// isn't sent, and the connection is kept.
-	BeforeWrite func() error
+	// BeforeWrite is called when a connection is there, right before the request is written, with the time since the connection was opened; nil
+	// means no call. After an error the request isn't sent, and the connection is kept.
+	BeforeWrite func(age time.Duration) error
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
 	// UserTimeout replaces Options.UserTimeout until the response was read; 0 means that it doesn't.
@@ -148,7 +148,7 @@
 		return nil, err
 	}
 	if r.BeforeWrite != nil {
-		if err := r.BeforeWrite(); err != nil {
+		if err := r.BeforeWrite(time.Since(conn.openedAt)); err != nil {
 			isSound = true
 			conn.keep()
 			return nil, err
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -371,7 +371,7 @@
 			}
 			held := request(s, "9")
 			held.MaxConnections = 1
-			held.BeforeWrite = func() error { return errHeld }
+			held.BeforeWrite = func(time.Duration) error { return errHeld }
 			_, err := c.Do(context.Background(), held)
 			is.True(errors.Is(err, errHeld))
 			is.True(!http1.WasSent(err))
@@ -434,7 +434,7 @@
 				var got []time.Duration
 				attempt := request(s, "1")
 				attempt.UserTimeout = r.timeout
-				attempt.BeforeWrite = func() error {
+				attempt.BeforeWrite = func(time.Duration) error {
 					got = append(got, getUserTimeout(t, socket))
 					if r.held {
 						return errors.New("held back")
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/transport/http1"
 )
 
@@ -72,12 +73,16 @@
 	return http.StatusOK, token
 }
 
-// mayBegin sets the latest time of an attempt with a token. It reports whether the token is this process's and the time hasn't passed.
+// mayBegin sets the limits of an attempt with a token. It reports whether the token is this process's and the time hasn't passed.
 func (h *Handler) mayBegin(a *Attempt) bool {
 	if a.Token == nil {
 		return true
 	}
 	a.NotAfter = a.Token.At.Add(a.WriteTime)
+	if a.OpenTime != nil {
+		openedBy := a.Token.At.Add(-*a.OpenTime)
+		a.OpenedBy = func(context.Context, clock.Instant) clock.Instant { return openedBy }
+	}
 	return a.Token.Process == h.process && !a.IsLate(h.options.Clock.Boot())
 }
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -77,6 +77,11 @@
 	Detached bool `cbor:"13,keyasint"`
 	// NotAfter is the latest time at which this VM may begin to write the request; 0 means no limit.
 	NotAfter clock.Instant `cbor:"-"`
+	// OpenedBy returns the latest time at which the connection may have been opened. It may try to move the time up to that at which the connection
+	// was opened, given as wanted, and returns soon if that is 0. Nil means no limit.
+	OpenedBy func(ctx context.Context, wanted clock.Instant) clock.Instant `cbor:"-"`
+	// OpenTime is the time for which the connection must have been open when the token was given out; nil means that there is no limit.
+	OpenTime *time.Duration `cbor:"17,keyasint,omitempty"`
 	// Token says that the VM may begin to write the request until WriteTime has passed since it gave the token out; nil means no limit.
 	Token     *Token        `cbor:"15,keyasint,omitempty"`
 	WriteTime time.Duration `cbor:"16,keyasint,omitempty"`
@@ -113,8 +118,11 @@
 	// AtConnectionLimit says that no connection was free and no further one was allowed.
 	AtConnectionLimit bool `cbor:"3,keyasint"`
 	// Abandoned says that the VM gave the attempt up as its own links hang, so that it says nothing of the backend server.
-	Abandoned bool   `cbor:"5,keyasint,omitempty"`
-	Cause     string `cbor:"4,keyasint"`
+	Abandoned bool `cbor:"5,keyasint,omitempty"`
+	// Withheld says that the VM had a connection and didn't write the request: its latest time had passed, or the connection was opened too late.
+	// It says nothing of the backend server.
+	Withheld bool   `cbor:"6,keyasint,omitempty"`
+	Cause    string `cbor:"4,keyasint"`
 }
 
 // Client asks other VMs to make attempts. It is safe for concurrent use.
@@ -133,13 +141,9 @@
 func (c *Client) Do(ctx context.Context, vm id.VM, address string, a Attempt) (r Result, err error) {
 	defer func() { err = errors.Wrapf(err, "send through VM %s", vm) }()
 	if a.NotAfter > 0 {
-		if a.Token, err = c.getToken(ctx, vm, address); err != nil {
+		if err := c.limit(ctx, vm, address, &a); err != nil {
 			return r, errors.Mark(err, ErrDeclined)
 		}
-		// The token is older than this reading of the clock, so the other VM's limit is no later than NotAfter.
-		if a.WriteTime = a.NotAfter.Sub(c.options.Clock.Boot()); a.WriteTime <= 0 {
-			return r, errors.Mark(errors.New("no time is left"), ErrDeclined)
-		}
 	}
 	data, err := cbor.Marshal(a)
 	if err != nil {
@@ -166,6 +170,23 @@
 	return r, decode(data, &r)
 }
 
+// limit sets the limits of an attempt by the other VM's clock.
+func (c *Client) limit(ctx context.Context, vm id.VM, address string, a *Attempt) (err error) {
+	if a.Token, err = c.getToken(ctx, vm, address); err != nil {
+		return err
+	}
+	// The token is older than this reading of the clock, so the other VM's limits are no later than this VM's.
+	now := c.options.Clock.Boot()
+	if a.WriteTime = a.NotAfter.Sub(now); a.WriteTime <= 0 {
+		return errors.New("no time is left")
+	}
+	if a.OpenedBy != nil {
+		openTime := now.Sub(a.OpenedBy(ctx, 0))
+		a.OpenTime = &openTime
+	}
+	return nil
+}
+
 // getToken gets a token from the VM at an address. VMs of a build without tokens answer as to an invalid attempt.
 func (c *Client) getToken(ctx context.Context, vm id.VM, address string) (t *Token, err error) {
 	defer func() { err = errors.Wrap(err, "get a token") }()
