Count the hold of a grant that was written late from the end of its write

What callers could see: two owners of the same keys, for up to 2.5 s, after a leader stood still right before it wrote a renewal.

Cause: the last check of a grant's age is made before the write. A VM that stands still between the two writes the grant late, and counted the hold from its issue; after it ran again it could even count the hold as over before the write.

Change: a call reports when its write had returned, for a call through another VM when the result was there; if that is later than WriteTimeout after the issue, the hold counts from it. While a call to the former owner hasn't ended, its hold isn't taken as over. In calm the write returns at once, so nothing waits longer.

A former leader that stands still at that point stays open; the log line of a grant names the time (writeReturnedAfter).

--- a/coordination/ownership/granter.go
+++ b/coordination/ownership/granter.go
@@ -33,8 +33,10 @@
 	// the kernel of one that was killed or stands still sends the bytes again until TCP_USER_TIMEOUT, 200 ms, has passed since the first time
 	// that it did, which is at most twice.
 	//
-	// Not covered: a VM that stands still between the check and the write, and a suspended machine with unacknowledged bytes, whose kernel
-	// doesn't count that time.
+	// If the write returns later than that, the hold counts from its return (Command.WriteReturnedAt).
+	//
+	// Not covered: a former leader, or a VM that makes the call for another one and is lost, that stands still between the check and the write;
+	// and a suspended machine with unacknowledged bytes, whose kernel doesn't count that time.
 	deliverySlack = 600 * time.Millisecond
 	// retryDelay is the time between two attempts of a command that failed.
 	retryDelay = 100 * time.Millisecond
@@ -62,6 +64,8 @@
 	FormerGrantAt clock.Instant
 	// IssuedAt is when the command was issued; the wait for an unreachable holder is measured from here.
 	IssuedAt clock.Instant
+	// WriteReturnedAt is a time at which the write of the command had returned; 0 if none is known.
+	WriteReturnedAt clock.Instant
 	// key identifies the range that the command is for; its fence differs from that of a call to the previous owner.
 	key rangeKey
 	// inDoubt says that the previous owner may still have taken an earlier grant when the command was issued.
@@ -272,7 +276,7 @@
 		return g.issue(c, ok), ok
 	}
 	if s.vacancy == "" {
-		s.vacancy = g.vacancy(now, *r.PreviousOwner, s, liveness)
+		s.vacancy = g.vacancy(now, key, *r.PreviousOwner, s, liveness)
 	}
 	if s.vacancy == "" {
 		return g.vacate(now, c, r, s, liveness)
@@ -288,20 +292,20 @@
 	if isSent {
 		h := holder{c.Service, c.Incarnation.Server}
 		if g.holders[h] == nil {
-			g.holders[h] = &grants{open: map[grantID]bool{}}
+			g.holders[h] = &grants{open: map[grantID]*openGrant{}}
 		}
-		g.holders[h].open[c.id()] = true
+		g.holders[h].open[c.id()] = &openGrant{inFlight: true, heldFrom: c.IssuedAt}
 	}
 	return c
 }
 
 // vacancy returns why the previous owner of moving keys holds them no more; it is empty while the previous owner may hold them.
-func (g *Granter) vacancy(now clock.Instant, former fleet.Incarnation, s *rangeState, liveness Liveness) Vacancy {
+func (g *Granter) vacancy(now clock.Instant, key rangeKey, former fleet.Incarnation, s *rangeState, liveness Liveness) Vacancy {
 	_, hasSuccessor := liveness.successor(former)
 	switch {
 	case s.released && !s.outdated:
 		return Released
-	case now > max(g.formerUntil, s.heldFrom).Add(MaxHoldTime) && !liveness.Isolated:
+	case now > max(g.formerUntil, s.heldFrom).Add(MaxHoldTime) && !liveness.Isolated && !g.holders[holder{key.service, former.Server}].isInFlight(key):
 		return Expired
 	case liveness.IsDead(former) && !hasSuccessor:
 		return Ended
@@ -362,6 +366,15 @@
 	return fence, !s.inherited && s.fencings < reservedFences && fence > r.PreviousFence
 }
 
+// heldFrom returns the time from which MaxHoldTime is counted: the issue of a grant, or the end of its write if that took longer than
+// WriteTimeout.
+func (c Command) heldFrom() clock.Instant {
+	if c.WriteReturnedAt.After(c.LatestWrite()) {
+		return c.WriteReturnedAt
+	}
+	return c.IssuedAt
+}
+
 // id identifies a grant among those of its holder.
 func (c Command) id() grantID { return grantID{c.key, c.Fence, c.IssuedAt} }
 
@@ -369,7 +382,8 @@
 func (g *Granter) Report(now clock.Instant, c Command, outcome Outcome, handover string) {
 	sent := g.holders[holder{c.Service, c.Incarnation.Server}]
 	if !c.Release && sent != nil {
-		sent.ended(c.id(), outcome)
+		sent.ended(c.id(), outcome, c.heldFrom())
+		g.extendHolds(c, outcome)
 	}
 	s, ok := g.ranges[c.key]
 	if !ok {
@@ -377,7 +391,7 @@
 	}
 	s.inFlight = false
 	if c.Fencing && (outcome == Done || outcome == Unanswered) {
-		s.heldFrom = max(s.heldFrom, c.IssuedAt)
+		s.heldFrom = max(s.heldFrom, c.heldFrom())
 	}
 	switch {
 	case !outcome.IsAnswered():
@@ -400,6 +414,18 @@
 	}
 }
 
+// extendHolds records for moving ranges that their previous owner may hold them by a grant whose write returned late, as of a VM that stood still.
+func (g *Granter) extendHolds(c Command, outcome Outcome) {
+	if outcome != Done && outcome != Unanswered || c.heldFrom() == c.IssuedAt {
+		return
+	}
+	for key, s := range g.ranges {
+		if key.overlaps(c.key) {
+			s.heldFrom = max(s.heldFrom, c.heldFrom())
+		}
+	}
+}
+
 // RenewPeriod returns the time between two renewals of a grant if there are so many ranges.
 //
 // It answers the load on the leader of a large fleet: each range is renewed by a
--- a/coordination/ownership/grants.go
+++ b/coordination/ownership/grants.go
@@ -29,29 +29,52 @@
 // grants records the grants that this leader has sent to one holder.
 type grants struct {
 	// open holds the grants that are in flight or weren't answered, which the backend server may still take.
-	open map[grantID]bool
-	// lastAt is when the latest grant was issued that the backend server may have taken.
+	open map[grantID]*openGrant
+	// lastAt is the time from which the hold of the latest grant counts that the backend server has taken.
 	lastAt clock.Instant
 }
 
-// ended records the outcome of a grant.
-func (g *grants) ended(grant grantID, outcome Outcome) {
+// openGrant is a grant without answer.
+type openGrant struct {
+	// inFlight says that the call hasn't ended, so that it may yet be written.
+	inFlight bool
+	// heldFrom is the time from which MaxHoldTime is counted.
+	heldFrom clock.Instant
+}
+
+// ended records the outcome of a grant, and the time from which MaxHoldTime is counted for it.
+func (g *grants) ended(grant grantID, outcome Outcome, heldFrom clock.Instant) {
 	if outcome != Unanswered {
 		delete(g.open, grant)
+	} else if o := g.open[grant]; o != nil {
+		*o = openGrant{heldFrom: heldFrom}
 	}
 	if outcome == Done {
-		g.lastAt = max(g.lastAt, grant.issuedAt)
+		g.lastAt = max(g.lastAt, heldFrom)
+	}
+}
+
+// isInFlight reports whether a call that grants one of the keys of a range hasn't ended.
+func (g *grants) isInFlight(key rangeKey) bool {
+	if g == nil {
+		return false
+	}
+	for grant, o := range g.open {
+		if o.inFlight && grant.key.overlaps(key) {
+			return true
+		}
 	}
+	return false
 }
 
-// latest returns when the latest grant was issued that the backend server may take or have taken; 0 if there is none.
+// latest returns from when the hold of the latest grant counts that the backend server may take or have taken; 0 if there is none.
 func (g *grants) latest() (at clock.Instant) {
 	if g == nil {
 		return 0
 	}
 	at = g.lastAt
-	for grant := range g.open {
-		at = max(at, grant.issuedAt)
+	for _, o := range g.open {
+		at = max(at, o.heldFrom)
 	}
 	return at
 }
@@ -71,6 +94,6 @@
 
 // expire forgets the grants whose time has passed, and reports whether none is left.
 func (g *grants) expire(now clock.Instant) (isOver bool) {
-	maps.DeleteFunc(g.open, func(grant grantID, _ bool) bool { return now > grant.issuedAt.Add(MaxHoldTime) })
+	maps.DeleteFunc(g.open, func(_ grantID, o *openGrant) bool { return !o.inFlight && now > o.heldFrom.Add(MaxHoldTime) })
 	return len(g.open) == 0 && now > g.lastAt.Add(MaxHoldTime)
 }
--- a/coordination/ownership/model_calls_test.go
+++ b/coordination/ownership/model_calls_test.go
@@ -69,7 +69,9 @@
 	leader     *modelLeader
 	connection *modelConnection
 	fate       callFate
-	reported   bool
+	// writtenAt is when the write returns.
+	writtenAt clock.Instant
+	reported  bool
 }
 
 func (s *siteModel) send(l *modelLeader, cmd ownership.Command) {
@@ -120,7 +122,11 @@
 		c.report(ownership.Undelivered, false)
 		return
 	}
-	s.after(transit, c.arrive)
+	c.writtenAt = s.now
+	if s.now < c.leader.pausedUntil {
+		c.writtenAt = c.leader.pausedUntil.Add(s.drawTime(0, maxWriteDelay))
+	}
+	s.after(c.writtenAt.Sub(s.now)+transit, c.arrive)
 }
 
 // arrive hands the call to the process of its connection.
@@ -156,7 +162,14 @@
 	if c.reported {
 		return
 	}
+	if readAt := max(c.leader.pausedUntil, c.writtenAt); c.site.now < readAt {
+		c.site.after(readAt.Sub(c.site.now), func() { c.report(outcome, connectionRefused) })
+		return
+	}
 	c.reported = true
+	if !c.site.flaw.countsFromIssue {
+		c.WriteReturnedAt = c.writtenAt
+	}
 	c.leader.recordOutcome(c.Command, outcome, connectionRefused)
 }
 
--- a/coordination/ownership/model_faults_test.go
+++ b/coordination/ownership/model_faults_test.go
@@ -28,6 +28,8 @@
 	once                      bool
 	// oldKnowledge is the share of the elected VMs that know a table of some writes before.
 	oldKnowledge float64
+	// pauses are times for which a leader that stays the leader stands still, right before it writes grants.
+	pauses float64
 	// formerTime is the longest time for which a former leader acts on.
 	formerTime time.Duration
 }
@@ -38,6 +40,8 @@
 	maxCutTime     = 5 * time.Second
 	maxStaleTime   = 2 * time.Second
 	maxEntryDelay  = 5 * time.Second
+	maxPause       = 5 * time.Second
+	maxWriteDelay  = 60 * time.Millisecond
 	maxHotLoad     = 60
 	hotKeysPerPlan = 3
 )
@@ -65,6 +69,10 @@
 	if s.happens(f.isolations) {
 		s.current().isolated = !s.current().isolated
 	}
+	if l := s.current(); s.happens(f.pauses) && s.now > l.pausedUntil {
+		l.pausedFrom, l.pausedUntil = s.now, s.now.Add(s.drawTime(modelTick, maxPause))
+		s.note("%s stands still until %v", l.name(), l.pausedUntil.Sub(modelStart))
+	}
 	s.disruptLeaders()
 }
 
--- a/coordination/ownership/model_histories_test.go
+++ b/coordination/ownership/model_histories_test.go
@@ -35,6 +35,7 @@
 	restartedBeside  = withMoves(modelFaults{restarts: 0.2, elections: 0.2, formerTime: formerLeaderTime})
 	restartedOften   = modelFaults{restarts: 0.8, elections: 0.3, departures: 0.8, balances: 0.2, formerTime: formerLeaderTime}
 	restartedApart   = withMoves(modelFaults{restarts: 0.3, elections: 0.3, isolations: 0.6, formerTime: formerLeaderTime})
+	pausedLeaders    = withMoves(modelFaults{pauses: 0.3, cuts: 0.3, lostAnswers: 0.1})
 	reelectedLeaders = withMoves(modelFaults{reelections: 0.3, lostAnswers: 0.1})
 	restoredStore    = withMoves(modelFaults{restorations: 0.2, elections: 0.1, once: true})
 	restoredLeaders  = withMoves(modelFaults{restorations: 0.1, corruptions: 0.1, elections: 0.1, formerTime: formerLeaderTime, once: true})
@@ -84,6 +85,11 @@
 	}
 }
 
+// Guards against a grant that is written long after its issue, as its sender stood still after the last check.
+func TestGrantWrittenAfterPauseHasNoSecondHolder(t *testing.T) {
+	checkHistories(t, histories, pausedLeaders)
+}
+
 // Guards against answers to calls of an earlier leadership of the same VM.
 func TestReelectedLeaderHasNoSecondHolder(t *testing.T) {
 	checkHistories(t, histories, reelectedLeaders)
@@ -153,6 +159,7 @@
 		"believes a release while a grant is unanswered":         {lateRenewals, modelFlaw{believesRelease: true}},
 		"assumes that former leaders have gone at the election":  {formerLeaders, modelFlaw{ignoresFormerLeaders: true}},
 		"grants on connections newer than its confirmation":      {restartedOften, modelFlaw{usesAnyConnection: true}},
+		"counts holds from the issue of a grant":                 {pausedLeaders, modelFlaw{countsFromIssue: true}},
 		"keeps the fences of a table from an older store's copy": {restoredStore, modelFlaw{keepsFences: true}},
 	}
 	for name, test := range tests {
--- a/coordination/ownership/model_leader_test.go
+++ b/coordination/ownership/model_leader_test.go
@@ -35,6 +35,8 @@
 	ignoresFormerLeaders bool
 	// usesAnyConnection writes grants also on connections that were opened after the leadership was last confirmed.
 	usesAnyConnection bool
+	// countsFromIssue counts holds from the issue of a grant, however late its write returned.
+	countsFromIssue bool
 	// keepsFences stores the tables of an older copy of the store with their fences.
 	keepsFences bool
 }
@@ -64,6 +66,8 @@
 	entries, latest map[id.Server]fleet.StartTime
 	ended           map[fleet.Incarnation]bool
 	failures        map[fleet.Incarnation]*modelFailures
+	// pausedFrom and pausedUntil bound the time in which the VM stands still; the grants of the tick in which the pause begins are written after it.
+	pausedFrom, pausedUntil clock.Instant
 	// connections are those that the VM keeps to processes of servers.
 	connections map[id.Server]*modelConnection
 	isolated    bool
@@ -156,6 +160,9 @@
 }
 
 func (l *modelLeader) tick() {
+	if l.site.now > l.pausedFrom && l.site.now < l.pausedUntil {
+		return
+	}
 	l.recordIncarnations()
 	if l.actsUntil == 0 {
 		l.recordFollowed()
--- a/edge/commands.go
+++ b/edge/commands.go
@@ -74,6 +74,9 @@
 	if c.writtenAt > 0 {
 		args = append(args, "writtenAfter", c.writtenAt.Sub(c.IssuedAt).String())
 	}
+	if !c.Release && c.WriteReturnedAt.After(c.LatestWrite()) {
+		args = append(args, "writeReturnedAfter", c.WriteReturnedAt.Sub(c.IssuedAt).String())
+	}
 	if c.relayed {
 		args = append(args, "relayed", true)
 	}
@@ -128,7 +131,7 @@
 		// Responses to commands carry no id: a late copy of that to a grant would end the former owner's hold, or the doubt about it, too early.
 		NewConnection: c.Release || c.Fencing, NotAfter: c.LatestWrite(), OpenedBy: openedBy,
 	})
-	c.writtenAt, c.relayed = result.WrittenAt, result.Relayed
+	c.writtenAt, c.WriteReturnedAt, c.relayed = result.WrittenAt, result.WriteReturnedAt, result.Relayed
 	switch {
 	case result.Failure != nil:
 		if result.Failure.Refused {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -79,6 +79,7 @@
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
 	request.BeforeWrite = func(age time.Duration) error { return e.beforeWrite(ctx, a, age, &r) }
+	request.AfterWrite = func() { r.WriteReturnedAt = e.clock.Boot() }
 	wait := e.reach.Begin(a.Server, func() {
 		if !a.Detached {
 			abandon(errLinksHang)
@@ -146,7 +147,7 @@
 			continue
 		case err == nil:
 			e.metrics.attempts.Add("relayed", 1)
-			result.Relayed = true
+			result.Relayed, result.WriteReturnedAt = true, e.clock.Boot()
 			if inc, ok := e.respondent(a, result.Header); ok {
 				e.observeLeaving(inc, result.Header)
 			}
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -191,6 +191,9 @@
 	}()
 	c.recordID(r.ID)
 	written, err := c.write(data)
+	if r.AfterWrite != nil && len(data) <= inlineWriteBytes {
+		r.AfterWrite()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -48,6 +48,9 @@
 	// BeforeWrite is called when a connection is there, right before the request is written, with the time since the connection was opened; nil
 	// means no call. After an error the request isn't sent, and the connection is kept.
 	BeforeWrite func(age time.Duration) error
+	// AfterWrite is called when the write of a short request has returned, also if it failed; nil means no call. Its bytes are in the kernel's
+	// buffer then.
+	AfterWrite func()
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
 	// UserTimeout replaces Options.UserTimeout until the response was read; 0 means that it doesn't.
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -382,6 +382,26 @@
 	}
 }
 
+// The time at which a write has returned must be known before the response is read.
+func TestAfterWriteIsCalledBetweenWriteAndResponse(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, response("1", "one"))
+	c := http1.NewClient()
+	var calls []string
+	attempt := request(s, "1")
+	attempt.BeforeWrite = func(age time.Duration) error {
+		is.True(age > 0)
+		calls = append(calls, "before")
+		return nil
+	}
+	attempt.AfterWrite = func() { calls = append(calls, "after") }
+	attempt.OnHead = func(int, http.Header) { calls = append(calls, "head") }
+	resp, err := c.Do(context.Background(), attempt)
+	_, err = read(t, resp, err)
+	is.NoErr(err)
+	is.Equal(calls, []string{"before", "after", "head"})
+}
+
 // getUserTimeout returns the TCP_USER_TIMEOUT of a connection.
 func getUserTimeout(t *testing.T, c net.Conn) (d time.Duration) {
 	t.Helper()
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -107,6 +107,8 @@
 	Relayed bool `cbor:"-"`
 	// WrittenAt is when this VM began to write the request; 0 if it didn't.
 	WrittenAt clock.Instant `cbor:"-"`
+	// WriteReturnedAt is a time at which the write had returned, at this VM or at the other one; 0 if none is known.
+	WriteReturnedAt clock.Instant `cbor:"-"`
 }
 
 // Failure is why an attempt has no response.
