Don't run a request again at an owner that got its key back

Change: a request with a key isn't sent to a backend server that may have run it under an earlier fence of the key. The caller gets the error of that run, or, where there was no answer, that the outcome is unknown; an error of a new owner and of one that kept its grant is retried as before.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -250,10 +250,13 @@
 
 // chooseOwner reserves a slot at the owner of a key.
 func (d *Dispatcher) chooseOwner(now clock.Instant, s *service, demand Demand) (slot *Slot, refusal *Refusal) {
-	owner := d.owner(s.name, demand.Key)
+	owner, fence := d.ownerAndFence(s.name, demand.Key)
 	if owner == nil {
 		return nil, nil
 	}
+	if demand.ranEarlier(owner.Server.Server, fence) {
+		return nil, &Refusal{Reason: RanEarlier, ServiceTime: s.serviceTime, Final: true}
+	}
 	if slices.Contains(demand.ExcludedVersions, owner.Version) {
 		return nil, &Refusal{Reason: VersionExcluded, ServiceTime: s.serviceTime, Final: true}
 	}
@@ -274,24 +277,32 @@
 		return nil, refusal
 	}
 	s.order.Charge(now, demand.Customer)
-	return d.reserveSlot(now, owner, s), nil
+	slot = d.reserveSlot(now, owner, s)
+	slot.Fence = fence
+	return slot, nil
 }
 
 // owner returns the backend server that owns a key, or nil while none does.
 func (d *Dispatcher) owner(name id.Service, key fleet.Key) *server {
+	c, _ := d.ownerAndFence(name, key)
+	return c
+}
+
+// ownerAndFence returns the backend server that owns a key and the fence under which it does, or nil while none does.
+func (d *Dispatcher) ownerAndFence(name id.Service, key fleet.Key) (c *server, fence fleet.Fence) {
 	t := d.snapshot.Tables[name]
 	if t == nil {
-		return nil
+		return nil, 0
 	}
 	r, ok := t.Find(key)
 	if !ok || r.Moving() && !d.movedFences[name][r.Fence] {
-		return nil
+		return nil, 0
 	}
-	c := d.servers[r.Owner.Server]
+	c = d.servers[r.Owner.Server]
 	if c == nil || c.Incarnation != r.Owner {
-		return nil
+		return nil, 0
 	}
-	return c
+	return c, r.Fence
 }
 
 // hasCapacity reports whether a backend server may get one more request, with up to extra requests beyond its slots; a negative extra
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	Objective clock.Instant
 	// Avoid holds the backend servers that were already tried.
 	Avoid []id.Server
+	// Runs are the attempts of a keyed request that backend servers may have run.
+	Runs []Run
 	// AvoidDomain is a failure domain whose backend servers are used only if there are no others, or empty.
 	AvoidDomain id.Domain
 	// ExcludedVersions are the versions of the software that must not run the request.
@@ -62,6 +64,17 @@
 	Retry bool
 }
 
+// Run is an attempt that a backend server may have run as the owner of the request's key, under a fence.
+type Run struct {
+	Server id.Server
+	Fence  fleet.Fence
+}
+
+// ranEarlier reports whether a backend server may have run the request under an earlier grant of its key.
+func (d Demand) ranEarlier(server id.Server, fence fleet.Fence) bool {
+	return slices.ContainsFunc(d.Runs, func(r Run) bool { return r.Server == server && r.Fence < fence })
+}
+
 // Dispatcher chooses backend servers for the requests of one VM. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
@@ -121,6 +134,8 @@
 type Slot struct {
 	// Server is the backend server that is to run the request.
 	Server fleet.Server
+	// Fence is that of the grant under which the backend server owns the request's key; 0 for requests without a key.
+	Fence fleet.Fence
 	// MaxConnections is this VM's share of the backend server's connections; 0 means no limit.
 	MaxConnections int
 	// ExpectedLatency and Load are the inputs of the choice: the expected latency, and the requests that the backend server already had.
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -21,6 +21,9 @@
 	NoOwner Reason = "no owner"
 	// VersionExcluded means that the owner of the key runs a version of its software that must not run the request.
 	VersionExcluded Reason = "version excluded"
+	// RanEarlier means that the owner of the key may have run the request under an earlier grant. Another one may have owned the key since, and
+	// the backend server may take both runs for one.
+	RanEarlier Reason = "ran under an earlier grant"
 	// Stopping means that this VM stops and the request may no longer wait.
 	Stopping Reason = "stopping"
 	// CallerGone means that the caller disconnected or timed out while the request was queued.
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -149,7 +149,9 @@
 	tried []id.Server
 	// possibleRuns counts the attempts that a backend server may have run.
 	possibleRuns int
-	rejections   int
+	// runs are the same attempts if the request has a key.
+	runs       []dispatch.Run
+	rejections int
 	// unreachable counts the backend servers that refused the connection, by failure domain, and avoidDomain is the one that has more
 	// than a few of them.
 	unreachable map[id.Domain]int
@@ -233,6 +235,14 @@
 	return answer, retry, err
 }
 
+// recordRun records that the backend server of a slot may have run the request.
+func (s *requestState) recordRun(slot *dispatch.Slot) {
+	s.possibleRuns++
+	if s.request.Keyed {
+		s.runs = append(s.runs, dispatch.Run{Server: slot.Server.Server, Fence: slot.Fence})
+	}
+}
+
 // chargeAttempt charges the next attempt to the customer's allotment if all charges so far belong to attempts that may have run, and reports
 // whether the attempt is allowed.
 func (s *requestState) chargeAttempt() bool {
@@ -259,7 +269,7 @@
 	r := s.request
 	return dispatch.Demand{
 		Service: r.Service, Priority: r.Priority, Customer: r.Customer, Weight: r.Weight, Keyed: r.Keyed, Key: r.Key, Arrived: r.Arrived,
-		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, AvoidDomain: s.avoidDomain, ExcludedVersions: s.excluded, AvoidedVersions: s.avoided, Idempotent: r.Route.Idempotent, Retry: s.attempts > 0,
+		Deadline: r.Deadline, Objective: r.Objective, Avoid: s.tried, Runs: s.runs, AvoidDomain: s.avoidDomain, ExcludedVersions: s.excluded, AvoidedVersions: s.avoided, Idempotent: r.Route.Idempotent, Retry: s.attempts > 0,
 	}
 }
 
@@ -284,7 +294,7 @@
 	if reply.Misplaced || reply.NotRun {
 		return f.handleRejection(ctx, s, slot, reply)
 	}
-	s.possibleRuns++
+	s.recordRun(slot)
 	slot.Done(resultOf(reply.Answer.Status), reply.Report)
 	reply.Answer.Attempts = s.attempts
 	if reply.Answer.Status >= http.StatusInternalServerError && f.canRetry(ctx, s) {
@@ -346,7 +356,7 @@
 		}
 		return nil, true, nil
 	}
-	s.possibleRuns++
+	s.recordRun(slot)
 	s.received++
 	if errors.Is(ctx.Err(), context.Canceled) {
 		slot.Done(dispatch.Cancelled, dispatch.Report{})
@@ -423,11 +433,16 @@
 		return f.refusePoisonous(s)
 	case dispatch.Stopping:
 		return RefuseStopping()
+	case dispatch.RanEarlier:
+		if s.noAnswer != nil {
+			return s.noAnswer
+		}
 	default:
 	}
 	reason := map[dispatch.Reason]outcome.Reason{
 		dispatch.Overloaded: outcome.Overloaded, dispatch.NoServer: outcome.NoServer,
 		dispatch.NoOwner: outcome.NoOwner, dispatch.CallerGone: outcome.CallerDisconnected,
+		dispatch.RanEarlier: outcome.ServerFailed,
 	}[r.Reason]
 	return outcome.NotRun(reason, "%v", r).WithRetryAfter(r.RetryAfter)
 }
