Try a withheld fencing grant again on the connection that was opened for it

What callers could see: while the store is slow or down, moves from owners in doubt wait for the hold, 3.15 s, and the leader keeps an unused connection to the busy owner for each try, up to 10 a second and range.

Cause: a fencing grant is written on a new connection, and only once the leadership was confirmed after the connection was opened. If that takes longer than the time for the write (150 ms; a slow store, or reports during an outage), it is withheld, and the next try opened another connection, which was again too young.

Change: a fencing grant needs a connection that has carried no request, not a new one. Such connections are at the end of the queue for other requests.

Measured: TestFormerLeaderGrantsNoKeysOnLaterConnections/a fencing grant once it was renewed failed with two connections for two tries, passes with one.

--- a/edge/confirmed_test.go
+++ b/edge/confirmed_test.go
@@ -21,7 +21,7 @@
 // A former leader that hasn't heard of the next one must not grant keys to a process that has started since under its owner's id.
 func TestFormerLeaderGrantsNoKeysOnLaterConnections(t *testing.T) {
 	tests := map[string]struct {
-		release bool
+		release, fencing bool
 		// isKnown says that another VM is registered, which doesn't answer.
 		isKnown bool
 		// renewedAfter is when the lease was renewed after the first call.
@@ -30,6 +30,8 @@
 	}{
 		"a grant":                               {isKnown: true, dials: 1},
 		"a grant once its lease was renewed":    {isKnown: true, renewedAfter: 2 * time.Second, sent: 1, dials: 1},
+		"a fencing grant":                       {isKnown: true, fencing: true, dials: 1},
+		"a fencing grant once it was renewed":   {isKnown: true, fencing: true, renewedAfter: 2 * time.Second, sent: 1, dials: 1},
 		"a grant of the only VM":                {sent: 2, dials: 1},
 		"a release, which ends any hold anyhow": {isKnown: true, release: true, sent: 2, dials: 2},
 	}
@@ -51,7 +53,7 @@
 			execute := func(at clock.Instant) {
 				v.clock.now = at
 				v.keys.execute(t.Context(), &call{term: 7, Command: ownership.Command{
-					Service: "plans", Incarnation: fleet.Incarnation{Server: "s1", Born: 1}, To: 1, Fence: 1, Release: test.release, IssuedAt: at,
+					Service: "plans", Incarnation: fleet.Incarnation{Server: "s1", Born: 1}, To: 1, Fence: 1, Release: test.release, Fencing: test.fencing, IssuedAt: at,
 				}})
 			}
 			elected := v.clock.now
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -62,7 +62,9 @@
 	header := a.Header
 	request := http1.Request{
 		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
-		MaxConnections: a.MaxConnections, NewConnection: a.NewConnection,
+		MaxConnections: a.MaxConnections,
+		// A connection that was opened for a grant and is young yet is kept for its next try.
+		NewConnection: a.NewConnection && a.OpenedBy == nil, UnusedConnection: a.NewConnection,
 		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
 	}
 	if a.NotAfter > 0 {
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -74,7 +74,8 @@
 	reader *bufio.Reader
 	// userTimeout is the socket's TCP_USER_TIMEOUT.
 	userTimeout time.Duration
-	// carried holds the ids of the latest requests.
+	// used says that the connection has carried a request, and carried holds the ids of the latest ones.
+	used     bool
 	carried  []string
 	openedAt time.Time
 	// usableUntil is the time from which the server may close the idle connection.
@@ -131,11 +132,14 @@
 // maxCarriedIDs limits the ids that a connection remembers: a late copy of a response comes soon after it.
 const maxCarriedIDs = 32
 
-// hasCarried reports whether a request with an id was sent on the connection.
-func (c *connection) hasCarried(id string) bool { return id != "" && slices.Contains(c.carried, id) }
+// mayCarry reports whether a request may be sent on the connection: none with its id was.
+func (c *connection) mayCarry(r Request) bool {
+	return !(r.UnusedConnection && c.used) && (r.ID == "" || !slices.Contains(c.carried, r.ID))
+}
 
-// recordID remembers the id of a request that is sent.
-func (c *connection) recordID(id string) {
+// recordUse remembers that a request is sent, and its id.
+func (c *connection) recordUse(id string) {
+	c.used = true
 	if id == "" {
 		return
 	}
@@ -189,7 +193,7 @@
 			stop()
 		}
 	}()
-	c.recordID(r.ID)
+	c.recordUse(r.ID)
 	written, err := c.write(data)
 	if r.AfterWrite != nil && len(data) <= inlineWriteBytes {
 		r.AfterWrite()
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -57,6 +57,8 @@
 	UserTimeout time.Duration
 	// NewConnection requires a new connection, since an idle one may have been dropped without notice.
 	NewConnection bool
+	// UnusedConnection requires a connection that has carried no request. It may be one that was kept after an error of BeforeWrite.
+	UnusedConnection bool
 }
 
 // Match says whether a response belongs to a request.
@@ -167,7 +169,7 @@
 // acquire returns an idle connection that is still open, or dials a new one.
 func (c *Client) acquire(ctx context.Context, key poolKey, r Request) (conn *connection, err error) {
 	for !r.NewConnection {
-		conn := c.popIdle(key, r.ID)
+		conn := c.popIdle(key, r)
 		if conn == nil {
 			break
 		}
@@ -187,9 +189,8 @@
 	return conn, nil
 }
 
-// popIdle returns the most recently used idle connection that hasn't carried a request with the given id, or nil, and closes those whose idle
-// timeout has expired.
-func (c *Client) popIdle(key poolKey, id string) (conn *connection) {
+// popIdle returns the most recently used idle connection that may carry a request, or nil, and closes those whose idle timeout has expired.
+func (c *Client) popIdle(key poolKey, r Request) (conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[key]
@@ -206,7 +207,7 @@
 		return expired
 	})
 	for i, other := range slices.Backward(p.idle) {
-		if !other.hasCarried(id) {
+		if other.mayCarry(r) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return other
 		}
@@ -259,6 +260,11 @@
 		_ = conn.socket.Close()
 		return
 	}
+	if !conn.used {
+		// Requests that can't use another connection get it first.
+		p.idle = slices.Insert(p.idle, 0, conn)
+		return
+	}
 	p.idle = append(p.idle, conn)
 }
 
