Let renewals that confirm the leadership outlast the grants that wait for them

Cause: a grant on a new connection waits for a renewal of the lease. The renewal ended with the grant, so with a slow store it confirmed nothing; the grant waited 100 ms longer than it could be written; and the kept connection was the first to be taken by customers' requests, so that the next try opened another one.

Change: such renewals run on their own, one at a time, until all connections that wait are confirmed; the grant is given up at its latest write, and the next try finds its connection confirmed. Grants take the oldest idle connection.

Measured: TestSlowRenewalConfirmsConnectionOfNextTry failed before.

--- a/edge/confirmed_test.go
+++ b/edge/confirmed_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickorylug/hickorylug/coordination/ownership"
+	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/http1"
@@ -69,6 +70,41 @@
 	}
 }
 
+// A renewal that takes longer than the grant that waits for it must confirm its connection for the next try.
+func TestSlowRenewalConfirmsConnectionOfNextTry(t *testing.T) {
+	is := is.New(t)
+	v := newLeavingVM(t)
+	v.put("hickorylug/vm/b", `{"VM":"b","Domain":"east","Address":"127.0.0.1:6","Incarnation":"i"}`)
+	renewals := make(chan string, 16)
+	store := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		renewals <- r.URL.Path
+		select {
+		case <-time.After(ownership.GrantTimeout + 100*time.Millisecond):
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(store.Close)
+	v.store = platform.NewClient(strings.TrimPrefix(store.URL, "http://"))
+	address, commands := serveCommands(t)
+	v.register("s1", address, 1)
+	v.elector.Won(v.clock.now.Add(-time.Minute), 7)
+	execute := func() {
+		v.keys.execute(t.Context(), &call{term: 7, Command: ownership.Command{
+			Service: "plans", Incarnation: fleet.Incarnation{Server: "s1", Born: 1}, To: 1, Fence: 1, IssuedAt: v.clock.now,
+		}})
+	}
+	execute()
+	is.Equal(len(commands), 0)
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if at, _ := v.confirmedAt(7); at == v.clock.now {
+			break
+		}
+	}
+	execute()
+	is.Equal(len(commands), 1)
+	is.Equal(len(renewals), 1)
+}
+
 // A VM that grants keys for a leader must not use a connection that is younger than the leader's confirmation.
 func TestGrantsThroughOtherVMsOnLaterConnections(t *testing.T) {
 	tests := map[string]struct {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,8 +84,10 @@
 	mu      sync.Mutex
 	elector *leader.Elector
 	lease   platform.Lease
-	// confirming is held while the lease is renewed for grants that wait for it.
-	confirming chan struct{}
+	// confirming is closed when the renewal of the lease ends for which grants wait; nil while there is none. confirmWanted is the latest time that
+	// they want to have confirmed.
+	confirming    chan struct{}
+	confirmWanted clock.Instant
 	// campaigning is set while this VM campaigns for the leadership.
 	campaigning bool
 	// ledAt is when this VM could last act as the leader, and continuesIn the era of the store in which it may lead on with its key tables.
@@ -168,7 +170,6 @@
 		resync:         make(chan struct{}, 1),
 		replan:         make(chan struct{}, 1),
 		updatesPending: make(chan struct{}, 1),
-		confirming:     make(chan struct{}, 1),
 	}
 	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
 	e.relayClient, e.relayHandler = relay.NewClient(e.bodies, relay.WithClock(o.Clock)), relay.NewHandler(e.bodies, e.attemptForOther, relay.WithClock(o.Clock))
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 
 	"github.com/cockroachdb/errors"
 
@@ -265,21 +266,61 @@
 	if !wanted.After(at) || !canAsk {
 		return at
 	}
-	// One renewal confirms all connections that were opened before it.
-	select {
-	case e.confirming <- struct{}{}:
-		defer func() { <-e.confirming }()
-	case <-ctx.Done():
-		return at
-	}
-	if at, canAsk = e.confirmedAt(term); !wanted.After(at) || !canAsk {
-		return at
+	// The renewal that is under way may have begun too early.
+	for range 2 {
+		select {
+		case <-e.renewFor(ctx, wanted):
+		case <-ctx.Done():
+			return at
+		}
+		if at, canAsk = e.confirmedAt(term); !wanted.After(at) || !canAsk {
+			return at
+		}
 	}
-	e.renewLease(ctx)
-	at, _ = e.confirmedAt(term)
 	return at
 }
 
+// renewFor renews the lease after a time that is to be confirmed, unless that is under way, and returns a channel that is closed when the next
+// renewal ends. The renewal outlasts the call that asks for it, so that it confirms the connection for the next try.
+func (e *Edge) renewFor(ctx context.Context, wanted clock.Instant) (ended <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.confirmWanted = max(e.confirmWanted, wanted)
+	if e.confirming == nil {
+		e.confirming = make(chan struct{})
+		e.tasks.Go(context.WithoutCancel(ctx), e.renewForWaiting)
+	}
+	return e.confirming
+}
+
+// renewForWaiting renews the lease until all times are confirmed that were wanted meanwhile, or their renewals failed.
+func (e *Edge) renewForWaiting(ctx context.Context) {
+	isWanted := true
+	defer func() {
+		if isWanted {
+			// A renewal has panicked.
+			e.endRenewal(math.MaxInt64)
+		}
+	}()
+	for isWanted {
+		sentAt := e.clock.Boot()
+		e.renewLease(ctx)
+		isWanted = e.endRenewal(sentAt)
+	}
+}
+
+// endRenewal tells those that wait that a renewal has ended, and reports whether a later one is wanted.
+func (e *Edge) endRenewal(sentAt clock.Instant) (isWanted bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.confirming)
+	e.confirming = nil
+	if isWanted = e.confirmWanted.After(sentAt); isWanted {
+		e.confirming = make(chan struct{})
+	}
+	return isWanted
+}
+
 // confirmedAt returns the result of confirmLeadership as far as it is known; canAsk says that the store may confirm a later time.
 func (e *Edge) confirmedAt(term id.Revision) (at clock.Instant, canAsk bool) {
 	members := e.members()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -64,7 +64,7 @@
 		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
 		MaxConnections: a.MaxConnections,
 		// A connection that was opened for a grant and is young yet is kept for its next try.
-		NewConnection: a.NewConnection && a.OpenedBy == nil, UnusedConnection: a.NewConnection,
+		NewConnection: a.NewConnection && a.OpenedBy == nil, UnusedConnection: a.NewConnection, OldestConnection: a.OpenedBy != nil,
 		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
 	}
 	if a.NotAfter > 0 {
@@ -112,6 +112,8 @@
 // beforeWrite checks the conditions of an attempt right before it is written on a connection that was opened some time ago.
 func (e *Edge) beforeWrite(ctx context.Context, a relay.Attempt, age time.Duration, r *relay.Result) error {
 	if a.OpenedBy != nil {
+		ctx, cancel := context.WithTimeout(ctx, a.NotAfter.Sub(e.clock.Boot()))
+		defer cancel()
 		if opened := e.clock.Boot().Add(-age); opened.After(a.OpenedBy(ctx, opened)) {
 			return errConnectionLate
 		}
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -134,7 +134,7 @@
 
 // mayCarry reports whether a request may be sent on the connection: none with its id was.
 func (c *connection) mayCarry(r Request) bool {
-	return !(r.UnusedConnection && c.used) && (r.ID == "" || !slices.Contains(c.carried, r.ID))
+	return (!r.UnusedConnection || !c.used) && (r.ID == "" || !slices.Contains(c.carried, r.ID))
 }
 
 // recordUse remembers that a request is sent, and its id.
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -59,6 +59,8 @@
 	NewConnection bool
 	// UnusedConnection requires a connection that has carried no request. It may be one that was kept after an error of BeforeWrite.
 	UnusedConnection bool
+	// OldestConnection prefers the idle connection that was opened first to the most recently used one.
+	OldestConnection bool
 }
 
 // Match says whether a response belongs to a request.
@@ -189,7 +191,7 @@
 	return conn, nil
 }
 
-// popIdle returns the most recently used idle connection that may carry a request, or nil, and closes those whose idle timeout has expired.
+// popIdle returns the idle connection that a request prefers of those that may carry it, or nil, and closes those whose idle timeout has expired.
 func (c *Client) popIdle(key poolKey, r Request) (conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -206,13 +208,18 @@
 		}
 		return expired
 	})
+	best := -1
 	for i, other := range slices.Backward(p.idle) {
-		if other.mayCarry(r) {
-			p.idle = slices.Delete(p.idle, i, i+1)
-			return other
+		if other.mayCarry(r) && (best < 0 || r.OldestConnection && other.openedAt.Before(p.idle[best].openedAt)) {
+			best = i
 		}
 	}
-	return nil
+	if best < 0 {
+		return nil
+	}
+	conn = p.idle[best]
+	p.idle = slices.Delete(p.idle, best, best+1)
+	return conn
 }
 
 // reserve counts a connection that is about to be opened. At the limit it closes the idle connection that is unused for longest, which this
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -382,6 +382,59 @@
 	}
 }
 
+// Grants must get the connections that may be old enough for them, also while customers' requests take others.
+func TestIdleConnectionsByRequest(t *testing.T) {
+	tests := map[string]struct {
+		change func(r *http1.Request)
+		// want is the connection that is used, by the order in which they were opened. The last one is unused.
+		want int
+	}{
+		"the most recently used one": {change: func(*http1.Request) {}, want: 1},
+		"the oldest one":             {change: func(r *http1.Request) { r.OldestConnection = true }, want: 0},
+		"an unused one":              {change: func(r *http1.Request) { r.UnusedConnection, r.OldestConnection = true, true }, want: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, response("1", "one"))
+			var dialedAt []time.Time
+			c := http1.NewClient(http1.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+				dialedAt = append(dialedAt, time.Now())
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			}))
+			var responses []*http1.Response
+			for range 2 {
+				resp, err := c.Do(context.Background(), request(s, "1"))
+				is.NoErr(err)
+				responses = append(responses, resp)
+			}
+			for _, resp := range responses {
+				_, err := read(t, resp, nil)
+				is.NoErr(err)
+			}
+			errHeld := errors.New("held back")
+			var openedAt time.Time
+			held := request(s, "2")
+			held.BeforeWrite = func(age time.Duration) error { openedAt = time.Now().Add(-age); return errHeld }
+			unused := held
+			unused.NewConnection = true
+			_, err := c.Do(context.Background(), unused)
+			is.True(errors.Is(err, errHeld))
+			test.change(&held)
+			_, err = c.Do(context.Background(), held)
+			is.True(errors.Is(err, errHeld))
+			is.Equal(len(dialedAt), 3)
+			got := -1
+			for _, at := range dialedAt {
+				if !at.After(openedAt) {
+					got++
+				}
+			}
+			is.Equal(got, test.want)
+		})
+	}
+}
+
 // The time at which a write has returned must be known before the response is read.
 func TestAfterWriteIsCalledBetweenWriteAndResponse(t *testing.T) {
 	is := is.New(t)
