Let the stand-in of backend servers keep no promise that the pages don't make

Its releases recorded a fence, its clock was exact and it carried each order out at once, so tests and the soak couldn't see a grant that is carried out late.

Run: go test ./standin/worker; the tests of edge on restarts, late grants and relays.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -1,7 +1,9 @@
 // Package worker implements a stand-in for the users' backend servers, for tests and the soak test.
 //
 // A Worker accepts grants of key ranges, runs requests and records both in a
-// Journal, which detects violated guarantees.
+// Journal, which detects violated guarantees. It is as unhelpful as the users'
+// pages allow: a release records no fence, and the clock that measures a hold
+// is slow. With WithLateOrders it also carries orders out late.
 //
 // # Usage
 //
@@ -12,9 +14,9 @@
 package worker
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,104 +24,6 @@
 	"time"
 )
 
-// Journal records the grants and requests of all workers and the violations among them. It is safe for concurrent use.
-type Journal struct {
-	mu         sync.Mutex
-	runs       map[string]int
-	byCustomer map[string][]CustomerRun
-	grants     map[string][]grant
-	violations []string
-}
-
-// grant is a key range, with both bounds included, that a worker owns until its expiry.
-type grant struct {
-	worker   *Worker
-	from, to int
-	fence    int64
-	expiry   time.Time
-}
-
-// NewJournal returns an empty journal.
-func NewJournal() *Journal {
-	return &Journal{runs: map[string]int{}, byCustomer: map[string][]CustomerRun{}, grants: map[string][]grant{}}
-}
-
-// Runs returns how many times a request was started, over all workers.
-func (j *Journal) Runs(id string) int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.runs[id]
-}
-
-// Violations describes the violated guarantees: at-most-once requests that ran again, and keys granted to two workers
-// at the same time.
-func (j *Journal) Violations() []string {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return append([]string(nil), j.violations...)
-}
-
-// recordStart records the start of a request; a second start of an at-most-once request is a violation.
-func (j *Journal) recordStart(w *Worker, id string, atMostOnce bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.runs[id]++
-	if atMostOnce && j.runs[id] > 1 {
-		j.violations = append(j.violations, fmt.Sprintf("request %s ran %d times, last at %s", id, j.runs[id], w.ID))
-	}
-}
-
-// recordGrant records a grant; a key that another running worker still owns is a violation.
-func (j *Journal) recordGrant(g grant) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	now := time.Now()
-	var remaining []grant
-	for _, other := range j.grants[g.worker.Service] {
-		if other.expiry.Before(now) || other.worker.stopped.Load() || other.worker == g.worker && other.from == g.from && other.to == g.to {
-			continue
-		}
-		if other.worker != g.worker && other.from <= g.to && g.from <= other.to {
-			j.violations = append(j.violations, fmt.Sprintf("%s was granted keys %d to %d with fence %d while %s owned %d to %d with fence %d",
-				g.worker.ID, g.from, g.to, g.fence, other.worker.ID, other.from, other.to, other.fence))
-		}
-		remaining = append(remaining, other)
-	}
-	j.grants[g.worker.Service] = append(remaining, g)
-}
-
-// recordRelease removes a key range from the grants of a worker, which keep their keys outside of it.
-func (j *Journal) recordRelease(w *Worker, from, to int) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	var remaining []grant
-	for _, g := range j.grants[w.Service] {
-		if g.worker != w || g.to < from || g.from > to {
-			remaining = append(remaining, g)
-			continue
-		}
-		if g.from < from {
-			remaining = append(remaining, grant{w, g.from, from - 1, g.fence, g.expiry})
-		}
-		if g.to > to {
-			remaining = append(remaining, grant{w, to + 1, g.to, g.fence, g.expiry})
-		}
-	}
-	j.grants[w.Service] = remaining
-}
-
-// holdsKey reports whether an unexpired grant of the worker covers key.
-func (j *Journal) holdsKey(w *Worker, key int) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for _, g := range j.grants[w.Service] {
-		if g.worker == w && g.from <= key && key <= g.to && time.Now().Before(g.expiry) {
-			return true
-		}
-	}
-	return false
-}
-
 // Worker is one incarnation of a backend server. It is safe for concurrent use.
 type Worker struct {
 	ID      string
@@ -131,12 +35,14 @@
 	onRequest       func(r *http.Request)
 	slots           chan struct{}
 	journal         *Journal
-	stopped         atomic.Bool
-	queued          atomic.Int64
+	// stopped is closed when the process ends.
+	stopped chan struct{}
+	queued  atomic.Int64
 
-	mu sync.Mutex
-	// seenFences holds the key ranges and fences of all accepted commands.
-	seenFences []grant
+	// lateGrants is the fraction of grants that are carried out late. random is nil if no order is held up.
+	lateGrants float64
+	mu         sync.Mutex
+	random     *rand.Rand
 }
 
 // Slots is the number of requests that a worker runs concurrently.
@@ -160,17 +66,33 @@
 // WithOnRequest sets a function that is called with each request before it is handled.
 func WithOnRequest(f func(r *http.Request)) Option { return func(w *Worker) { w.onRequest = f } }
 
+// WithLateOrders makes a worker carry out the given fraction of the grants late and without an answer, and hold up all other orders for a
+// moment. seed determines which.
+func WithLateOrders(lateGrants float64, seed uint64) Option {
+	return func(w *Worker) { w.lateGrants, w.random = lateGrants, rand.New(rand.NewPCG(seed, 1)) }
+}
+
 // New returns a worker with the given instance ID and service.
 func New(id, service string, j *Journal, opts ...Option) *Worker {
-	w := &Worker{ID: id, Service: service, journal: j, serviceTime: 20 * time.Millisecond, slots: make(chan struct{}, Slots)}
+	w := &Worker{ID: id, Service: service, journal: j, serviceTime: 20 * time.Millisecond, slots: make(chan struct{}, Slots), stopped: make(chan struct{})}
 	for _, opt := range opts {
 		opt(w)
 	}
 	return w
 }
 
-// Stop ends the incarnation: the worker rejects all requests, and its grants no longer count.
-func (w *Worker) Stop() { w.stopped.Store(true) }
+// Stop ends the incarnation: the worker rejects all requests, carries out no order any more, and its grants no longer count.
+func (w *Worker) Stop() { w.journal.recordStop(w) }
+
+// hasStopped reports whether the incarnation has ended.
+func (w *Worker) hasStopped() bool {
+	select {
+	case <-w.stopped:
+		return true
+	default:
+		return false
+	}
+}
 
 // ServeHTTP handles a request, or a grant or release command.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
@@ -180,13 +102,13 @@
 	head := out.Header()
 	head.Set("Instance-Id", w.ID)
 	head.Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.ID || w.stopped.Load() {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.ID || w.hasStopped() {
 		reject(out, http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
 	case "/hickorylug/grant", "/hickorylug/release":
-		w.handleCommand(out, r)
+		w.handleOrder(out, r)
 	default:
 		w.handleRequest(out, r)
 	}
@@ -198,35 +120,6 @@
 	out.WriteHeader(status)
 }
 
-// handleCommand applies a grant or release command; a grant with a lower fence than one seen for its keys is rejected.
-func (w *Worker) handleCommand(out http.ResponseWriter, r *http.Request) {
-	var command struct {
-		From, Target int
-		Fence        int64 `json:"fence"`
-		HoldS        float64
-	}
-	if json.NewDecoder(r.Body).Decode(&command) != nil {
-		out.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	release := r.URL.Path == "/hickorylug/release"
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, g := range w.seenFences {
-		if !release && g.from <= command.Target && command.From <= g.to && g.fence > command.Fence {
-			out.WriteHeader(http.StatusConflict)
-			return
-		}
-	}
-	w.seenFences = append(w.seenFences, grant{w, command.From, command.Target, command.Fence, time.Time{}})
-	if release {
-		w.journal.recordRelease(w, command.From, command.Target)
-		out.Header().Set("Handover", "warm")
-		return
-	}
-	w.journal.recordGrant(grant{w, command.From, command.Target, command.Fence, time.Now().Add(time.Duration(command.HoldS * float64(time.Second)))})
-}
-
 // handleRequest runs a request if the queue has capacity and, for a keyed service, the worker owns the key.
 func (w *Worker) handleRequest(out http.ResponseWriter, r *http.Request) {
 	reachedAt := time.Now()
