--- a/cmd/hickorysoak/crashes.go
+++ b/cmd/hickorysoak/crashes.go
@@ -78,9 +78,11 @@
 	time.Sleep(crashRestartTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.addBackend(b.id, b.service); err != nil {
+	next, err := e.startBackend(b.id, b.service, "")
+	if err != nil {
 		panic(err)
 	}
+	e.registerBackend(next, "ready")
 }
 
 // repeatCrashingRequest sends a request that crashes backend servers to one VM after the other for four times d.
--- a/cmd/hickorysoak/environment.go
+++ b/cmd/hickorysoak/environment.go
@@ -28,6 +28,9 @@
 	host              = "soak.example"
 	serversPerService = 4
 	graceTime         = 6 * time.Second
+	// The fraction of grants that backend servers carry out late is drawn for each seed.
+	minLateGrants = 0.15
+	maxLateGrants = 0.7
 )
 
 // vm is an entry VM, which runs as a separate process.
@@ -49,9 +52,11 @@
 	id        string
 	service   string
 	startTime int64
-	worker    *worker.Worker
-	server    *http.Server
-	proxy     *faultproxy.Proxy
+	// address is the address of the proxy, which listens as long as the process runs.
+	address string
+	worker  *worker.Worker
+	server  *http.Server
+	proxy   *faultproxy.Proxy
 }
 
 // environment is the deployment that one seed runs against: store, backend servers and entry VMs.
@@ -70,8 +75,14 @@
 	configuration []byte
 	// lastStartTime is the start time of the newest incarnation of any backend server, in Unix milliseconds.
 	lastStartTime int64
-	// mu guards configVersion, configuration, backends and lastStartTime while faults are injected.
+	// startCount is the number of incarnations that were started.
+	startCount uint64
+	// mu guards configVersion, configuration, backends, lastStartTime and startCount while faults are injected.
 	mu sync.Mutex
+	// lateGrants is the fraction of grants that backend servers carry out late.
+	lateGrants float64
+	seed       uint64
+	notes      notes
 	// crashes records the crashes that requests cause, and crashed waits for the next incarnations.
 	crashes crashLog
 	crashed sync.WaitGroup
@@ -92,7 +103,7 @@
 	}
 	random := rand.New(rand.NewPCG(seed, 1))
 	var mu sync.Mutex
-	e = &environment{folder: folder, program: c.Program, journal: worker.NewJournal(), stopStore: make(chan struct{}), store: kv.NewStore(func() float64 {
+	e = &environment{folder: folder, program: c.Program, seed: seed, lateGrants: minLateGrants + random.Float64()*(maxLateGrants-minLateGrants), journal: worker.NewJournal(), stopStore: make(chan struct{}), store: kv.NewStore(func() float64 {
 		mu.Lock()
 		defer mu.Unlock()
 		return random.Float64()
@@ -113,9 +124,11 @@
 		if i >= serversPerService {
 			service = unkeyedService
 		}
-		if err := e.addBackend(fmt.Sprintf("i-%d", i), service); err != nil {
+		b, err := e.startBackend(fmt.Sprintf("i-%d", i), service, "")
+		if err != nil {
 			return nil, err
 		}
+		e.registerBackend(b, "ready")
 	}
 	for i := range c.VMs {
 		if err := e.addVM(fmt.Sprintf("vm%d", i), l.Addr().String()); err != nil {
@@ -160,34 +173,43 @@
 	e.store.Put("op/config", data)
 }
 
-// addBackend starts an incarnation of a backend server and registers it in the store.
-func (e *environment) addBackend(id, service string) (err error) {
+// startBackend starts an incarnation of a backend server, at a new address if none is given. Its entry isn't written yet.
+func (e *environment) startBackend(id, service, address string) (b *backend, err error) {
+	defer func() { err = errors.Wrapf(err, "start backend server %s", id) }()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	var opts []worker.Option
-	if service == keyedService {
-		opts = append(opts, worker.WithKeys())
+	if address == "" {
+		if address, err = loopback.FreeAddress(); err != nil {
+			return nil, err
+		}
 	}
 	// Start times increase strictly, so that two incarnations never have the same one.
 	e.lastStartTime = max(e.lastStartTime+1, time.Now().UnixMilli())
-	b := &backend{id: id, service: service, startTime: e.lastStartTime}
-	b.worker = worker.New(id, service, e.journal, append(opts, worker.WithOnRequest(func(r *http.Request) { e.crashBackend(b, r) }))...)
+	b = &backend{id: id, service: service, startTime: e.lastStartTime, address: address}
+	e.startCount++
+	opts := []worker.Option{
+		worker.WithLateOrders(e.lateGrants, e.seed<<16+e.startCount),
+		worker.WithOnRequest(func(r *http.Request) { e.crashBackend(b, r) }),
+	}
+	if service == keyedService {
+		opts = append(opts, worker.WithKeys())
+	}
+	b.worker = worker.New(id, service, e.journal, opts...)
 	b.server = &http.Server{Handler: b.worker, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = b.server.Serve(l) }()
-	if b.proxy, err = faultproxy.Listen(l.Addr().String()); err != nil {
-		return err
+	if b.proxy, err = faultproxy.ListenAt(address, l.Addr().String()); err != nil {
+		return nil, err
 	}
 	e.backends = append(e.backends, b)
-	e.registerBackend(b, "ready")
-	return nil
+	return b, nil
 }
 
 // registerBackend writes a backend server's entry with the given state to the store.
 func (e *environment) registerBackend(b *backend, state string) {
 	data, err := json.Marshal(map[string]any{
-		"Service": b.service, "Address": b.proxy.Address(), "Zone": "east", "Version": "v1", "Slots": worker.Slots,
+		"Service": b.service, "Address": b.address, "Zone": "east", "Version": "v1", "Slots": worker.Slots,
 		"State": state, "WarmupLeftS": 0, "Sequence": 1, "born": b.startTime,
 	})
 	if err != nil {
@@ -218,7 +240,7 @@
 	v.callerAddress, v.readyAddress = addresses[0], addresses[1]
 	data, err := json.Marshal(map[string]any{
 		"VM": name, "FailureDomain": "east", "CallerAddress": v.callerAddress, "ReadyAddress": v.readyAddress, "PeerAddress": addresses[2], "MetricsAddress": addresses[3],
-		"Store": v.storeProxy.Address(), "LogLevel": "info", "GraceTime": graceTime.String(), "ServerHeartbeat": "1s", "RetryShare": 0.2, "RetrySlack": 60,
+		"Store": v.storeProxy.Address(), "LogLevel": "debug", "GraceTime": graceTime.String(), "ServerHeartbeat": "1s", "RetryShare": 0.2, "RetrySlack": 60,
 		"RetryWindow": "10s", "WarmOverage": 1.5, "WarmSlack": 5, "MaxHold": "10s", "StrictRevocation": e.strictRevocation,
 		"AllotmentWindow": allotmentWindow.String(), "AllotmentOverage": allotmentExcess, "AllotmentSlack": allotmentSlack, "Processor": 1, "Link": 1000, "Memory": "200MB",
 	})
--- a/cmd/hickorysoak/main.go
+++ b/cmd/hickorysoak/main.go
@@ -12,6 +12,10 @@
 // With the faults "crashing request", kill, terminate, reload and configuration
 // alone, a request that crashes backend servers is refused after few crashes.
 //
+// The backend servers keep no promise that the users' pages don't make: see
+// package worker. For each time in which two of them hold the same keys, the
+// log lines of all VMs that concern these keys are printed in order of time.
+//
 // Faults are drawn from a seeded random generator. It ends only processes that
 // it has started.
 //
@@ -40,6 +44,7 @@
 	Time    time.Duration `help:"Time for which faults are injected, per seed." default:"12s"`
 	VMs     int           `help:"Number of entry VMs." default:"4" name:"vms"`
 	Logs    string        `help:"Folder for the logs of failed seeds." default:"soak-logs"`
+	Grouped bool          `help:"Inject faults in groups of three to nine within some seconds in all seeds; otherwise in every second pair of seeds."`
 	Faults  []string      `help:"Names of the faults to draw from, separated by commas; all if empty. With planned work alone, no request that was run may be cut off; with 'crashing request', kill and planned work alone, one request crashes few backend servers."`
 }
 
@@ -64,6 +69,9 @@
 			fmt.Printf("seed %d: BROKEN: %s\n", seed, violation)
 			violated = true
 		}
+		for _, line := range r.traces {
+			fmt.Println(line)
+		}
 	}
 	if violated {
 		return errViolated
--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -10,16 +10,12 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sort"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hickorylug/hickorylug/standin/faultproxy"
-	"github.com/hickorylug/hickorylug/standin/kv"
 	"github.com/hickorylug/hickorylug/standin/worker"
 )
 
@@ -46,6 +42,8 @@
 	refusedNotRun                      []string
 	// cutOff are the requests whose connection ended without an answer before their time was up.
 	cutOff []string
+	// traces are the log lines that concern the first conflicts between backend servers.
+	traces []string
 }
 
 // addViolation records a violated guarantee.
@@ -77,7 +75,7 @@
 	for i := range callerCount {
 		wg.Go(func() { e.runCaller(ctx, r, i, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
-	r.faults = e.injectFaults(ctx, random, selected)
+	r.faults = e.injectFaults(ctx, random, selected, c.Grouped || seed/2%2 == 1)
 	wg.Wait()
 	e.crashed.Wait()
 	cancel()
@@ -126,6 +124,7 @@
 		r.faults += "; " + e.crashes.check(r)
 	}
 	r.violations = append(r.violations, e.journal.Violations()...)
+	e.traceConflicts(r)
 	if e.customers != nil {
 		r.faults += "; " + e.checkAllotments(r)
 		e.checkLogs(r)
@@ -255,174 +254,3 @@
 	}
 	return resp.StatusCode
 }
-
-// fault is a named fault that run injects for the duration d.
-type fault struct {
-	name string
-	run  func(e *environment, random *rand.Rand, d time.Duration)
-	// isPlanned says that it is planned work, during which no request may be cut off.
-	isPlanned bool
-	// keepsEvidence says that VMs can tell each other what crashes backend servers all the while, so that the number of crashes is limited.
-	keepsEvidence bool
-	// needsCustomers says that it changes customers; it is left out where the configuration has none.
-	needsCustomers bool
-}
-
-var faults = []fault{
-	{name: "kill", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGKILL, d) }, keepsEvidence: true},
-	{name: "terminate", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartVM(random, syscall.SIGTERM, d) }, isPlanned: true, keepsEvidence: true},
-	{name: "pause", run: func(e *environment, random *rand.Rand, d time.Duration) {
-		v := e.vms[random.IntN(len(e.vms))]
-		v.signal(syscall.SIGSTOP)
-		time.Sleep(d)
-		v.signal(syscall.SIGCONT)
-	}},
-	{name: "reload", run: func(e *environment, random *rand.Rand, _ time.Duration) {
-		e.vms[random.IntN(len(e.vms))].signal(syscall.SIGHUP)
-	}, isPlanned: true, keepsEvidence: true},
-	{name: "store down", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{Down: true}, d) }},
-	{name: "store slow", run: func(e *environment, _ *rand.Rand, d time.Duration) {
-		e.injectStoreFault(kv.Fault{Delay: 200 * time.Millisecond}, d)
-	}},
-	{name: "store loses answers", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{LostWrites: 0.5}, d) }},
-	{name: "store link", run: func(e *environment, random *rand.Rand, d time.Duration) {
-		disturb(e.vms[random.IntN(len(e.vms))].storeProxy, random, d)
-	}},
-	{name: "server link", run: func(e *environment, random *rand.Rand, d time.Duration) {
-		e.mu.Lock()
-		p := e.backends[random.IntN(len(e.backends))].proxy
-		e.mu.Unlock()
-		disturb(p, random, d)
-	}},
-	{name: "server restarts", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, false) }},
-	{name: "crashing request", run: func(e *environment, random *rand.Rand, d time.Duration) { e.repeatCrashingRequest(random, d) }, keepsEvidence: true},
-	{name: "server drains", run: func(e *environment, random *rand.Rand, d time.Duration) { e.restartBackend(random, d, true) }},
-	{name: "store restored", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.restoreStore(d) }},
-	{name: "configuration", run: func(e *environment, random *rand.Rand, _ time.Duration) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.writeConfiguration(time.Duration(800+random.IntN(800)) * time.Millisecond)
-	}, isPlanned: true, keepsEvidence: true},
-	{name: "revoke", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.revoke(random) }, isPlanned: true, needsCustomers: true},
-	{name: "allotment", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.changeAllotment(random) }, isPlanned: true, needsCustomers: true},
-}
-
-// selectFaults returns the faults with the given names, or all if there are none.
-func selectFaults(names []string) (selected []fault, err error) {
-	if len(names) == 0 {
-		return faults, nil
-	}
-	for _, name := range names {
-		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
-		if i < 0 {
-			return nil, errors.Newf("--faults: there is no fault %q", name)
-		}
-		selected = append(selected, faults[i])
-	}
-	return selected, nil
-}
-
-// injectFaults injects overlapping random faults out of the given ones until the context ends, and returns the count of each fault.
-func (e *environment) injectFaults(ctx context.Context, random *rand.Rand, faults []fault) (summary string) {
-	counts := map[string]int{}
-	var wg sync.WaitGroup
-	for ctx.Err() == nil {
-		f := faults[random.IntN(len(faults))]
-		d := time.Duration(300+random.IntN(3500)) * time.Millisecond
-		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 3))
-		counts[f.name]++
-		wg.Go(func() { f.run(e, faultRandom, d) })
-		time.Sleep(time.Duration(200+random.IntN(1200)) * time.Millisecond)
-	}
-	wg.Wait()
-	var out []string
-	for name, n := range counts {
-		out = append(out, fmt.Sprintf("%s %d", name, n))
-	}
-	sort.Strings(out)
-	return strings.Join(out, ", ")
-}
-
-// clearFaults ends all faults and starts the VMs that aren't running.
-func (e *environment) clearFaults() {
-	e.store.SetFault(kv.Fault{})
-	for _, v := range e.vms {
-		v.signal(syscall.SIGCONT)
-		v.storeProxy.SetMode(faultproxy.Pass)
-		if err := v.start(e.program); err != nil {
-			panic(err)
-		}
-	}
-	for _, b := range e.backends {
-		b.proxy.SetMode(faultproxy.Pass)
-	}
-}
-
-// restartVM ends a random VM's process with a signal and starts it again after a quarter of d.
-func (e *environment) restartVM(random *rand.Rand, s syscall.Signal, d time.Duration) {
-	v := e.vms[random.IntN(len(e.vms))]
-	v.signal(s)
-	if s != syscall.SIGKILL {
-		// A process stopped by the fault "pause" handles other signals only after SIGCONT.
-		v.signal(syscall.SIGCONT)
-	}
-	v.waitForExit()
-	time.Sleep(d / 4)
-	if err := v.start(e.program); err != nil {
-		panic(err)
-	}
-}
-
-// injectStoreFault injects a fault into the store for the duration d.
-func (e *environment) injectStoreFault(f kv.Fault, d time.Duration) {
-	e.storeUse.RLock()
-	defer e.storeUse.RUnlock()
-	e.store.SetFault(f)
-	time.Sleep(d)
-	e.store.SetFault(kv.Fault{})
-}
-
-// restoreStore brings the store back from a copy that is d old, after an outage of a quarter of d. With customers, the operator writes the
-// latest configuration again an eighth of d later; until then the VMs must not apply the older one.
-func (e *environment) restoreStore(d time.Duration) {
-	copied := e.store.Copy()
-	time.Sleep(d)
-	e.storeUse.RLock()
-	defer e.storeUse.RUnlock()
-	e.store.SetFault(kv.Fault{Down: true})
-	time.Sleep(d / 4)
-	e.store.Restore(copied)
-	e.store.SetFault(kv.Fault{})
-	if e.customers == nil {
-		return
-	}
-	time.Sleep(d / 8)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.store.Put("op/config", e.configuration)
-}
-
-// disturb sets a random fault mode of a proxy for the duration d.
-func disturb(p *faultproxy.Proxy, random *rand.Rand, d time.Duration) {
-	p.SetMode([]faultproxy.Mode{faultproxy.Delay, faultproxy.Stall, faultproxy.StallResponses, faultproxy.Reset}[random.IntN(4)])
-	time.Sleep(d)
-	p.SetMode(faultproxy.Pass)
-}
-
-// restartBackend replaces a random backend server by a new incarnation with the same ID at another address.
-func (e *environment) restartBackend(random *rand.Rand, d time.Duration, graceful bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := random.IntN(len(e.backends))
-	b := e.backends[n]
-	if graceful {
-		e.registerBackend(b, "draining")
-		time.Sleep(2 * time.Second)
-	}
-	b.kill()
-	e.backends = append(e.backends[:n], e.backends[n+1:]...)
-	time.Sleep(d / 4)
-	if err := e.addBackend(b.id, b.service); err != nil {
-		panic(err)
-	}
-}
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -41,14 +41,19 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	mode   Mode
+	conns  map[net.Conn]bool
+	closed bool
 }
 
 // Listen starts a proxy to target on a free loopback port.
-func Listen(target string) (p *Proxy, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func Listen(target string) (p *Proxy, err error) { return ListenAt("127.0.0.1:0", target) }
+
+// ListenAt starts a proxy to target at an address. Each process that listens at the address in turn needs a proxy of its own, since a
+// connection that was opened to one of them must end with it.
+func ListenAt(address, target string) (p *Proxy, err error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -75,6 +80,9 @@
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 	p.SetMode(Reset)
 }
 
@@ -106,12 +114,22 @@
 	}
 }
 
-func (p *Proxy) track(c net.Conn, open bool) {
+// track records the connections of a client, and reports false if the proxy is closed.
+func (p *Proxy) track(conns ...net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if open {
+	for _, c := range conns {
 		p.conns[c] = true
-	} else {
+	}
+	return !p.closed
+}
+
+// end ends connections.
+func (p *Proxy) end(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		abort(c)
 		delete(p.conns, c)
 	}
 }
@@ -123,10 +141,10 @@
 		abort(client)
 		return
 	}
-	p.track(client, true)
-	p.track(upstream, true)
-	defer p.track(client, false)
-	defer p.track(upstream, false)
+	defer p.end(client, upstream)
+	if !p.track(client, upstream) {
+		return
+	}
 	done := make(chan struct{}, 2)
 	go func() { p.forward(upstream, client, false); done <- struct{}{} }()
 	go func() { p.forward(client, upstream, true); done <- struct{}{} }()
