Cut VMs from each other in the soak

No fault of the soak cut VMs from each other, so a leader that only some VMs hear was never played with real processes. VMs now reach each other through a proxy for TCP and UDP each: the soak's store replaces the address in a registration, and the VM that a connection comes from is found by its open sockets. One VM or half of them are cut off, both ways or one way, silently or with resets.

--- a/cmd/hickorysoak/environment.go
+++ b/cmd/hickorysoak/environment.go
@@ -40,7 +40,9 @@
 	readyAddress  string
 	settingsFile  string
 	storeProxy    *faultproxy.Proxy
-	log           *os.File
+	// peerAddress is the address at which the VM listens for others.
+	peerAddress string
+	log         *os.File
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -67,6 +69,7 @@
 	stopStore     chan struct{}
 	storeStopped  <-chan struct{}
 	storeServer   *http.Server
+	network       *faultproxy.Network
 	journal       *worker.Journal
 	vms           []*vm
 	backends      []*backend
@@ -77,7 +80,7 @@
 	lastStartTime int64
 	// startCount is the number of incarnations that were started.
 	startCount uint64
-	// mu guards configVersion, configuration, backends, lastStartTime and startCount while faults are injected.
+	// mu guards configVersion, configuration, backends, lastStartTime and startCount while faults are injected, and vms while they are added.
 	mu sync.Mutex
 	// lateGrants is the fraction of grants that backend servers carry out late.
 	lateGrants float64
@@ -116,7 +119,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e.storeServer = &http.Server{Handler: e.store, ReadHeaderTimeout: time.Second}
+	e.network = faultproxy.NewNetwork(e.vmOf)
+	e.storeServer = &http.Server{Handler: e.registerAtNetwork(e.store), ReadHeaderTimeout: time.Second}
 	go func() { _ = e.storeServer.Serve(l) }()
 	e.writeConfiguration(time.Second)
 	for i := range 2 * serversPerService {
@@ -237,9 +241,12 @@
 			return err
 		}
 	}
-	v.callerAddress, v.readyAddress = addresses[0], addresses[1]
+	v.callerAddress, v.readyAddress, v.peerAddress = addresses[0], addresses[1], addresses[2]
+	if err := e.network.Attach(name, v.peerAddress); err != nil {
+		return err
+	}
 	data, err := json.Marshal(map[string]any{
-		"VM": name, "FailureDomain": "east", "CallerAddress": v.callerAddress, "ReadyAddress": v.readyAddress, "PeerAddress": addresses[2], "MetricsAddress": addresses[3],
+		"VM": name, "FailureDomain": "east", "CallerAddress": v.callerAddress, "ReadyAddress": v.readyAddress, "PeerAddress": v.peerAddress, "MetricsAddress": addresses[3],
 		"Store": v.storeProxy.Address(), "LogLevel": "debug", "GraceTime": graceTime.String(), "ServerHeartbeat": "1s", "RetryShare": 0.2, "RetrySlack": 60,
 		"RetryWindow": "10s", "WarmOverage": 1.5, "WarmSlack": 5, "MaxHold": "10s", "StrictRevocation": e.strictRevocation,
 		"AllotmentWindow": allotmentWindow.String(), "AllotmentOverage": allotmentExcess, "AllotmentSlack": allotmentSlack, "Processor": 1, "Link": 1000, "Memory": "200MB",
@@ -253,7 +260,9 @@
 	if v.log, err = os.Create(filepath.Join(e.folder, name+".log")); err != nil {
 		return err
 	}
+	e.mu.Lock()
 	e.vms = append(e.vms, v)
+	e.mu.Unlock()
 	return v.start(e.program)
 }
 
@@ -322,6 +331,7 @@
 	for _, b := range e.backends {
 		b.kill()
 	}
+	e.network.Close()
 	_ = e.storeServer.Close()
 	close(e.stopStore)
 	<-e.storeStopped
--- a/cmd/hickorysoak/faults.go
+++ b/cmd/hickorysoak/faults.go
@@ -47,6 +47,7 @@
 	{name: "reload", run: func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.randomVM(random).signal(syscall.SIGHUP)
 	}, isPlanned: true, keepsEvidence: true},
+	{name: "cut", run: func(e *environment, random *rand.Rand, d time.Duration) { e.cutVMs(random, d) }},
 	{name: "store down", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{Down: true}, d) }},
 	{name: "store slow", run: func(e *environment, _ *rand.Rand, d time.Duration) {
 		e.injectStoreFault(kv.Fault{Delay: 200 * time.Millisecond}, d)
@@ -138,6 +139,7 @@
 // clearFaults ends all faults and starts the VMs that aren't running.
 func (e *environment) clearFaults() {
 	e.store.SetFault(kv.Fault{})
+	e.network.Heal()
 	for _, v := range e.vms {
 		v.signal(syscall.SIGCONT)
 		v.storeProxy.SetMode(faultproxy.Pass)
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -145,27 +145,37 @@
 	if !p.track(client, upstream) {
 		return
 	}
+	join(client, upstream, func() { p.wait(false) }, func() { p.wait(true) })
+}
+
+// join forwards both directions of a connection until either side closes it. A gate is called before each chunk of its direction.
+func join(client, upstream net.Conn, toUpstream, toClient func()) {
 	done := make(chan struct{}, 2)
-	go func() { p.forward(upstream, client, false); done <- struct{}{} }()
-	go func() { p.forward(client, upstream, true); done <- struct{}{} }()
+	go func() { forward(upstream, client, toUpstream); done <- struct{}{} }()
+	go func() { forward(client, upstream, toClient); done <- struct{}{} }()
 	<-done
 	abort(client)
 	abort(upstream)
 	<-done
 }
 
-// forward copies bytes in one direction, with the fault of the current mode, until either connection ends.
-func (p *Proxy) forward(to, from net.Conn, toClient bool) {
+// wait holds a chunk up as the current mode says.
+func (p *Proxy) wait(toClient bool) {
+	for m := p.currentMode(); m == Stall || m == StallResponses && toClient; m = p.currentMode() {
+		time.Sleep(stallPollPeriod)
+	}
+	if p.currentMode() == Delay {
+		time.Sleep(delay)
+	}
+}
+
+// forward copies bytes in one direction until either connection ends.
+func forward(to, from net.Conn, gate func()) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			for m := p.currentMode(); m == Stall || m == StallResponses && toClient; m = p.currentMode() {
-				time.Sleep(stallPollPeriod)
-			}
-			if p.currentMode() == Delay {
-				time.Sleep(delay)
-			}
+			gate()
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
