--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,6 +84,10 @@
 	mu      sync.Mutex
 	elector *leader.Elector
 	lease   platform.Lease
+	// confirming is closed when the renewal of the lease ends for which grants wait; nil while there is none. confirmWanted is the latest time that
+	// they want to have confirmed.
+	confirming    chan struct{}
+	confirmWanted clock.Instant
 	// campaigning is set while this VM campaigns for the leadership.
 	campaigning bool
 	// ledAt is when this VM could last act as the leader, and continuesIn the era of the store in which it may lead on with its key tables.
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -45,15 +45,22 @@
 	Match func(status int, h http.Header) Match
 	// OnHead is called with the head of each response that is read on the connection, also of those to other requests; nil means no call.
 	OnHead func(status int, h http.Header)
-	// BeforeWrite is called when a connection is there, right before the request is written; nil means no call. After an error the request
-	// isn't sent, and the connection is kept.
-	BeforeWrite func() error
+	// BeforeWrite is called when a connection is there, right before the request is written, with the time since the connection was opened; nil
+	// means no call. After an error the request isn't sent, and the connection is kept.
+	BeforeWrite func(age time.Duration) error
+	// AfterWrite is called when the write of a short request has returned, also if it failed; nil means no call. Its bytes are in the kernel's
+	// buffer then.
+	AfterWrite func()
 	// MaxConnections limits the connections to the backend server; 0 means no limit.
 	MaxConnections int
 	// UserTimeout replaces Options.UserTimeout until the response was read; 0 means that it doesn't.
 	UserTimeout time.Duration
 	// NewConnection requires a new connection, since an idle one may have been dropped without notice.
 	NewConnection bool
+	// UnusedConnection requires a connection that has carried no request. It may be one that was kept after an error of BeforeWrite.
+	UnusedConnection bool
+	// OldestConnection prefers the idle connection that was opened first to the most recently used one.
+	OldestConnection bool
 }
 
 // Match says whether a response belongs to a request.
@@ -148,7 +155,7 @@
 		return nil, err
 	}
 	if r.BeforeWrite != nil {
-		if err := r.BeforeWrite(); err != nil {
+		if err := r.BeforeWrite(time.Since(conn.openedAt)); err != nil {
 			isSound = true
 			conn.keep()
 			return nil, err
@@ -164,7 +171,7 @@
 // acquire returns an idle connection that is still open, or dials a new one.
 func (c *Client) acquire(ctx context.Context, key poolKey, r Request) (conn *connection, err error) {
 	for !r.NewConnection {
-		conn := c.popIdle(key, r.ID)
+		conn := c.popIdle(key, r)
 		if conn == nil {
 			break
 		}
@@ -184,9 +191,8 @@
 	return conn, nil
 }
 
-// popIdle returns the most recently used idle connection that hasn't carried a request with the given id, or nil, and closes those whose idle
-// timeout has expired.
-func (c *Client) popIdle(key poolKey, id string) (conn *connection) {
+// popIdle returns the idle connection that a request prefers of those that may carry it, or nil, and closes those whose idle timeout has expired.
+func (c *Client) popIdle(key poolKey, r Request) (conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[key]
@@ -202,13 +208,18 @@
 		}
 		return expired
 	})
+	best := -1
 	for i, other := range slices.Backward(p.idle) {
-		if !other.hasCarried(id) {
-			p.idle = slices.Delete(p.idle, i, i+1)
-			return other
+		if other.mayCarry(r) && (best < 0 || r.OldestConnection && other.openedAt.Before(p.idle[best].openedAt)) {
+			best = i
 		}
 	}
-	return nil
+	if best < 0 {
+		return nil
+	}
+	conn = p.idle[best]
+	p.idle = slices.Delete(p.idle, best, best+1)
+	return conn
 }
 
 // reserve counts a connection that is about to be opened. At the limit it closes the idle connection that is unused for longest, which this
@@ -256,6 +267,11 @@
 		_ = conn.socket.Close()
 		return
 	}
+	if !conn.used {
+		// Requests that can't use another connection get it first.
+		p.idle = slices.Insert(p.idle, 0, conn)
+		return
+	}
 	p.idle = append(p.idle, conn)
 }
 
