--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,6 +31,13 @@
 	return out
 }
 
+// recordMembers records the registered VMs for the election.
+func (e *Edge) recordMembers(s *fleet.Snapshot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.elector.RecordMembers(e.clock.Boot(), s.Position, slices.Collect(maps.Keys(s.Peers)))
+}
+
 // leads reports whether this VM may act as the leader now.
 func (e *Edge) leads() bool {
 	members := e.members()
