Log what was sent to a cold backend server, and unanswered store calls

After a breach of the warm-up bound the logs named the VMs that learnt of the warm-up, not those that had sent the requests, and of the unanswered calls to the store only the leader's renewals. Two lines are new: "requests were sent to a backend server before it was known to be cold" with the number that this VM sent within the second before, and "a call to the store got no answer".

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -328,6 +328,7 @@
 func (d *Dispatcher) reserveSlot(now clock.Instant, c *server, s *service) *Slot {
 	expected, load, factor := c.expectedLatency(now, s.serviceTime), c.load(now), c.queueFactor(now)
 	c.inFlight++
+	c.sends.add(now)
 	c.sinceReport++
 	if c.limitBucket != nil {
 		c.limitBucket.Take(now)
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -184,7 +184,9 @@
 			known = newServer()
 			d.servers[name] = known
 		}
-		known.update(now, next)
+		if left := known.update(next); left > 0 {
+			d.warmUp(now, known, left)
+		}
 	}
 }
 
--- a/coordination/dispatch/options.go
+++ b/coordination/dispatch/options.go
@@ -31,6 +31,9 @@
 	// OnPause is called when a backend server begins to want no requests of this VM, with the time of the pause. It must not call the
 	// dispatcher.
 	OnPause func(server id.Server, duration time.Duration)
+	// OnLateWarmup is called when this VM learns that a backend server is cold, with the remaining warm-up time, if it has sent requests
+	// there within the preceding second, with their number. It must not call the dispatcher.
+	OnLateWarmup func(server id.Server, left time.Duration, sent int)
 }
 
 // Option sets one of the Options.
@@ -68,12 +71,17 @@
 	return func(o *Options) { o.OnPause = f }
 }
 
+// WithOnLateWarmup sets the function that is called when this VM has sent requests to a backend server that turns out to be cold.
+func WithOnLateWarmup(f func(server id.Server, left time.Duration, sent int)) Option {
+	return func(o *Options) { o.OnLateWarmup = f }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{
 		Clock: clock.System{}, Random: rand.Float64, Peers: func() int { return 1 }, WarmOverage: 1, WarmSlack: 0,
 		MayWait: func(Demand) bool { return true },
 		OnEject: func(id.Server, float64, time.Duration) {}, OnRequestLimit: func(id.Server, ratelimit.Rate) {},
-		OnPause: func(id.Server, time.Duration) {},
+		OnPause: func(id.Server, time.Duration) {}, OnLateWarmup: func(id.Server, time.Duration, int) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -59,6 +59,8 @@
 	warmupLimiter *rate.Limiter
 	// hasWarmupNews says that it has told this VM of its warm-up, and that the other VMs haven't heard of that yet.
 	hasWarmupNews bool
+	// sends are the latest requests that this VM has sent there.
+	sends recentSends
 
 	// reported is the number of requests in the latest load report, to this VM or to another one.
 	reported   int
@@ -99,12 +101,13 @@
 
 func newServer() *server { return &server{} }
 
-// update replaces the registered entry; a new revision with a warm-up begins the warm-up.
-func (s *server) update(now clock.Instant, next fleet.Server) {
-	if s.Revision != next.Revision && next.WarmupLeft > 0 {
-		s.warmUp(now, next.WarmupLeft)
+// update replaces the registered entry, and returns the remaining warm-up time if it says one that wasn't known.
+func (s *server) update(next fleet.Server) (warmupLeft time.Duration) {
+	if s.Revision != next.Revision {
+		warmupLeft = next.WarmupLeft
 	}
 	s.Server = next
+	return warmupLeft
 }
 
 // load returns the estimated number of requests at the backend server.
--- a/coordination/dispatch/warmup.go
+++ b/coordination/dispatch/warmup.go
@@ -15,6 +15,9 @@
 // maxWarmupSenders is the maximum number of VMs that send to one cold backend server.
 const maxWarmupSenders = 5
 
+// warmupWindow is the time for which requests to a cold backend server are counted.
+const warmupWindow = time.Second
+
 // WarmupNews says that a backend server is cold, as VMs report it to each other.
 type WarmupNews struct {
 	Incarnation fleet.Incarnation
@@ -31,7 +34,7 @@
 		return false
 	}
 	c.hasWarmupNews = true
-	return c.warmUp(d.options.Clock.Boot(), n.Left)
+	return d.warmUp(d.options.Clock.Boot(), c, n.Left)
 }
 
 // TakeWarmupNews returns which cold backend servers the other VMs should hear of, as this VM was told since the preceding call.
@@ -55,7 +58,7 @@
 	defer d.mu.Unlock()
 	now := d.options.Clock.Boot()
 	for _, n := range news {
-		if c, ok := d.servers[n.Incarnation.Server]; ok && c.Incarnation == n.Incarnation && n.Left > 0 && c.warmUp(now, n.Left) {
+		if c, ok := d.servers[n.Incarnation.Server]; ok && c.Incarnation == n.Incarnation && n.Left > 0 && d.warmUp(now, c, n.Left) {
 			added = append(added, n)
 		}
 	}
@@ -64,11 +67,14 @@
 
 // warmUp records the remaining warm-up time, and reports whether the backend server was warm before. What was sent during a warm-up that
 // goes on still counts.
-func (s *server) warmUp(now clock.Instant, left time.Duration) (isNew bool) {
-	if isNew = !s.isCold(now); isNew {
-		s.warmupLimiter = nil
+func (d *Dispatcher) warmUp(now clock.Instant, c *server, left time.Duration) (isNew bool) {
+	if isNew = !c.isCold(now); isNew {
+		c.warmupLimiter = nil
+		if sent := c.sends.within(now, warmupWindow); sent > 0 {
+			d.options.OnLateWarmup(c.Incarnation.Server, left, sent)
+		}
 	}
-	s.coldUntil = max(s.coldUntil, now.Add(left))
+	c.coldUntil = max(c.coldUntil, now.Add(left))
 	return isNew
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -117,6 +117,8 @@
 	pauseLogs rate.Sometimes
 	// unusedLogs bounds the log lines of items of the store that aren't used.
 	unusedLogs rate.Sometimes
+	// unansweredLogs bounds the log lines of unanswered calls to the store.
+	unansweredLogs rate.Sometimes
 	// keeper keeps what an outage of the store or an older copy of it would take back.
 	keeper *retention.Keeper
 
@@ -162,6 +164,7 @@
 		departures:     departure.NewRecords(s.DrainTime.Std()),
 		pauseLogs:      rate.Sometimes{First: maxPauseLogs, Interval: pauseLogPeriod},
 		unusedLogs:     rate.Sometimes{First: maxUnusedLogs, Interval: unusedLogPeriod},
+		unansweredLogs: rate.Sometimes{First: maxUnansweredLogs, Interval: unansweredLogPeriod},
 		keeper:         retention.NewKeeper(),
 		resync:         make(chan struct{}, 1),
 		replan:         make(chan struct{}, 1),
@@ -173,10 +176,10 @@
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
-	e.store.Observe, e.store.OnEra = e.metrics.observeStore, e.observeEra
+	e.store.Observe, e.store.OnEra = e.observeStoreCall, e.observeEra
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit),
-		dispatch.WithOnPause(e.observePause), dispatch.WithMayWait(e.mayWait))
+		dispatch.WithOnPause(e.observePause), dispatch.WithOnLateWarmup(e.logLateWarmup), dispatch.WithMayWait(e.mayWait))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
 		forward.WithOnSuspect(e.observeSuspect), forward.WithProbe(e.probeServer), forward.WithAccepts(e.accepts), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.allotments = newAllotments(e)
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/platform"
@@ -35,6 +36,9 @@
 	// others. There are several, since followers don't hear whether other followers still run.
 	localWarmupCheckers  = 2
 	remoteWarmupCheckers = 1
+	// maxUnansweredLogs is the number of unanswered calls to the store that are logged each; of later ones, one per unansweredLogPeriod is.
+	maxUnansweredLogs   = 100
+	unansweredLogPeriod = time.Second
 )
 
 // watchWarmups asks backend servers whether they are cold while the store can't tell, until the context ends.
@@ -147,6 +151,21 @@
 	e.log.Info("backend server is cold", "server", string(n.Incarnation.Server), "born", int64(n.Incarnation.Born), "warmLeft", n.Left.String(), "seenBy", string(seenBy), "newsAgeMs", e.newsAge().Milliseconds())
 }
 
+// logLateWarmup logs that this VM has sent requests to a backend server within a second before it heard that it is cold.
+func (e *Edge) logLateWarmup(server id.Server, left time.Duration, sent int) {
+	e.log.Info("requests were sent to a backend server before it was known to be cold", "server", string(server), "sent", sent, "warmLeft", left.String())
+}
+
+// observeStoreCall counts a call to the store, and logs one that got no answer.
+func (e *Edge) observeStoreCall(call string, took time.Duration, err error) {
+	e.metrics.observeStore(call, took, err)
+	if errors.Is(err, platform.ErrOutcomeUnknown) {
+		e.unansweredLogs.Do(func() {
+			e.log.Info("a call to the store got no answer", "call", call, "tookMs", took.Milliseconds(), "error", err.Error())
+		})
+	}
+}
+
 // announceWarmups tells all VMs which backend servers have told this VM that they are cold.
 func (e *Edge) announceWarmups() {
 	news := e.dispatcher.TakeWarmupNews()
