Move the decision on warm-up checks to coordination/warmup, with failing tests

When backend servers are asked whether they are cold, and by which VMs, is decided in a package of its own; the behaviour is the same.

--- a/coordination/dispatch/warmup_test.go
+++ b/coordination/dispatch/warmup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +74,69 @@
 		})
 	}
 }
+
+// What VMs sent in the second before they heard of a warm-up must count: they hear of it late.
+func TestRequestsBeforeNewsOfWarmupCount(t *testing.T) {
+	const (
+		rate    = 5
+		vms     = 5
+		allowed = 12 // 1.5 x rate + 5
+		period  = 100 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := clock.Runtime{Origin: time.Now().Add(-time.Hour)}
+		s := pauseServers(1, 2, false)
+		s.Configuration = fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{service: {Name: service, MaxConnections: 1000, WarmupRate: rate}}, fleet.Limits{})
+		s.Peers = map[id.VM]fleet.Peer{}
+		var all []*dispatch.Dispatcher
+		for i := range vms {
+			vm := id.VM(fmt.Sprint("vm", i))
+			s.Peers[vm] = fleet.Peer{VM: vm, Domain: "east"}
+			all = append(all, dispatch.NewDispatcher(vm, "east", dispatch.WithClock(c), dispatch.WithWarmBounds(1.5, 5)))
+		}
+		for _, vm := range all {
+			vm.Update(s)
+		}
+		var sent []time.Time
+		send := func(vm *dispatch.Dispatcher) {
+			now := c.Boot()
+			slot, err := vm.Acquire(context.Background(), dispatch.Demand{Service: service, Arrived: now, Deadline: now.Add(time.Millisecond), Objective: now.Add(time.Millisecond)})
+			if err == nil {
+				sent = append(sent, time.Now())
+				slot.Done(dispatch.Answered, dispatch.Report{})
+			}
+		}
+		// It turned cold 200 ms ago, and each VM has sent two requests there since.
+		turnedCold := time.Now()
+		for range 2 {
+			for _, vm := range all {
+				send(vm)
+			}
+			time.Sleep(period)
+		}
+		is.Equal(len(sent), 2*vms)
+		for _, vm := range all {
+			vm.ApplyWarmupNews([]dispatch.WarmupNews{{Incarnation: fleet.Incarnation{Server: "s0", Born: 2}, Left: 10 * time.Second}})
+		}
+		for time.Since(turnedCold) < 5*time.Second {
+			for _, vm := range all {
+				send(vm)
+			}
+			time.Sleep(period - time.Duration(time.Since(turnedCold).Nanoseconds()%period.Nanoseconds()))
+		}
+		most := 0
+		for i, first := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(first) < time.Second {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		t.Logf("at most %d requests within a second", most)
+		is.True(most <= allowed)
+		is.True(len(sent) > 2*vms+3*rate) // It isn't spared for longer than that.
+	})
+}
--- a/edge/warmupchecks_test.go
+++ b/coordination/warmup/checkers_test.go
@@ -1,14 +1,12 @@
-package edge
+package warmup_test
 
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/hickorylug/hickorylug/state/clock"
-	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/coordination/warmup"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
@@ -40,7 +38,7 @@
 			counts, vms := map[id.VM]int{}, 0
 			const servers = 300
 			for n := range servers {
-				checkers := warmupCheckers(fleet.Server{Incarnation: fleet.Incarnation{Server: id.Server(fmt.Sprint("s", n))}, Domain: "east"}, test.domains)
+				checkers := warmup.Checkers(id.Server(fmt.Sprint("s", n)), "east", test.domains)
 				local, seen := 0, map[id.VM]bool{}
 				for _, vm := range checkers {
 					if vm[:4] == "east" {
@@ -60,35 +58,3 @@
 		})
 	}
 }
-
-// An older copy of the store lacks warm-ups for up to 2.2 s, although the news are recent again.
-func TestWarmupChecksOutlastOutage(t *testing.T) {
-	const (
-		recent  = 900 * time.Millisecond
-		missing = 1100 * time.Millisecond
-	)
-	tests := map[string]struct {
-		// missedFor is how long news were missing, and since how long ago they came again.
-		missedFor, since time.Duration
-		want             bool
-	}{
-		"never":                 {since: time.Second},
-		"during an outage":      {missedFor: 4 * time.Second, want: true},
-		"just after an outage":  {missedFor: 4 * time.Second, since: 200 * time.Millisecond, want: true},
-		"before entries return": {missedFor: 4 * time.Second, since: 2100 * time.Millisecond, want: true},
-		"after entries return":  {missedFor: 4 * time.Second, since: 2300 * time.Millisecond},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			var g newsGap
-			now := clock.Instant(time.Hour)
-			is.True(!g.needsChecks(now, recent))
-			for end := now.Add(test.missedFor); now < end; {
-				now = now.Add(warmupCheckPeriod)
-				is.True(g.needsChecks(now, missing))
-			}
-			is.Equal(g.needsChecks(now.Add(test.since), recent), test.want)
-		})
-	}
-}
--- /dev/null
+++ b/coordination/warmup/warmup.go
@@ -0,0 +1,68 @@
+// Package warmup decides when backend servers are asked themselves whether they are cold, and by which VMs.
+//
+// A backend server may turn cold at any moment. Its entry in the store says so,
+// but the entry may be old or late: the store may be out of reach, or may carry
+// writes out late although it answers reads at once. A VM that has a sign of
+// either tells the others, since each backend server is asked by a few VMs only.
+// The package uses no sockets, and its callers pass the time.
+//
+// # Usage
+//
+//	var w warmup.Watch
+//	w.ObserveNews(now, newsAge)
+//	w.ObserveUnansweredWrite(now)
+//	if w.IsNeeded(now, server.Domain) && slices.Contains(warmup.Checkers(server.Server, server.Domain, vms), self) {
+//		ask(server)
+//	}
+package warmup
+
+import (
+	"time"
+
+	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/id"
+)
+
+const (
+	// maxNewsAge is the age of the news from the store from which backend servers are asked. It is a little above that between two polls of
+	// an idle store.
+	maxNewsAge = time.Second
+	// checksFor is how long backend servers are asked after the last sign that their entries may be old or late: running backend servers
+	// write them again within about two seconds, VMs that have started meanwhile know only an older copy, and a message that was delayed
+	// makes news seem recent.
+	checksFor = 2200 * time.Millisecond
+	// tellPeriod is the least time between two signs of which all VMs are told, whichever VM has them.
+	tellPeriod = 500 * time.Millisecond
+)
+
+// Watch holds the signs that entries of backend servers may not say that they are cold. The zero value has none. It is not safe for
+// concurrent use.
+type Watch struct {
+	// ownAt is the time of this VM's latest sign, and sharedAt that of the latest one of which all VMs were told; 0 means never.
+	ownAt, sharedAt clock.Instant
+}
+
+// ObserveNews records the age of the news from the store.
+func (w *Watch) ObserveNews(now clock.Instant, age time.Duration) {
+	if age > maxNewsAge {
+		w.ownAt = now
+	}
+}
+
+// ObserveUnansweredWrite records that a write of this VM got no answer from the store. It may be carried out late, and so may those of backend
+// servers.
+func (w *Watch) ObserveUnansweredWrite(clock.Instant) {}
+
+// ObserveShared records that another VM had a sign some time ago.
+func (w *Watch) ObserveShared(clock.Instant, time.Duration) {}
+
+// ObserveReturn records that the evacuation of a failure domain has ended; its backend servers may have turned cold shortly before.
+func (w *Watch) ObserveReturn(clock.Instant, id.Domain) {}
+
+// TakeSign returns how long ago this VM had a sign of which the other VMs should be told. It counts as told from then on.
+func (w *Watch) TakeSign(clock.Instant) (age time.Duration, ok bool) { return 0, false }
+
+// IsNeeded reports whether the backend servers of a failure domain must be asked now.
+func (w *Watch) IsNeeded(now clock.Instant, _ id.Domain) bool {
+	return w.ownAt > 0 && now.Sub(w.ownAt) < checksFor
+}
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/warmup"
 	"github.com/hickorylug/hickorylug/platform"
-	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/gossip"
@@ -26,16 +24,6 @@
 	warmupCheckPeriod = 250 * time.Millisecond
 	// warmupCheckTimeout limits a check.
 	warmupCheckTimeout = 200 * time.Millisecond
-	// warmupChecksAfter is the age of the news from the store from which backend servers are asked themselves. It is a little above that
-	// between two polls of an idle store.
-	warmupChecksAfter = time.Second
-	// warmupChecksFor is how long backend servers are asked after the news were last missing: an older copy of the store lacks what they wrote
-	// until they write it again, VMs that have started meanwhile know only that copy, and a message that was delayed makes news seem recent.
-	warmupChecksFor = reappearanceTime
-	// localWarmupCheckers is the number of VMs in its own failure domain that ask the same backend server, and remoteWarmupCheckers that in
-	// others. There are several, since followers don't hear whether other followers still run.
-	localWarmupCheckers  = 2
-	remoteWarmupCheckers = 1
 	// maxUnansweredLogs is the number of unanswered calls to the store that are logged each; of later ones, one per unansweredLogPeriod is.
 	maxUnansweredLogs   = 100
 	unansweredLogPeriod = time.Second
@@ -46,11 +34,12 @@
 // A backend server may turn cold at any moment and says so in its entry in the
 // store, which VMs don't hear of during an outage. Its health responses say it too.
 func (e *Edge) watchWarmups(ctx context.Context) error {
-	var gap newsGap
+	var watch warmup.Watch
 	for {
 		startedAt := e.clock.Boot()
-		if s := e.snapshot.Load(); s.Configuration != nil && gap.needsChecks(startedAt, e.newsAge()) {
-			e.checkWarmups(ctx, s)
+		if s := e.snapshot.Load(); s.Configuration != nil {
+			watch.ObserveNews(startedAt, e.newsAge())
+			e.checkWarmups(ctx, s, &watch)
 		}
 		select {
 		case <-e.clock.After(startedAt.Add(warmupCheckPeriod).Sub(e.clock.Boot())):
@@ -60,27 +49,16 @@
 	}
 }
 
-// newsGap is the latest time without news from the store.
-type newsGap struct {
-	// missedAt is when news were last missing; 0 means never.
-	missedAt clock.Instant
-}
-
-// needsChecks reports whether backend servers have to be asked now, given the age of the news.
-func (g *newsGap) needsChecks(now clock.Instant, age time.Duration) bool {
-	if age > warmupChecksAfter {
-		g.missedAt = now
-	}
-	return g.missedAt > 0 && now.Sub(g.missedAt) < warmupChecksFor
-}
-
 // checkWarmups asks the backend servers that this VM has to ask, and returns when all have answered or failed to.
-func (e *Edge) checkWarmups(ctx context.Context, s *fleet.Snapshot) {
-	domains := e.vmsByDomain(s.Peers)
+func (e *Edge) checkWarmups(ctx context.Context, s *fleet.Snapshot, watch *warmup.Watch) {
+	now, domains := e.clock.Boot(), e.vmsByDomain(s.Peers)
 	var checks sync.WaitGroup
 	for _, server := range s.Servers {
+		if !watch.IsNeeded(now, server.Domain) {
+			continue
+		}
 		service := s.Configuration.Services[server.Service]
-		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.Usable(server) || !slices.Contains(warmupCheckers(server, domains), e.settings.VM) {
+		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.Usable(server) || !slices.Contains(warmup.Checkers(server.Incarnation.Server, server.Domain, domains), e.settings.VM) {
 			continue
 		}
 		checks.Go(func() {
@@ -105,29 +83,6 @@
 	return domains
 }
 
-// warmupCheckers returns the VMs that ask a backend server whether it is cold, given all VMs by failure domain.
-//
-// Most are in its own failure domain: they reach it while the domain is cut off,
-// and no bytes between domains are needed.
-func warmupCheckers(server fleet.Server, domains map[id.Domain][]id.VM) []id.VM {
-	hash := xxhash.Sum64String(string(server.Server))
-	others := slices.Sorted(maps.Keys(domains))
-	others = slices.DeleteFunc(others, func(d id.Domain) bool { return d == server.Domain })
-	checkers := drawVMs(hash, domains[server.Domain], localWarmupCheckers)
-	if len(others) == 0 {
-		return checkers
-	}
-	return append(checkers, drawVMs(hash, domains[others[hash%uint64(len(others))]], remoteWarmupCheckers)...)
-}
-
-// drawVMs returns at most n of the VMs; which ones depends on the hash.
-func drawVMs(hash uint64, vms []id.VM, n int) (drawn []id.VM) {
-	for i := range min(n, len(vms)) {
-		drawn = append(drawn, vms[(hash%uint64(len(vms))+uint64(i))%uint64(len(vms))])
-	}
-	return drawn
-}
-
 // checkWarmup asks a backend server for its remaining warm-up time.
 func (e *Edge) checkWarmup(ctx context.Context, server fleet.Server, path string) {
 	ctx, cancel := context.WithTimeout(ctx, warmupCheckTimeout)
