Ask backend servers whether they are cold while their entries may be late

Cause: VMs took the age of their news from the store for the age of what backend servers say. The store answered reads at once, but carried writes out 1 to 6 s late, so entries said "cold" up to 1.5 s too late, while the news were 36 to 148 ms old. Only VMs without news asked backend servers, and each of them only its part.

Change: signs that entries may be late are a write of this VM that got no answer, and missing news; a VM that has one tells all others (message field 18), so that every backend server is asked by its checkers. What a VM has sent in the second before it heard of a warm-up counts against its share. In calm no message or check is sent.

--- a/coordination/dispatch/warmup.go
+++ b/coordination/dispatch/warmup.go
@@ -70,8 +70,9 @@
 func (d *Dispatcher) warmUp(now clock.Instant, c *server, left time.Duration) (isNew bool) {
 	if isNew = !c.isCold(now); isNew {
 		c.warmupLimiter = nil
-		if sent := c.sends.within(now, warmupWindow); sent > 0 {
-			d.options.OnLateWarmup(c.Incarnation.Server, left, sent)
+		c.warmupKnownAt = d.options.Clock.Now()
+		if c.sentBeforeWarmup = c.sends.within(now, warmupWindow); c.sentBeforeWarmup > 0 {
+			d.options.OnLateWarmup(c.Incarnation.Server, left, c.sentBeforeWarmup)
 		}
 	}
 	c.coldUntil = max(c.coldUntil, now.Add(left))
@@ -94,11 +95,21 @@
 		if share <= 0 {
 			return false
 		}
-		c.warmupLimiter = rate.NewLimiter(rate.Limit(share), 1)
+		c.warmupLimiter = newWarmupLimiter(share, c.warmupKnownAt, c.sentBeforeWarmup)
 	}
 	return c.warmupLimiter.TokensAt(d.options.Clock.Now()) >= 1
 }
 
+// newWarmupLimiter returns the limiter of a share, in requests per second. Those that were sent within the second before the warm-up was known
+// use up what may be sent at once, and delay the next one by the time of those that the share allows in a second.
+func newWarmupLimiter(share float64, knownAt time.Time, sentBefore int) *rate.Limiter {
+	limiter := rate.NewLimiter(rate.Limit(share), 1)
+	for range min(sentBefore, max(1, int(share*warmupWindow.Seconds()))) {
+		limiter.ReserveN(knownAt, 1)
+	}
+	return limiter
+}
+
 // warmupShare returns this VM's share of the warm-up rate of a cold backend server, in requests per second; 0 means that it may send none.
 func (d *Dispatcher) warmupShare(c *server, warmupRate float64) float64 {
 	// Unreachable VMs count too: they may be partitioned from this VM and still send.
--- a/coordination/warmup/warmup.go
+++ b/coordination/warmup/warmup.go
@@ -17,6 +17,7 @@
 package warmup
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hickorylug/hickorylug/state/clock"
@@ -40,6 +41,8 @@
 type Watch struct {
 	// ownAt is the time of this VM's latest sign, and sharedAt that of the latest one of which all VMs were told; 0 means never.
 	ownAt, sharedAt clock.Instant
+	// returnedAt is when the latest evacuation of a failure domain ended.
+	returnedAt map[id.Domain]clock.Instant
 }
 
 // ObserveNews records the age of the news from the store.
@@ -51,18 +54,51 @@
 
 // ObserveUnansweredWrite records that a write of this VM got no answer from the store. It may be carried out late, and so may those of backend
 // servers.
-func (w *Watch) ObserveUnansweredWrite(clock.Instant) {}
+func (w *Watch) ObserveUnansweredWrite(now clock.Instant) { w.ownAt = now }
 
 // ObserveShared records that another VM had a sign some time ago.
-func (w *Watch) ObserveShared(clock.Instant, time.Duration) {}
+func (w *Watch) ObserveShared(now clock.Instant, age time.Duration) {
+	w.sharedAt = max(w.sharedAt, now.Add(-max(age, 0)))
+}
 
 // ObserveReturn records that the evacuation of a failure domain has ended; its backend servers may have turned cold shortly before.
-func (w *Watch) ObserveReturn(clock.Instant, id.Domain) {}
+func (w *Watch) ObserveReturn(now clock.Instant, domain id.Domain) {
+	if w.returnedAt == nil {
+		w.returnedAt = map[id.Domain]clock.Instant{}
+	}
+	w.returnedAt[domain] = now
+}
 
 // TakeSign returns how long ago this VM had a sign of which the other VMs should be told. It counts as told from then on.
-func (w *Watch) TakeSign(clock.Instant) (age time.Duration, ok bool) { return 0, false }
+func (w *Watch) TakeSign(now clock.Instant) (age time.Duration, ok bool) {
+	if w.ownAt == 0 || w.sharedAt > 0 && w.ownAt.Sub(w.sharedAt) < tellPeriod {
+		return 0, false
+	}
+	w.sharedAt = w.ownAt
+	return now.Sub(w.ownAt), true
+}
+
+// Clone returns a copy of the signs.
+func (w *Watch) Clone() Watch {
+	return Watch{ownAt: w.ownAt, sharedAt: w.sharedAt, returnedAt: maps.Clone(w.returnedAt)}
+}
 
 // IsNeeded reports whether the backend servers of a failure domain must be asked now.
-func (w *Watch) IsNeeded(now clock.Instant, _ id.Domain) bool {
-	return w.ownAt > 0 && now.Sub(w.ownAt) < checksFor
+func (w *Watch) IsNeeded(now clock.Instant, domain id.Domain) bool {
+	return w.isForAll(now) || isRecent(now, w.returnedAt[domain])
+}
+
+// IsIdle reports whether no backend server has to be asked now.
+func (w *Watch) IsIdle(now clock.Instant) bool {
+	for _, at := range w.returnedAt {
+		if isRecent(now, at) {
+			return false
+		}
+	}
+	return !w.isForAll(now)
 }
+
+// isForAll reports whether the backend servers of all failure domains must be asked.
+func (w *Watch) isForAll(now clock.Instant) bool { return isRecent(now, max(w.ownAt, w.sharedAt)) }
+
+func isRecent(now, at clock.Instant) bool { return at > 0 && now.Sub(at) < checksFor }
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -229,6 +229,7 @@
 	e.applyRequestLimits(m.RequestLimits)
 	e.applyDepartures(m.From, m.Leaving)
 	e.applyWarmups(m.From, m.Warmups)
+	e.applyLateEntries(m.From, m.LateEntries)
 	e.receiveCrashes(m.From, m.Crashes)
 	if m.Heartbeat != nil {
 		e.handleHeartbeat(m)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -37,6 +37,7 @@
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/coordination/reach"
 	"github.com/hickorylug/hickorylug/coordination/retention"
+	"github.com/hickorylug/hickorylug/coordination/warmup"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -117,6 +118,9 @@
 	pauseLogs rate.Sometimes
 	// unusedLogs bounds the log lines of items of the store that aren't used.
 	unusedLogs rate.Sometimes
+	// warmups holds the signs that backend servers must be asked whether they are cold, and warmupSign triggers such checks at once.
+	warmups    warmup.Watch
+	warmupSign chan struct{}
 	// unansweredLogs bounds the log lines of unanswered calls to the store.
 	unansweredLogs rate.Sometimes
 	// keeper keeps what an outage of the store or an older copy of it would take back.
@@ -166,6 +170,7 @@
 		unusedLogs:     rate.Sometimes{First: maxUnusedLogs, Interval: unusedLogPeriod},
 		unansweredLogs: rate.Sometimes{First: maxUnansweredLogs, Interval: unansweredLogPeriod},
 		keeper:         retention.NewKeeper(),
+		warmupSign:     make(chan struct{}, 1),
 		resync:         make(chan struct{}, 1),
 		replan:         make(chan struct{}, 1),
 		updatesPending: make(chan struct{}, 1),
--- a/edge/store.go
+++ b/edge/store.go
@@ -248,6 +248,7 @@
 		e.crashes.Restore(e.clock.Boot(), e.clock.Now(), s.Crashes)
 	}
 	e.forwarder.FollowServers(old, s)
+	e.observeReturns(old, s)
 	if len(s.Servers) != len(old.Servers) {
 		e.options.OnScale(len(s.Servers))
 	}
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -12,6 +12,7 @@
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/warmup"
 	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/gossip"
@@ -29,36 +30,95 @@
 	unansweredLogPeriod = time.Second
 )
 
-// watchWarmups asks backend servers whether they are cold while the store can't tell, until the context ends.
+// watchWarmups asks backend servers whether they are cold while their entries may not tell, until the context ends.
 //
 // A backend server may turn cold at any moment and says so in its entry in the
-// store, which VMs don't hear of during an outage. Its health responses say it too.
+// store, which VMs don't hear of while the store is out of reach or carries
+// writes out late. Its health responses say it too.
 func (e *Edge) watchWarmups(ctx context.Context) error {
-	var watch warmup.Watch
 	for {
 		startedAt := e.clock.Boot()
 		if s := e.snapshot.Load(); s.Configuration != nil {
-			watch.ObserveNews(startedAt, e.newsAge())
-			e.checkWarmups(ctx, s, &watch)
+			e.observeNewsAge(startedAt)
+			e.checkWarmups(ctx, s)
 		}
 		select {
 		case <-e.clock.After(startedAt.Add(warmupCheckPeriod).Sub(e.clock.Boot())):
+		case <-e.warmupSign:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// observeNewsAge records the age of the news, and tells the other VMs of a sign that they need.
+func (e *Edge) observeNewsAge(now clock.Instant) {
+	age := e.newsAge()
+	e.mu.Lock()
+	e.warmups.ObserveNews(now, age)
+	var signAge time.Duration
+	// A VM that has just started and knows the store from another VM only has old news, but that is no sign for the others.
+	tell := e.firstNewsAt > 0
+	if tell {
+		signAge, tell = e.warmups.TakeSign(now)
+	}
+	e.mu.Unlock()
+	if tell {
+		e.log.Info("entries of backend servers may be late: they are asked whether they are cold", "signAgeMs", signAge.Milliseconds(), "newsAgeMs", age.Milliseconds())
+		e.announce(e.withSender(gossip.Message{LateEntries: &gossip.LateEntries{Age: int(signAge.Milliseconds())}}))
+	}
+}
+
+// observeSign records a sign that backend servers must be asked, and triggers checks at once unless they have been going on.
+func (e *Edge) observeSign(record func(now clock.Instant, w *warmup.Watch)) {
+	e.mu.Lock()
+	now := e.clock.Boot()
+	wasIdle := e.warmups.IsIdle(now)
+	record(now, &e.warmups)
+	starts := wasIdle && !e.warmups.IsIdle(now)
+	e.mu.Unlock()
+	if starts {
+		e.notify(e.warmupSign)
+	}
+}
+
+// applyLateEntries records that another VM had a sign that entries of backend servers may be late.
+func (e *Edge) applyLateEntries(from id.VM, late *gossip.LateEntries) {
+	if late == nil {
+		return
+	}
+	e.observeSign(func(now clock.Instant, w *warmup.Watch) {
+		if w.IsIdle(now) {
+			e.log.Info("another VM reports that entries of backend servers may be late", "from", string(from), "ageMs", late.Age)
+		}
+		w.ObserveShared(now, time.Duration(min(max(late.Age, 0), maxSignAge))*time.Millisecond)
+	})
+}
+
+// observeReturns records the failure domains whose evacuation has ended: their backend servers may have turned cold shortly before.
+func (e *Edge) observeReturns(old, next *fleet.Snapshot) {
+	for domain := range old.Evacuated {
+		if !next.Evacuated[domain] {
+			e.observeSign(func(now clock.Instant, w *warmup.Watch) { w.ObserveReturn(now, domain) })
+		}
+	}
+}
+
 // checkWarmups asks the backend servers that this VM has to ask, and returns when all have answered or failed to.
-func (e *Edge) checkWarmups(ctx context.Context, s *fleet.Snapshot, watch *warmup.Watch) {
-	now, domains := e.clock.Boot(), e.vmsByDomain(s.Peers)
+func (e *Edge) checkWarmups(ctx context.Context, s *fleet.Snapshot) {
+	now := e.clock.Boot()
+	e.mu.Lock()
+	watch := e.warmups.Clone()
+	e.mu.Unlock()
+	if watch.IsIdle(now) {
+		return
+	}
+	vms := e.vmsByDomain(s.Peers)
 	var checks sync.WaitGroup
 	for _, server := range s.Servers {
-		if !watch.IsNeeded(now, server.Domain) {
-			continue
-		}
 		service := s.Configuration.Services[server.Service]
-		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.Usable(server) || !slices.Contains(warmup.Checkers(server.Incarnation.Server, server.Domain, domains), e.settings.VM) {
+		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.Usable(server) || !watch.IsNeeded(now, server.Domain) ||
+			!slices.Contains(warmup.Checkers(server.Server, server.Domain, vms), e.settings.VM) {
 			continue
 		}
 		checks.Go(func() {
@@ -111,13 +171,17 @@
 	e.log.Info("requests were sent to a backend server before it was known to be cold", "server", string(server), "sent", sent, "warmLeft", left.String())
 }
 
-// observeStoreCall counts a call to the store, and logs one that got no answer.
+// observeStoreCall counts a call to the store, and records and logs one that got no answer.
 func (e *Edge) observeStoreCall(call string, took time.Duration, err error) {
 	e.metrics.observeStore(call, took, err)
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
-		e.unansweredLogs.Do(func() {
-			e.log.Info("a call to the store got no answer", "call", call, "tookMs", took.Milliseconds(), "error", err.Error())
-		})
+	if !errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, context.Canceled) {
+		return
+	}
+	e.unansweredLogs.Do(func() {
+		e.log.Info("a call to the store got no answer", "call", call, "tookMs", took.Milliseconds(), "error", err.Error())
+	})
+	if platform.IsWrite(call) {
+		e.observeSign(func(now clock.Instant, w *warmup.Watch) { w.ObserveUnansweredWrite(now) })
 	}
 }
 
@@ -134,6 +198,9 @@
 	e.announce(m)
 }
 
+// maxSignAge limits the age of a sign in a message, in milliseconds, so that it can't overflow.
+const maxSignAge = 3_600_000
+
 // maxWarmupLeft limits the remaining warm-up time in a message, in milliseconds, so that it can't overflow.
 const maxWarmupLeft = 3_600_000
 
--- a/edge/warmup_test.go
+++ b/edge/warmup_test.go
@@ -152,3 +152,19 @@
 	is.True(cold > 0)
 	is.True(cold <= mostAllowed)
 }
+
+func TestServerIsColdAtTheEndOfAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	s := newCoolingSite(t)
+	s.store.Put("op/evacuate/east", []byte("{}"))
+	s.sendFor(2*time.Second, 0, 1, 2)
+	s.server.coolDown(10 * time.Second)
+	s.store.Remove("op/evacuate/east")
+	returnedAt := time.Now()
+	s.sendFor(4*time.Second, 0, 1, 2)
+	s.requests.Wait()
+	cold := s.server.mostPerSecond(returnedAt.Add(time.Second))
+	t.Logf("at most %d requests arrived within a second", cold)
+	is.True(cold > 0)
+	is.True(cold <= mostAllowed)
+}
--- a/transport/gossip/message.go
+++ b/transport/gossip/message.go
@@ -34,6 +34,8 @@
 	Leaving []Leaving `cbor:"16,keyasint,omitempty"`
 	// Warmups are backend servers that have said in health responses that they are cold.
 	Warmups []Warmup `cbor:"17,keyasint,omitempty"`
+	// LateEntries says that the entries of backend servers in the store may be old or late.
+	LateEntries *LateEntries `cbor:"18,keyasint,omitempty"`
 	// Fragment is a part of a longer message; the other parts of this one are omitted.
 	Fragment *Fragment `cbor:"10,keyasint,omitempty"`
 }
@@ -144,6 +146,13 @@
 	Left int `cbor:"3,keyasint"`
 }
 
+// LateEntries says that a VM had a sign that the entries of backend servers in the store may be old or late, so that they must be asked
+// whether they are cold.
+type LateEntries struct {
+	// Age is the time since that sign, in milliseconds.
+	Age int `cbor:"1,keyasint"`
+}
+
 // Crash reports the crash of a backend server's process and the requests that were in flight there, by fingerprint.
 type Crash struct {
 	Server id.Server       `cbor:"1,keyasint,omitempty"`
--- a/transport/gossip/message_test.go
+++ b/transport/gossip/message_test.go
@@ -29,7 +29,7 @@
 		is := is.New(t)
 		data, err := cbor.Marshal(gossip.Message{
 			From: "a", Incarnation: "i", Domain: "east", Heartbeat: heartbeat, RequestLimits: limits, Leaving: []gossip.Leaving{{Server: "s", Born: 2, Age: 30}},
-			Warmups: []gossip.Warmup{{Server: "s", Born: 2, Left: 30}},
+			Warmups: []gossip.Warmup{{Server: "s", Born: 2, Left: 30}}, LateEntries: &gossip.LateEntries{Age: 30},
 		})
 		is.NoErr(err)
 		var got formerMessage
@@ -73,6 +73,17 @@
 		is.NoErr(err)
 		is.Equal(encoded, data)
 	})
+	t.Run("the number and the fields of a sign of late entries", func(t *testing.T) {
+		is := is.New(t)
+		// {1: "a", 2: "", 3: "", 18: {1: 30}}
+		data := []byte{0xa4, 0x01, 0x61, 'a', 0x02, 0x60, 0x03, 0x60, 0x12, 0xa1, 0x01, 0x18, 30}
+		var got gossip.Message
+		is.NoErr(cbor.Unmarshal(data, &got))
+		is.Equal(got, gossip.Message{From: "a", LateEntries: &gossip.LateEntries{Age: 30}})
+		encoded, err := cbor.Marshal(got)
+		is.NoErr(err)
+		is.Equal(encoded, data)
+	})
 	t.Run("the known term and the stamp of a heartbeat, which earlier builds don't send", func(t *testing.T) {
 		is := is.New(t)
 		// {1: "a", 2: "", 3: "", 4: {1: 7, 2: 0, 8: true, 12: 9, 13: {1: 9, 2: 30}}}
