Let VMs without news ask all backend servers to which they send

A VM whose news are missing now asks all backend servers to which it has sent a request within the last second, beside its part. Owners of keys that drain are asked, too, as they still get requests.

Tests: TestVMWithoutNewsAsksBackendServersItself.

--- a/coordination/dispatch/warmup.go
+++ b/coordination/dispatch/warmup.go
@@ -37,6 +37,19 @@
 	return d.warmUp(d.options.Clock.Boot(), c, n.Left)
 }
 
+// RecentServers returns the backend servers to which this VM has sent a request within the last second.
+func (d *Dispatcher) RecentServers() map[id.Server]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, recent := d.options.Clock.Boot(), map[id.Server]bool{}
+	for name, c := range d.servers {
+		if c.sends.within(now, warmupWindow) > 0 {
+			recent[name] = true
+		}
+	}
+	return recent
+}
+
 // TakeWarmupNews returns which cold backend servers the other VMs should hear of, as this VM was told since the preceding call.
 func (d *Dispatcher) TakeWarmupNews() (out []WarmupNews) {
 	d.mu.Lock()
--- a/coordination/warmup/warmup.go
+++ b/coordination/warmup/warmup.go
@@ -41,13 +41,15 @@
 type Watch struct {
 	// ownAt is the time of this VM's latest sign, and sharedAt that of the latest one of which all VMs were told; 0 means never.
 	ownAt, sharedAt clock.Instant
+	// missesNews says that this VM's news from the store are old.
+	missesNews bool
 	// returnedAt is when the latest evacuation of a failure domain ended.
 	returnedAt map[id.Domain]clock.Instant
 }
 
 // ObserveNews records the age of the news from the store.
 func (w *Watch) ObserveNews(now clock.Instant, age time.Duration) {
-	if age > maxNewsAge {
+	if w.missesNews = age > maxNewsAge; w.missesNews {
 		w.ownAt = now
 	}
 }
@@ -80,7 +82,7 @@
 
 // Clone returns a copy of the signs.
 func (w *Watch) Clone() Watch {
-	return Watch{ownAt: w.ownAt, sharedAt: w.sharedAt, returnedAt: maps.Clone(w.returnedAt)}
+	return Watch{ownAt: w.ownAt, sharedAt: w.sharedAt, missesNews: w.missesNews, returnedAt: maps.Clone(w.returnedAt)}
 }
 
 // IsNeeded reports whether the backend servers of a failure domain must be asked now.
@@ -88,6 +90,10 @@
 	return w.isForAll(now) || isRecent(now, w.returnedAt[domain])
 }
 
+// MustAskItself reports whether this VM must ask all backend servers to which it sends. The others may know that one isn't to be used, and
+// therefore neither ask it nor hear that it is cold.
+func (w *Watch) MustAskItself() bool { return w.missesNews }
+
 // IsIdle reports whether no backend server has to be asked now.
 func (w *Watch) IsIdle(now clock.Instant) bool {
 	for _, at := range w.returnedAt {
--- a/edge/lateentries_test.go
+++ b/edge/lateentries_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,10 +13,13 @@
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
+	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/warmup"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/state/settings"
 	"github.com/hickorylug/hickorylug/transport/gossip"
 )
 
@@ -68,3 +74,48 @@
 		})
 	}
 }
+
+// A VM without news may send to backend servers that the others know to be evacuated, which nobody else asks then.
+func TestVMWithoutNewsAsksBackendServersItself(t *testing.T) {
+	const servers = 20
+	for name, age := range map[string]time.Duration{"recent news": 100 * time.Millisecond, "no news": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.Runtime{Origin: time.Now().Add(-time.Hour)}
+			s := &fleet.Snapshot{
+				Configuration: fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{"plans": {Name: "plans", MaxConnections: 1000}}, fleet.Limits{}),
+				Servers:       map[id.Server]fleet.Server{}, Peers: map[id.VM]fleet.Peer{},
+			}
+			for i := range servers {
+				name := id.Server(fmt.Sprint("s", i))
+				s.Servers[name] = fleet.Server{Incarnation: fleet.Incarnation{Server: name, Born: 1}, Service: "plans", Domain: "east", Slots: 4, Revision: 1}
+			}
+			s.ByService = fleet.ByService(s.Servers)
+			for i := range 9 {
+				vm := id.VM(fmt.Sprint("vm", i))
+				s.Peers[vm] = fleet.Peer{VM: vm, Domain: "east"}
+			}
+			e := &Edge{clock: c, dispatcher: dispatch.NewDispatcher("vm0", "east", dispatch.WithClock(c)), settings: settings.Edge{VM: "vm0", FailureDomain: "east"}}
+			e.dispatcher.Update(s)
+			slot, err := e.dispatcher.Acquire(t.Context(), dispatch.Demand{Service: "plans", Arrived: c.Boot(), Deadline: c.Boot().Add(time.Second), Objective: c.Boot().Add(time.Second)})
+			is.NoErr(err)
+			var watch warmup.Watch
+			watch.ObserveNews(c.Boot(), age)
+			asks, own := e.warmupTargets(s, watch), 0
+			for _, server := range s.Servers {
+				is.Equal(asks(server), slot.Server.Server == server.Server && watch.MustAskItself() || isOwnPart(s, server))
+				if isOwnPart(s, server) {
+					own++
+				}
+			}
+			is.True(own > 0 && own < servers)
+			is.Equal(watch.MustAskItself(), age > time.Second)
+		})
+	}
+}
+
+// isOwnPart reports whether vm0 is one of those that ask a backend server.
+func isOwnPart(s *fleet.Snapshot, server fleet.Server) bool {
+	vms := slices.Sorted(maps.Keys(s.Peers))
+	return slices.Contains(warmup.Checkers(server.Server, server.Domain, map[id.Domain][]id.VM{"east": vms}), "vm0")
+}
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -113,12 +113,11 @@
 	if watch.IsIdle(now) {
 		return
 	}
-	vms := e.vmsByDomain(s.Peers)
+	asks := e.warmupTargets(s, watch)
 	var checks sync.WaitGroup
 	for _, server := range s.Servers {
 		service := s.Configuration.Services[server.Service]
-		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.Usable(server) || !watch.IsNeeded(now, server.Domain) ||
-			!slices.Contains(warmup.Checkers(server.Server, server.Domain, vms), e.settings.VM) {
+		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.UsableForKeys(now, server) || !watch.IsNeeded(now, server.Domain) || !asks(server) {
 			continue
 		}
 		checks.Go(func() {
@@ -129,6 +128,17 @@
 	checks.Wait()
 }
 
+// warmupTargets returns which backend servers this VM has to ask: its part, and those to which it sends while it has no news.
+func (e *Edge) warmupTargets(s *fleet.Snapshot, watch warmup.Watch) (asks func(server fleet.Server) bool) {
+	vms, recent := e.vmsByDomain(s.Peers), map[id.Server]bool{}
+	if watch.MustAskItself() {
+		recent = e.dispatcher.RecentServers()
+	}
+	return func(server fleet.Server) bool {
+		return recent[server.Server] || slices.Contains(warmup.Checkers(server.Server, server.Domain, vms), e.settings.VM)
+	}
+}
+
 // vmsByDomain returns this VM and its peers by failure domain, sorted by name.
 func (e *Edge) vmsByDomain(peers map[id.VM]fleet.Peer) map[id.Domain][]id.VM {
 	domains := map[id.Domain][]id.VM{e.settings.FailureDomain: {e.settings.VM}}
