Presume backend servers cold at the end of an evacuation until they answer

All VMs sent to the idle backend servers at once, within 150 ms, before the first check had answered; checks went on already, so that the end of the evacuation didn't trigger one.

The backend servers of the failure domain now count as cold from the moment at which a VM sees the end of the evacuation, before it sends queued requests, until one of the VMs that ask them hears that they are warm, for their warm-up time at most.

Tests: TestEvacuationEndsBeforeServersAreKnownToBeCold.

--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -55,12 +55,14 @@
 	peerServiceTime time.Duration
 	// coldUntil is when the warm-up ends.
 	coldUntil clock.Instant
+	// presumedAt is when it was last presumed cold, and presumedUntil when that ends; returnedUntil is when it would have ended at the latest.
+	presumedAt, presumedUntil, returnedUntil clock.Instant
 	// warmupLimiter limits the requests during the warm-up; it is nil until the first of them may be sent.
 	warmupLimiter *rate.Limiter
 	// warmupKnownAt is when this VM heard of the warm-up, and sentBeforeWarmup the number of requests that it sent within the second before.
 	warmupKnownAt    time.Time
 	sentBeforeWarmup int
-	// hasWarmupNews says that it has told this VM of its warm-up, and that the other VMs haven't heard of that yet.
+	// hasWarmupNews says that it has told this VM whether it is cold, and that the other VMs haven't heard of that yet.
 	hasWarmupNews bool
 	// sends are the latest requests that this VM has sent there.
 	sends recentSends
--- a/coordination/dispatch/warmup.go
+++ b/coordination/dispatch/warmup.go
@@ -18,82 +18,127 @@
 // warmupWindow is the time for which requests to a cold backend server are counted.
 const warmupWindow = time.Second
 
-// WarmupNews says that a backend server is cold, as VMs report it to each other.
+// WarmupNews says for how long a backend server stays cold, as VMs report it to each other.
 type WarmupNews struct {
 	Incarnation fleet.Incarnation
-	// Left is the remaining warm-up time.
+	// Left is the remaining warm-up time, or 0 if it is warm.
 	Left time.Duration
 }
 
-// ObserveWarmup records that a backend server has told this VM, in a health response, that it is cold. It reports whether this is new.
-func (d *Dispatcher) ObserveWarmup(n WarmupNews) (isNew bool) {
+// PresumeCold presumes that the backend servers of a failure domain whose evacuation ends are cold, until a health response says otherwise, for
+// their warm-up time at most.
+//
+// They are idle, so that all VMs would send them what is queued before any of
+// them could hear that they have turned cold.
+func (d *Dispatcher) PresumeCold(domain id.Domain) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c, ok := d.servers[n.Incarnation.Server]
-	if !ok || c.Incarnation != n.Incarnation || n.Left <= 0 {
-		return false
+	if d.snapshot.Configuration == nil {
+		return
+	}
+	now := d.options.Clock.Boot()
+	for _, c := range d.servers {
+		service := d.snapshot.Configuration.Services[c.Service]
+		if c.Domain != domain || service.WarmupRate <= 0 || service.HealthPath == "" {
+			continue
+		}
+		if !c.isCold(now) {
+			d.beginWarmup(now, c)
+		}
+		c.presumedAt, c.presumedUntil = now, now.Add(service.WarmupTime)
+		c.returnedUntil = c.presumedUntil
 	}
-	c.hasWarmupNews = true
-	return d.warmUp(d.options.Clock.Boot(), c, n.Left)
 }
 
-// RecentServers returns the backend servers to which this VM has sent a request within the last second.
-func (d *Dispatcher) RecentServers() map[id.Server]bool {
+// ObserveWarmup records what a backend server has told this VM in a health response that was asked for at a given time. It reports whether it
+// is cold and wasn't known to be.
+func (d *Dispatcher) ObserveWarmup(n WarmupNews, askedAt clock.Instant) (isNew bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now, recent := d.options.Clock.Boot(), map[id.Server]bool{}
-	for name, c := range d.servers {
-		if c.sends.within(now, warmupWindow) > 0 {
-			recent[name] = true
-		}
+	c, ok := d.servers[n.Incarnation.Server]
+	if !ok || c.Incarnation != n.Incarnation {
+		return false
 	}
-	return recent
+	now := d.options.Clock.Boot()
+	if n.Left > 0 {
+		c.hasWarmupNews = true
+		return d.warmUp(now, c, n.Left)
+	}
+	if askedAt >= c.presumedAt && now < c.returnedUntil {
+		c.hasWarmupNews, c.presumedUntil = true, 0
+		d.wake(c.Service)
+	}
+	return false
 }
 
-// TakeWarmupNews returns which cold backend servers the other VMs should hear of, as this VM was told since the preceding call.
+// TakeWarmupNews returns what the other VMs should hear of backend servers, as this VM was told since the preceding call.
 func (d *Dispatcher) TakeWarmupNews() (out []WarmupNews) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.options.Clock.Boot()
 	for _, c := range d.servers {
-		if c.hasWarmupNews && c.isCold(now) {
-			out = append(out, WarmupNews{Incarnation: c.Incarnation, Left: c.coldUntil.Sub(now)})
+		if c.hasWarmupNews && (now < c.coldUntil || now < c.returnedUntil) {
+			out = append(out, WarmupNews{Incarnation: c.Incarnation, Left: max(0, c.coldUntil.Sub(now))})
 		}
 		c.hasWarmupNews = false
 	}
 	return out
 }
 
-// ApplyWarmupNews records what another VM was told of cold backend servers, and returns the news. Those of other incarnations than the
+// RecentServers returns the backend servers to which this VM has sent a request within the last second.
+func (d *Dispatcher) RecentServers() map[id.Server]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, recent := d.options.Clock.Boot(), map[id.Server]bool{}
+	for name, c := range d.servers {
+		if c.sends.within(now, warmupWindow) > 0 {
+			recent[name] = true
+		}
+	}
+	return recent
+}
+
+// ApplyWarmupNews records what another VM was told by backend servers, and returns the news of cold ones. Those of other incarnations than the
 // known ones are ignored.
 func (d *Dispatcher) ApplyWarmupNews(news []WarmupNews) (added []WarmupNews) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.options.Clock.Boot()
 	for _, n := range news {
-		if c, ok := d.servers[n.Incarnation.Server]; ok && c.Incarnation == n.Incarnation && n.Left > 0 && d.warmUp(now, c, n.Left) {
+		c, ok := d.servers[n.Incarnation.Server]
+		switch {
+		case !ok || c.Incarnation != n.Incarnation || n.Left < 0:
+		case n.Left == 0:
+			c.presumedUntil = 0
+			d.wake(c.Service)
+		case d.warmUp(now, c, n.Left):
 			added = append(added, n)
 		}
 	}
 	return added
 }
 
-// warmUp records the remaining warm-up time, and reports whether the backend server was warm before. What was sent during a warm-up that
-// goes on still counts.
+// warmUp records the remaining warm-up time, and reports whether the backend server wasn't known to be cold. What was sent during a warm-up
+// that goes on still counts.
 func (d *Dispatcher) warmUp(now clock.Instant, c *server, left time.Duration) (isNew bool) {
-	if isNew = !c.isCold(now); isNew {
-		c.warmupLimiter = nil
-		c.warmupKnownAt = d.options.Clock.Now()
-		if c.sentBeforeWarmup = c.sends.within(now, warmupWindow); c.sentBeforeWarmup > 0 {
-			d.options.OnLateWarmup(c.Incarnation.Server, left, c.sentBeforeWarmup)
+	if !c.isCold(now) {
+		if sent := d.beginWarmup(now, c); sent > 0 {
+			d.options.OnLateWarmup(c.Incarnation.Server, left, sent)
 		}
 	}
+	isNew = now >= c.coldUntil
 	c.coldUntil = max(c.coldUntil, now.Add(left))
 	return isNew
 }
 
-// isCold reports whether the backend server is still warming up.
-func (s *server) isCold(now clock.Instant) bool { return now < s.coldUntil }
+// beginWarmup starts the limit of a warm-up, and returns the number of requests that were sent within the second before.
+func (d *Dispatcher) beginWarmup(now clock.Instant, c *server) (sent int) {
+	c.warmupLimiter, c.warmupKnownAt, c.sentBeforeWarmup = nil, d.options.Clock.Now(), c.sends.within(now, warmupWindow)
+	return c.sentBeforeWarmup
+}
+
+// isCold reports whether the backend server is still warming up, or is presumed to.
+func (s *server) isCold(now clock.Instant) bool { return now < s.coldUntil || now < s.presumedUntil }
 
 // allowsWarmup reports whether this VM may send a request to a cold backend server now.
 //
--- a/coordination/dispatch/warmup_test.go
+++ b/coordination/dispatch/warmup_test.go
@@ -23,7 +23,7 @@
 	)
 	process := fleet.Incarnation{Server: "s0", Born: 2}
 	observe := func(n dispatch.WarmupNews) func(d *dispatch.Dispatcher) {
-		return func(d *dispatch.Dispatcher) { d.ObserveWarmup(n) }
+		return func(d *dispatch.Dispatcher) { d.ObserveWarmup(n, 0) }
 	}
 	apply := func(n dispatch.WarmupNews) func(d *dispatch.Dispatcher) {
 		return func(d *dispatch.Dispatcher) { d.ApplyWarmupNews([]dispatch.WarmupNews{n}) }
@@ -140,3 +140,74 @@
 		is.True(len(sent) > 2*vms+3*rate) // It isn't spared for longer than that.
 	})
 }
+
+// At the end of an evacuation all VMs send what is queued before any of them can hear that the backend servers have turned cold.
+func TestEvacuationEndsBeforeServersAreKnownToBeCold(t *testing.T) {
+	const (
+		rate = 5
+		vms  = 5
+	)
+	process := fleet.Incarnation{Server: "s0", Born: 2}
+	tests := map[string]struct {
+		left time.Duration
+		// heardAfter is when the VMs hear what the backend server has told one of them.
+		heardAfter time.Duration
+		// asksFor is the age of the first VM's question at the answer.
+		asksFor time.Duration
+		cold    bool
+	}{
+		"cold":                           {left: 3 * time.Second, heardAfter: 100 * time.Millisecond, cold: true},
+		"cold, heard late":               {left: 2 * time.Second, heardAfter: time.Second, cold: true},
+		"warm":                           {heardAfter: 100 * time.Millisecond},
+		"warm, but asked before the end": {heardAfter: 100 * time.Millisecond, asksFor: 200 * time.Millisecond, cold: true},
+		"no answer, which may come from a cold one": {heardAfter: time.Hour, cold: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := clock.Runtime{Origin: time.Now().Add(-time.Hour)}
+				s := pauseServers(1, 2, false)
+				s.Configuration = fleet.NewConfiguration(1, nil, map[id.Service]fleet.Service{
+					service: {Name: service, MaxConnections: 1000, WarmupRate: rate, WarmupTime: 3 * time.Second, HealthPath: "/health"},
+				}, fleet.Limits{})
+				s.Peers = map[id.VM]fleet.Peer{}
+				var all []*dispatch.Dispatcher
+				for i := range vms {
+					vm := id.VM(fmt.Sprint("vm", i))
+					s.Peers[vm] = fleet.Peer{VM: vm, Domain: "east"}
+					all = append(all, dispatch.NewDispatcher(vm, "east", dispatch.WithClock(c), dispatch.WithWarmBounds(1.5, 5)))
+				}
+				evacuated := *s
+				evacuated.Evacuated = map[id.Domain]bool{"east": true}
+				for _, vm := range all {
+					vm.Update(&evacuated)
+					vm.PresumeCold("east")
+					vm.Update(s)
+				}
+				returnedAt, sent := time.Now(), 0
+				for heard := false; time.Since(returnedAt) < time.Second; time.Sleep(10 * time.Millisecond) {
+					if !heard && time.Since(returnedAt) >= test.heardAfter {
+						heard = true
+						all[0].ObserveWarmup(dispatch.WarmupNews{Incarnation: process, Left: test.left}, c.Boot().Add(-test.asksFor))
+						news := all[0].TakeWarmupNews()
+						for _, vm := range all[1:] {
+							vm.ApplyWarmupNews(news)
+						}
+					}
+					for _, vm := range all {
+						now := c.Boot()
+						slot, err := vm.Acquire(t.Context(), dispatch.Demand{Service: service, Arrived: now, Deadline: now.Add(time.Nanosecond), Objective: now.Add(time.Nanosecond)})
+						if err == nil {
+							sent++
+							slot.Done(dispatch.Answered, dispatch.Report{})
+						}
+					}
+				}
+				t.Logf("%d requests", sent)
+				is.Equal(sent <= 12, test.cold) // 1.5 x rate + 5
+				is.True(sent >= rate)
+			})
+		})
+	}
+}
--- a/edge/lateentries_test.go
+++ b/edge/lateentries_test.go
@@ -65,7 +65,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := clock.Runtime{Origin: time.Now().Add(-time.Hour)}
-			e := &Edge{clock: c, log: slog.New(slog.DiscardHandler), warmupSign: make(chan struct{}, 1), unansweredLogs: rate.Sometimes{First: 1}}
+			e := &Edge{clock: c, dispatcher: dispatch.NewDispatcher("a", "east"), log: slog.New(slog.DiscardHandler), warmupSign: make(chan struct{}, 1), unansweredLogs: rate.Sometimes{First: 1}}
 			e.metrics = newMetrics(e)
 			test.observe(e)
 			is.Equal(e.warmups.IsNeeded(c.Boot(), "east"), test.east)
--- a/edge/store.go
+++ b/edge/store.go
@@ -243,12 +243,12 @@
 	old := e.snapshot.Load()
 	s := e.departures.Apply(e.clock.Boot(), e.withRetained(old, e.mirror.Snapshot()))
 	e.snapshot.Store(s)
+	e.observeReturns(old, s)
 	e.dispatcher.Update(s)
 	if !fleet.IsSameMap(old.Crashes, s.Crashes) {
 		e.crashes.Restore(e.clock.Boot(), e.clock.Now(), s.Crashes)
 	}
 	e.forwarder.FollowServers(old, s)
-	e.observeReturns(old, s)
 	if len(s.Servers) != len(old.Servers) {
 		e.options.OnScale(len(s.Servers))
 	}
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -95,11 +95,14 @@
 	})
 }
 
-// observeReturns records the failure domains whose evacuation has ended: their backend servers may have turned cold shortly before.
+// observeReturns records the failure domains whose evacuation has ended: their backend servers may have turned cold shortly before. It has to
+// run before the dispatcher knows the next snapshot.
 func (e *Edge) observeReturns(old, next *fleet.Snapshot) {
 	for domain := range old.Evacuated {
 		if !next.Evacuated[domain] {
+			e.dispatcher.PresumeCold(domain)
 			e.observeSign(func(now clock.Instant, w *warmup.Watch) { w.ObserveReturn(now, domain) })
+			e.notify(e.warmupSign)
 		}
 	}
 }
@@ -157,6 +160,7 @@
 func (e *Edge) checkWarmup(ctx context.Context, server fleet.Server, path string) {
 	ctx, cancel := context.WithTimeout(ctx, warmupCheckTimeout)
 	defer cancel()
+	askedAt := e.clock.Boot()
 	e.metrics.attempts.Add("checked", 1)
 	result := e.attempt(ctx, relay.Attempt{
 		Server: server.Server, Born: server.Born, Address: server.Address, Method: http.MethodGet, Target: path, Host: server.Address, Header: http.Header{},
@@ -166,7 +170,7 @@
 		return
 	}
 	n := dispatch.WarmupNews{Incarnation: server.Incarnation, Left: platform.ParseWarmupLeft(result.Header)}
-	if e.dispatcher.ObserveWarmup(n) {
+	if e.dispatcher.ObserveWarmup(n, askedAt) {
 		e.logWarmup(n, e.settings.VM)
 	}
 }
