Let VMs without news ask more backend servers only if no leader acts

While the store is out of reach for all VMs, they know the same as the leader, so that the VMs whose part a backend server is ask it.

--- a/coordination/warmup/warmup.go
+++ b/coordination/warmup/warmup.go
@@ -90,9 +90,9 @@
 	return w.isForAll(now) || isRecent(now, w.returnedAt[domain])
 }
 
-// MustAskItself reports whether this VM must ask all backend servers to which it sends. The others may know that one isn't to be used, and
-// therefore neither ask it nor hear that it is cold.
-func (w *Watch) MustAskItself() bool { return w.missesNews }
+// MustAskItself reports whether this VM must ask all backend servers to which it sends, given whether a leader acts, through which all VMs know the
+// same. Otherwise others may know that one isn't to be used, and therefore neither ask it nor hear that it is cold.
+func (w *Watch) MustAskItself(isLed bool) bool { return w.missesNews && !isLed }
 
 // IsIdle reports whether no backend server has to be asked now.
 func (w *Watch) IsIdle(now clock.Instant) bool {
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -116,7 +116,7 @@
 	if watch.IsIdle(now) {
 		return
 	}
-	asks := e.warmupTargets(s, watch)
+	asks := e.warmupTargets(s, watch.MustAskItself(e.followsLeader() || e.leads()))
 	var checks sync.WaitGroup
 	for _, server := range s.Servers {
 		service := s.Configuration.Services[server.Service]
@@ -131,10 +131,10 @@
 	checks.Wait()
 }
 
-// warmupTargets returns which backend servers this VM has to ask: its part, and those to which it sends while it has no news.
-func (e *Edge) warmupTargets(s *fleet.Snapshot, watch warmup.Watch) (asks func(server fleet.Server) bool) {
+// warmupTargets returns which backend servers this VM has to ask: its part and, if so told, those to which it sends.
+func (e *Edge) warmupTargets(s *fleet.Snapshot, mustAskItself bool) (asks func(server fleet.Server) bool) {
 	vms, recent := e.vmsByDomain(s.Peers), map[id.Server]bool{}
-	if watch.MustAskItself() {
+	if mustAskItself {
 		recent = e.dispatcher.RecentServers()
 	}
 	return func(server fleet.Server) bool {
