Take only a successful health response for that of a warm backend server

A rejected check, or a malformed message with a negative time, would have ended the presumption that a backend server is cold. Found by reading.

Tests: TestWarmupNewsOfHealthResponses.

--- a/edge/lateentries_test.go
+++ b/edge/lateentries_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/state/settings"
 	"github.com/hickorylug/hickorylug/transport/gossip"
+	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
 // Each sign that entries of backend servers may be late must start checks at once, and nothing else must.
@@ -127,3 +129,38 @@
 	vms := slices.Sorted(maps.Keys(s.Peers))
 	return slices.Contains(warmup.Checkers(server.Server, server.Domain, map[id.Domain][]id.VM{"east": vms}), "vm0")
 }
+
+// Only a success without a warm-up time says that a backend server is warm.
+func TestWarmupNewsOfHealthResponses(t *testing.T) {
+	server := fleet.Server{Incarnation: fleet.Incarnation{Server: "s", Born: 1}}
+	header := func(instance, left string) http.Header {
+		h := http.Header{}
+		h.Set(platform.HeaderInstance, instance)
+		if left != "" {
+			h.Set(platform.HeaderWarmupLeft, left)
+		}
+		return h
+	}
+	tests := map[string]struct {
+		result relay.Result
+		left   time.Duration
+		ok     bool
+	}{
+		"warm":                   {result: relay.Result{Status: http.StatusOK, Header: header("s", "")}, ok: true},
+		"cold":                   {result: relay.Result{Status: http.StatusOK, Header: header("s", "1500")}, left: 1500 * time.Millisecond, ok: true},
+		"cold and draining":      {result: relay.Result{Status: http.StatusServiceUnavailable, Header: header("s", "1500")}, left: 1500 * time.Millisecond, ok: true},
+		"rejected":               {result: relay.Result{Status: http.StatusServiceUnavailable, Header: header("s", "")}},
+		"another backend server": {result: relay.Result{Status: http.StatusOK, Header: header("other", "")}},
+		"no response":            {result: relay.Result{Failure: &relay.Failure{}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n, ok := warmupNewsOf(server, test.result)
+			is.Equal(ok, test.ok)
+			if ok {
+				is.Equal(n, dispatch.WarmupNews{Incarnation: server.Incarnation, Left: test.left})
+			}
+		})
+	}
+}
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -166,15 +166,21 @@
 		Server: server.Server, Born: server.Born, Address: server.Address, Method: http.MethodGet, Target: path, Host: server.Address, Header: http.Header{},
 		Command: true, Timeout: warmupCheckTimeout,
 	})
-	if result.Failure != nil || result.Header.Get(platform.HeaderInstance) != string(server.Server) {
-		return
-	}
-	n := dispatch.WarmupNews{Incarnation: server.Incarnation, Left: platform.ParseWarmupLeft(result.Header)}
-	if e.dispatcher.ObserveWarmup(n, askedAt) {
+	if n, ok := warmupNewsOf(server, result); ok && e.dispatcher.ObserveWarmup(n, askedAt) {
 		e.logWarmup(n, e.settings.VM)
 	}
 }
 
+// warmupNewsOf returns what a health response says of a backend server's warm-up. One that is no success says nothing of a warm one: the check
+// may have been rejected before the backend server looked at it.
+func warmupNewsOf(server fleet.Server, result relay.Result) (n dispatch.WarmupNews, ok bool) {
+	if result.Failure != nil || result.Header.Get(platform.HeaderInstance) != string(server.Server) {
+		return n, false
+	}
+	n = dispatch.WarmupNews{Incarnation: server.Incarnation, Left: platform.ParseWarmupLeft(result.Header)}
+	return n, n.Left > 0 || result.Status == http.StatusOK
+}
+
 // logWarmup logs that a backend server is cold, as it has told the given VM.
 func (e *Edge) logWarmup(n dispatch.WarmupNews, seenBy id.VM) {
 	e.log.Info("backend server is cold", "server", string(n.Incarnation.Server), "born", int64(n.Incarnation.Born), "warmLeft", n.Left.String(), "seenBy", string(seenBy), "newsAgeMs", e.newsAge().Milliseconds())
@@ -225,7 +231,8 @@
 	}
 	news := make([]dispatch.WarmupNews, len(warmups))
 	for i, w := range warmups {
-		news[i] = dispatch.WarmupNews{Incarnation: fleet.Incarnation{Server: w.Server, Born: w.Born}, Left: time.Duration(min(max(w.Left, 0), maxWarmupLeft)) * time.Millisecond}
+		// A negative time stays negative, as 0 says that the backend server is warm.
+		news[i] = dispatch.WarmupNews{Incarnation: fleet.Incarnation{Server: w.Server, Born: w.Born}, Left: time.Duration(min(max(w.Left, -1), maxWarmupLeft)) * time.Millisecond}
 	}
 	for _, n := range e.dispatcher.ApplyWarmupNews(news) {
 		e.logWarmup(n, from)
