--- a/coordination/dispatch/server.go
+++ b/coordination/dispatch/server.go
@@ -55,10 +55,17 @@
 	peerServiceTime time.Duration
 	// coldUntil is when the warm-up ends.
 	coldUntil clock.Instant
+	// presumedAt is when it was last presumed cold, and presumedUntil when that ends; returnedUntil is when it would have ended at the latest.
+	presumedAt, presumedUntil, returnedUntil clock.Instant
 	// warmupLimiter limits the requests during the warm-up; it is nil until the first of them may be sent.
 	warmupLimiter *rate.Limiter
-	// hasWarmupNews says that it has told this VM of its warm-up, and that the other VMs haven't heard of that yet.
+	// warmupKnownAt is when this VM heard of the warm-up, and sentBeforeWarmup the number of requests that it sent within the second before.
+	warmupKnownAt    time.Time
+	sentBeforeWarmup int
+	// hasWarmupNews says that it has told this VM whether it is cold, and that the other VMs haven't heard of that yet.
 	hasWarmupNews bool
+	// sends are the latest requests that this VM has sent there.
+	sends recentSends
 
 	// reported is the number of requests in the latest load report, to this VM or to another one.
 	reported   int
@@ -99,12 +106,13 @@
 
 func newServer() *server { return &server{} }
 
-// update replaces the registered entry; a new revision with a warm-up begins the warm-up.
-func (s *server) update(now clock.Instant, next fleet.Server) {
-	if s.Revision != next.Revision && next.WarmupLeft > 0 {
-		s.warmUp(now, next.WarmupLeft)
+// update replaces the registered entry, and returns the remaining warm-up time if it says one that wasn't known.
+func (s *server) update(next fleet.Server) (warmupLeft time.Duration) {
+	if s.Revision != next.Revision {
+		warmupLeft = next.WarmupLeft
 	}
 	s.Server = next
+	return warmupLeft
 }
 
 // load returns the estimated number of requests at the backend server.
--- a/edge/store.go
+++ b/edge/store.go
@@ -243,6 +243,7 @@
 	old := e.snapshot.Load()
 	s := e.departures.Apply(e.clock.Boot(), e.withRetained(old, e.mirror.Snapshot()))
 	e.snapshot.Store(s)
+	e.observeReturns(old, s)
 	e.dispatcher.Update(s)
 	if !fleet.IsSameMap(old.Peers, s.Peers) {
 		e.recordMembers(s)
