--- a/edge/edge.go
+++ b/edge/edge.go
@@ -37,6 +37,7 @@
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/coordination/reach"
 	"github.com/hickorylug/hickorylug/coordination/retention"
+	"github.com/hickorylug/hickorylug/coordination/warmup"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -121,6 +122,11 @@
 	pauseLogs rate.Sometimes
 	// unusedLogs bounds the log lines of items of the store that aren't used.
 	unusedLogs rate.Sometimes
+	// warmups holds the signs that backend servers must be asked whether they are cold, and warmupSign triggers such checks at once.
+	warmups    warmup.Watch
+	warmupSign chan struct{}
+	// unansweredLogs bounds the log lines of unanswered calls to the store.
+	unansweredLogs rate.Sometimes
 	// keeper keeps what an outage of the store or an older copy of it would take back.
 	keeper *retention.Keeper
 
@@ -166,7 +172,9 @@
 		departures:     departure.NewRecords(s.DrainTime.Std()),
 		pauseLogs:      rate.Sometimes{First: maxPauseLogs, Interval: pauseLogPeriod},
 		unusedLogs:     rate.Sometimes{First: maxUnusedLogs, Interval: unusedLogPeriod},
+		unansweredLogs: rate.Sometimes{First: maxUnansweredLogs, Interval: unansweredLogPeriod},
 		keeper:         retention.NewKeeper(),
+		warmupSign:     make(chan struct{}, 1),
 		resync:         make(chan struct{}, 1),
 		replan:         make(chan struct{}, 1),
 		updatesPending: make(chan struct{}, 1),
@@ -177,10 +185,10 @@
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
 	e.snapshot.Store(e.mirror.Snapshot())
 	e.metrics = newMetrics(e)
-	e.store.Observe, e.store.OnEra = e.metrics.observeStore, e.observeEra
+	e.store.Observe, e.store.OnEra = e.observeStoreCall, e.observeEra
 	e.dispatcher = dispatch.NewDispatcher(s.VM, s.FailureDomain, dispatch.WithClock(o.Clock), dispatch.WithPeers(e.peerCount),
 		dispatch.WithWarmBounds(s.WarmOverage, s.WarmSlack), dispatch.WithOnEject(e.observeEjection), dispatch.WithOnRequestLimit(e.observeRequestLimit),
-		dispatch.WithOnPause(e.observePause), dispatch.WithMayWait(e.mayWait))
+		dispatch.WithOnPause(e.observePause), dispatch.WithOnLateWarmup(e.logLateWarmup), dispatch.WithMayWait(e.mayWait))
 	e.forwarder = forward.NewForwarder(e.dispatcher, forward.WithClock(o.Clock), forward.WithSend(e.sendAttempt), forward.WithCrashes(e.crashes),
 		forward.WithOnSuspect(e.observeSuspect), forward.WithProbe(e.probeServer), forward.WithAccepts(e.accepts), forward.WithObserve(e.observeAttempt), forward.WithRetries(retryBudgetFraction*s.RetryShare, e.retrySlack))
 	e.allotments = newAllotments(e)
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
+	"github.com/hickorylug/hickorylug/coordination/warmup"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -25,58 +25,102 @@
 	warmupCheckPeriod = 250 * time.Millisecond
 	// warmupCheckTimeout limits a check.
 	warmupCheckTimeout = 200 * time.Millisecond
-	// warmupChecksAfter is the age of the news from the store from which backend servers are asked themselves. It is a little above that
-	// between two polls of an idle store.
-	warmupChecksAfter = time.Second
-	// warmupChecksFor is how long backend servers are asked after the news were last missing: an older copy of the store lacks what they wrote
-	// until they write it again, VMs that have started meanwhile know only that copy, and a message that was delayed makes news seem recent.
-	warmupChecksFor = reappearanceTime
-	// localWarmupCheckers is the number of VMs in its own failure domain that ask the same backend server, and remoteWarmupCheckers that in
-	// others. There are several, since followers don't hear whether other followers still run.
-	localWarmupCheckers  = 2
-	remoteWarmupCheckers = 1
+	// maxUnansweredLogs is the number of unanswered calls to the store that are logged each; of later ones, one per unansweredLogPeriod is.
+	maxUnansweredLogs   = 100
+	unansweredLogPeriod = time.Second
 )
 
-// watchWarmups asks backend servers whether they are cold while the store can't tell, until the context ends.
+// watchWarmups asks backend servers whether they are cold while their entries may not tell, until the context ends.
 //
 // A backend server may turn cold at any moment and says so in its entry in the
-// store, which VMs don't hear of during an outage. Its health responses say it too.
+// store, which VMs don't hear of while the store is out of reach or carries
+// writes out late. Its health responses say it too.
 func (e *Edge) watchWarmups(ctx context.Context) error {
-	var gap newsGap
 	for {
 		startedAt := e.clock.Boot()
-		if s := e.snapshot.Load(); s.Configuration != nil && gap.needsChecks(startedAt, e.newsAge()) {
+		if s := e.snapshot.Load(); s.Configuration != nil {
+			e.observeNewsAge(startedAt)
 			e.checkWarmups(ctx, s)
 		}
 		select {
 		case <-e.clock.After(startedAt.Add(warmupCheckPeriod).Sub(e.clock.Boot())):
+		case <-e.warmupSign:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// newsGap is the latest time without news from the store.
-type newsGap struct {
-	// missedAt is when news were last missing; 0 means never.
-	missedAt clock.Instant
+// observeNewsAge records the age of the news, and tells the other VMs of a sign that they need.
+func (e *Edge) observeNewsAge(now clock.Instant) {
+	age := e.newsAge()
+	e.mu.Lock()
+	e.warmups.ObserveNews(now, age)
+	var signAge time.Duration
+	// A VM that has just started and knows the store from another VM only has old news, but that is no sign for the others.
+	tell := e.firstNewsAt > 0
+	if tell {
+		signAge, tell = e.warmups.TakeSign(now)
+	}
+	e.mu.Unlock()
+	if tell {
+		e.log.Info("entries of backend servers may be late: they are asked whether they are cold", "signAgeMs", signAge.Milliseconds(), "newsAgeMs", age.Milliseconds())
+		e.announce(e.withSender(gossip.Message{LateEntries: &gossip.LateEntries{Age: int(signAge.Milliseconds())}}))
+	}
+}
+
+// observeSign records a sign that backend servers must be asked, and triggers checks at once unless they have been going on.
+func (e *Edge) observeSign(record func(now clock.Instant, w *warmup.Watch)) {
+	e.mu.Lock()
+	now := e.clock.Boot()
+	wasIdle := e.warmups.IsIdle(now)
+	record(now, &e.warmups)
+	starts := wasIdle && !e.warmups.IsIdle(now)
+	e.mu.Unlock()
+	if starts {
+		e.notify(e.warmupSign)
+	}
+}
+
+// applyLateEntries records that another VM had a sign that entries of backend servers may be late.
+func (e *Edge) applyLateEntries(from id.VM, late *gossip.LateEntries) {
+	if late == nil {
+		return
+	}
+	e.observeSign(func(now clock.Instant, w *warmup.Watch) {
+		if w.IsIdle(now) {
+			e.log.Info("another VM reports that entries of backend servers may be late", "from", string(from), "ageMs", late.Age)
+		}
+		w.ObserveShared(now, time.Duration(min(max(late.Age, 0), maxSignAge))*time.Millisecond)
+	})
 }
 
-// needsChecks reports whether backend servers have to be asked now, given the age of the news.
-func (g *newsGap) needsChecks(now clock.Instant, age time.Duration) bool {
-	if age > warmupChecksAfter {
-		g.missedAt = now
+// observeReturns records the failure domains whose evacuation has ended: their backend servers may have turned cold shortly before. It has to
+// run before the dispatcher knows the next snapshot.
+func (e *Edge) observeReturns(old, next *fleet.Snapshot) {
+	for domain := range old.Evacuated {
+		if !next.Evacuated[domain] {
+			e.dispatcher.PresumeCold(domain)
+			e.observeSign(func(now clock.Instant, w *warmup.Watch) { w.ObserveReturn(now, domain) })
+			e.notify(e.warmupSign)
+		}
 	}
-	return g.missedAt > 0 && now.Sub(g.missedAt) < warmupChecksFor
 }
 
 // checkWarmups asks the backend servers that this VM has to ask, and returns when all have answered or failed to.
 func (e *Edge) checkWarmups(ctx context.Context, s *fleet.Snapshot) {
-	domains := e.vmsByDomain(s.Peers)
+	now := e.clock.Boot()
+	e.mu.Lock()
+	watch := e.warmups.Clone()
+	e.mu.Unlock()
+	if watch.IsIdle(now) {
+		return
+	}
+	asks := e.warmupTargets(s, watch.MustAskItself(e.followsLeader() || e.leads()))
 	var checks sync.WaitGroup
 	for _, server := range s.Servers {
 		service := s.Configuration.Services[server.Service]
-		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.Usable(server) || !slices.Contains(warmupCheckers(server, domains), e.settings.VM) {
+		if service.WarmupRate <= 0 || service.HealthPath == "" || !s.UsableForKeys(now, server) || !watch.IsNeeded(now, server.Domain) || !asks(server) {
 			continue
 		}
 		checks.Go(func() {
@@ -87,6 +131,17 @@
 	checks.Wait()
 }
 
+// warmupTargets returns which backend servers this VM has to ask: its part and, if so told, those to which it sends.
+func (e *Edge) warmupTargets(s *fleet.Snapshot, mustAskItself bool) (asks func(server fleet.Server) bool) {
+	vms, recent := e.vmsByDomain(s.Peers), map[id.Server]bool{}
+	if mustAskItself {
+		recent = e.dispatcher.RecentServers()
+	}
+	return func(server fleet.Server) bool {
+		return recent[server.Server] || slices.Contains(warmup.Checkers(server.Server, server.Domain, vms), e.settings.VM)
+	}
+}
+
 // vmsByDomain returns this VM and its peers by failure domain, sorted by name.
 func (e *Edge) vmsByDomain(peers map[id.VM]fleet.Peer) map[id.Domain][]id.VM {
 	domains := map[id.Domain][]id.VM{e.settings.FailureDomain: {e.settings.VM}}
@@ -101,52 +156,55 @@
 	return domains
 }
 
-// warmupCheckers returns the VMs that ask a backend server whether it is cold, given all VMs by failure domain.
-//
-// Most are in its own failure domain: they reach it while the domain is cut off,
-// and no bytes between domains are needed.
-func warmupCheckers(server fleet.Server, domains map[id.Domain][]id.VM) []id.VM {
-	hash := xxhash.Sum64String(string(server.Server))
-	others := slices.Sorted(maps.Keys(domains))
-	others = slices.DeleteFunc(others, func(d id.Domain) bool { return d == server.Domain })
-	checkers := drawVMs(hash, domains[server.Domain], localWarmupCheckers)
-	if len(others) == 0 {
-		return checkers
-	}
-	return append(checkers, drawVMs(hash, domains[others[hash%uint64(len(others))]], remoteWarmupCheckers)...)
-}
-
-// drawVMs returns at most n of the VMs; which ones depends on the hash.
-func drawVMs(hash uint64, vms []id.VM, n int) (drawn []id.VM) {
-	for i := range min(n, len(vms)) {
-		drawn = append(drawn, vms[(hash%uint64(len(vms))+uint64(i))%uint64(len(vms))])
-	}
-	return drawn
-}
-
 // checkWarmup asks a backend server for its remaining warm-up time.
 func (e *Edge) checkWarmup(ctx context.Context, server fleet.Server, path string) {
 	ctx, cancel := context.WithTimeout(ctx, warmupCheckTimeout)
 	defer cancel()
+	askedAt := e.clock.Boot()
 	e.metrics.attempts.Add("checked", 1)
 	result := e.attempt(ctx, relay.Attempt{
 		Server: server.Server, Born: server.Born, Address: server.Address, Method: http.MethodGet, Target: path, Host: server.Address, Header: http.Header{},
 		Command: true, Timeout: warmupCheckTimeout,
 	})
-	if result.Failure != nil || result.Header.Get(platform.HeaderInstance) != string(server.Server) {
-		return
-	}
-	n := dispatch.WarmupNews{Incarnation: server.Incarnation, Left: platform.ParseWarmupLeft(result.Header)}
-	if e.dispatcher.ObserveWarmup(n) {
+	if n, ok := warmupNewsOf(server, result); ok && e.dispatcher.ObserveWarmup(n, askedAt) {
 		e.logWarmup(n, e.settings.VM)
 	}
 }
 
+// warmupNewsOf returns what a health response says of a backend server's warm-up. One that is no success says nothing of a warm one: the check
+// may have been rejected before the backend server looked at it.
+func warmupNewsOf(server fleet.Server, result relay.Result) (n dispatch.WarmupNews, ok bool) {
+	if result.Failure != nil || result.Header.Get(platform.HeaderInstance) != string(server.Server) {
+		return n, false
+	}
+	n = dispatch.WarmupNews{Incarnation: server.Incarnation, Left: platform.ParseWarmupLeft(result.Header)}
+	return n, n.Left > 0 || result.Status == http.StatusOK
+}
+
 // logWarmup logs that a backend server is cold, as it has told the given VM.
 func (e *Edge) logWarmup(n dispatch.WarmupNews, seenBy id.VM) {
 	e.log.Info("backend server is cold", "server", string(n.Incarnation.Server), "born", int64(n.Incarnation.Born), "warmLeft", n.Left.String(), "seenBy", string(seenBy), "newsAgeMs", e.newsAge().Milliseconds())
 }
 
+// logLateWarmup logs that this VM has sent requests to a backend server within a second before it heard that it is cold.
+func (e *Edge) logLateWarmup(server id.Server, left time.Duration, sent int) {
+	e.log.Info("requests were sent to a backend server before it was known to be cold", "server", string(server), "sent", sent, "warmLeft", left.String())
+}
+
+// observeStoreCall counts a call to the store, and records and logs one that got no answer.
+func (e *Edge) observeStoreCall(call string, took time.Duration, err error) {
+	e.metrics.observeStore(call, took, err)
+	if !errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, context.Canceled) {
+		return
+	}
+	e.unansweredLogs.Do(func() {
+		e.log.Info("a call to the store got no answer", "call", call, "tookMs", took.Milliseconds(), "error", err.Error())
+	})
+	if platform.IsWrite(call) {
+		e.observeSign(func(now clock.Instant, w *warmup.Watch) { w.ObserveUnansweredWrite(now) })
+	}
+}
+
 // announceWarmups tells all VMs which backend servers have told this VM that they are cold.
 func (e *Edge) announceWarmups() {
 	news := e.dispatcher.TakeWarmupNews()
@@ -160,6 +218,9 @@
 	e.announce(m)
 }
 
+// maxSignAge limits the age of a sign in a message, in milliseconds, so that it can't overflow.
+const maxSignAge = 3_600_000
+
 // maxWarmupLeft limits the remaining warm-up time in a message, in milliseconds, so that it can't overflow.
 const maxWarmupLeft = 3_600_000
 
@@ -170,7 +231,8 @@
 	}
 	news := make([]dispatch.WarmupNews, len(warmups))
 	for i, w := range warmups {
-		news[i] = dispatch.WarmupNews{Incarnation: fleet.Incarnation{Server: w.Server, Born: w.Born}, Left: time.Duration(min(max(w.Left, 0), maxWarmupLeft)) * time.Millisecond}
+		// A negative time stays negative, as 0 says that the backend server is warm.
+		news[i] = dispatch.WarmupNews{Incarnation: fleet.Incarnation{Server: w.Server, Born: w.Born}, Left: time.Duration(min(max(w.Left, -1), maxWarmupLeft)) * time.Millisecond}
 	}
 	for _, n := range e.dispatcher.ApplyWarmupNews(news) {
 		e.logWarmup(n, from)
