Test late writes of answered grants, and confirmations by half of the VMs

No test failed when the hold of an answered grant counted from its issue though its write returned late and its range moved after that, nor when the reports of half of the VMs confirmed a leadership.

--- a/coordination/leader/guards_test.go
+++ b/coordination/leader/guards_test.go
@@ -81,3 +81,17 @@
 	is.True(!e.Leads(start, members))
 	is.True(e.ShouldCampaign(start, len(members)))
 }
+
+// Guards against a leader that takes the reports of half of the VMs as proof that the other half doesn't follow a later one.
+func TestHalfOfTheReportsConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	e := leader.NewElector("a", start)
+	e.Won(start, 7)
+	sent, now := start.Add(time.Second), start.Add(1100*time.Millisecond)
+	report := reportOf(7)
+	report.Stamp.SentAt = sent
+	e.RecordHeartbeat(now, "b", report)
+	is.Equal(e.ConfirmedAt(now, members[:4]), start)
+	e.RecordHeartbeat(now, "c", report)
+	is.Equal(e.ConfirmedAt(now, members[:4]), sent)
+}
--- a/coordination/ownership/guards_test.go
+++ b/coordination/ownership/guards_test.go
@@ -142,3 +142,30 @@
 func TestHoldTimeCoversSlowClocks(t *testing.T) {
 	is.New(t).True(ownership.MaxHoldTime >= maxTransit+ownership.GrantTTL*102/100)
 }
+
+// Guards against a hold that counts from the issue of an answered grant where its range moves after its late write was reported.
+func TestAnsweredGrantWrittenLateProlongsTheWaitOfALaterMove(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	is := is.New(t)
+	a, b := incarnation("a"), incarnation("b")
+	healthy := livenessOf(lost, incarnation("c"))
+	g := ownership.NewGranter(now.Add(-time.Minute))
+	table := &fleet.Table{Service: service, Fence: 1, Ranges: []fleet.Range{{To: fleet.KeyCount - 1, Owner: a, Fence: 1}}}
+	written := now.Add(2 * time.Second)
+	for _, c := range g.Due(now, table, healthy) {
+		c.WriteReturnedAt = written
+		g.Report(written, c, ownership.Done, "")
+	}
+	moved, _, _ := g.Revise(written, table, []ownership.Candidate{{Incarnation: a}, {Incarnation: b, Eligible: true, Warm: true, Capacity: 40}}, nil)
+	grantedAt := clock.Instant(0)
+	for at := written; grantedAt == 0 && at < written.Add(10*time.Second); at = at.Add(50 * time.Millisecond) {
+		for _, c := range g.Due(at, moved, healthy) {
+			if !c.Release {
+				grantedAt = at
+			}
+			g.Report(at, c, ownership.Unanswered, "")
+		}
+	}
+	is.True(grantedAt > written.Add(ownership.MaxHoldTime))
+	is.True(grantedAt < written.Add(ownership.MaxHoldTime+time.Second))
+}
