Ask a VM again that withheld a grant on a connection that is too young

What callers could see: while the leader reaches no backend server, grants through other VMs wait for each VM's first try, and fencing grants through them are never made: each opens a connection that is younger than the last confirmation, and the next try draws another VM.

Change: the leader confirms its leadership and asks the same VM once more, which has kept the connection.

Evidence: TestGrantsThroughOtherVMsOnLaterConnections, "confirmed as it is too young" and "a fencing grant, confirmed likewise", failed before.

--- a/edge/confirmed_test.go
+++ b/edge/confirmed_test.go
@@ -109,10 +109,15 @@
 func TestGrantsThroughOtherVMsOnLaterConnections(t *testing.T) {
 	tests := map[string]struct {
 		confirmedAfter time.Duration
-		sent           int
+		// renews says that the leadership can be confirmed for a later time.
+		renews  bool
+		fencing bool
+		sent    int
 	}{
 		"confirmed before the connection was opened": {confirmedAfter: -time.Second},
 		"confirmed after it was opened":              {confirmedAfter: time.Second, sent: 1},
+		"confirmed as it is too young":               {confirmedAfter: -time.Second, renews: true, sent: 1},
+		"a fencing grant, confirmed likewise":        {confirmedAfter: -time.Second, renews: true, fencing: true, sent: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -127,7 +132,13 @@
 			confirmedAt := v.clock.now.Add(test.confirmedAfter)
 			r, ok := v.attemptThroughOthers(t.Context(), relay.Attempt{
 				Server: "s1", Born: 1, Address: address, Method: http.MethodPost, Target: "/", Host: address, Header: http.Header{}, Timeout: time.Second, Command: true,
-				NotAfter: v.clock.now.Add(ownership.WriteTimeout), OpenedBy: func(context.Context, clock.Instant) clock.Instant { return confirmedAt },
+				NewConnection: test.fencing, NotAfter: v.clock.now.Add(ownership.WriteTimeout),
+				OpenedBy: func(_ context.Context, wanted clock.Instant) clock.Instant {
+					if test.renews {
+						confirmedAt = max(confirmedAt, wanted)
+					}
+					return confirmedAt
+				},
 			})
 			is.True(ok)
 			is.Equal(len(commands), test.sent)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/relay"
@@ -112,9 +113,7 @@
 // beforeWrite checks the conditions of an attempt right before it is written on a connection that was opened some time ago.
 func (e *Edge) beforeWrite(ctx context.Context, a relay.Attempt, age time.Duration, r *relay.Result) error {
 	if a.OpenedBy != nil {
-		ctx, cancel := context.WithTimeout(ctx, a.NotAfter.Sub(e.clock.Boot()))
-		defer cancel()
-		if opened := e.clock.Boot().Add(-age); opened.After(a.OpenedBy(ctx, opened)) {
+		if opened := e.clock.Boot().Add(-age); opened.After(e.confirm(ctx, a, opened)) {
 			return errConnectionLate
 		}
 	}
@@ -126,6 +125,14 @@
 	return nil
 }
 
+// confirm returns the latest time at which the connection of an attempt may have been opened. It waits for a time that is wanted until the attempt's
+// latest time at most.
+func (e *Edge) confirm(ctx context.Context, a relay.Attempt, wanted clock.Instant) clock.Instant {
+	ctx, cancel := context.WithTimeout(ctx, a.NotAfter.Sub(e.clock.Boot()))
+	defer cancel()
+	return a.OpenedBy(ctx, wanted)
+}
+
 // attemptThroughOthers makes an attempt through another VM; ok is false if all that were asked declined.
 func (e *Edge) attemptThroughOthers(ctx context.Context, a relay.Attempt) (r relay.Result, ok bool) {
 	s := e.snapshot.Load()
@@ -140,7 +147,7 @@
 		if failure := e.mayBegin(a); failure != nil {
 			return relay.Result{Failure: failure}, true
 		}
-		result, err := e.relayClient.Do(ctx, peer.VM, peer.Address, left)
+		result, err := e.attemptThrough(ctx, peer, left)
 		isUnreached := err == nil && result.Failure != nil && !result.Failure.Sent && !result.Failure.AtConnectionLimit && !result.Failure.Withheld
 		switch {
 		case isUnreached && !distrusted && e.reach.IsCutOff():
@@ -169,6 +176,25 @@
 	return r, false
 }
 
+// attemptThrough makes an attempt through another VM. If that withholds it as its connection is too young, it is asked again once the leadership is
+// confirmed; it has kept the connection.
+func (e *Edge) attemptThrough(ctx context.Context, peer fleet.Peer, a relay.Attempt) (r relay.Result, err error) {
+	begun := e.clock.Boot()
+	r, err = e.relayClient.Do(ctx, peer.VM, peer.Address, a)
+	if a.OpenedBy == nil || err != nil || r.Failure == nil || !r.Failure.Withheld {
+		return r, err
+	}
+	wanted := e.clock.Boot()
+	if confirmed := e.confirm(ctx, a, wanted); wanted.After(confirmed) || a.IsLate(e.clock.Boot()) {
+		return r, nil
+	}
+	a.Timeout -= e.clock.Boot().Sub(begun)
+	if again, err := e.relayClient.Do(ctx, peer.VM, peer.Address, a); !errors.Is(err, relay.ErrDeclined) {
+		return again, err
+	}
+	return r, nil
+}
+
 // attemptForOther makes an attempt for a VM that reaches no backend server; ok is false if this VM declines it.
 //
 // It declines what it wouldn't send itself, also while the backend server wants no requests of this VM. The other VM may know less of the
