--- a/coordination/ownership/model_calls_test.go
+++ b/coordination/ownership/model_calls_test.go
@@ -91,7 +91,7 @@
 	s.note("%s sends %s", l.name(), describe(cmd))
 	s.after(c.fate.giveUp, func() { c.report(ownership.Unanswered, false) })
 	server := s.server(cmd.Incarnation.Server)
-	if known := l.connections[cmd.Incarnation.Server]; known != nil && known.process == server.process && !cmd.Release && !(cmd.Fencing && known.used) {
+	if known := l.connections[cmd.Incarnation.Server]; known != nil && known.process == server.process && !cmd.Release && (!cmd.Fencing || !known.used) {
 		c.connection = known
 		c.write(c.fate.transit)
 		return
