Bound the heads of backend servers' responses, by a quota too

Other operators lost the requests of a machine that ran out of memory: a faulty backend server sent a head without end, and the heads of many attempts together took more than the smallest VM has.

A head could reach 128 KB, was parsed while it was read, and counted towards no quota. Parsed, short fields take about 15 times their bytes.

A head is now at most 32 KB and 256 lines long, is parsed only once it is complete, and counts towards the quota of long bodies with the memory that its parse takes. Bytes that can't begin a head end the attempt at once, and errors quote no more than 256 bytes of them.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -68,7 +68,7 @@
 	relays       *reach.Relays
 	relayClient  *relay.Client
 	relayHandler *relay.Handler
-	// bodies is the quota for the long bodies of requests and responses that are being read.
+	// bodies is the quota for the long heads and bodies of requests and responses that are being read.
 	bodies     *http1.Quota
 	dispatcher *dispatch.Dispatcher
 	forwarder  *forward.Forwarder
@@ -167,7 +167,7 @@
 		replan:         make(chan struct{}, 1),
 		updatesPending: make(chan struct{}, 1),
 	}
-	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
+	e.backends = http1.NewClient(http1.WithDial(o.Dial), http1.WithQuota(e.bodies), http1.WithOnDial(func(server string, err error) { e.reach.RecordDial(id.Server(server), err == nil) }))
 	e.relayClient, e.relayHandler = relay.NewClient(e.bodies, relay.WithClock(o.Clock)), relay.NewHandler(e.bodies, e.attemptForOther, relay.WithClock(o.Clock))
 	e.crashes = e.newLedger()
 	e.tasks = task.NewSet(task.WithOnPanic(e.observePanic))
@@ -195,7 +195,7 @@
 }
 
 const (
-	// bodyMemoryDivisor is the part of the process's memory that long bodies may use while they are read: one eighth.
+	// bodyMemoryDivisor is the part of the process's memory that long heads and bodies may use while they are read: one eighth.
 	bodyMemoryDivisor = 8
 	// retryBudgetFraction is the fraction of the retry budget that is used, since the windows of the VMs are not aligned.
 	retryBudgetFraction = 0.8
--- a/transport/http1/body.go
+++ b/transport/http1/body.go
@@ -11,8 +11,8 @@
 var (
 	// ErrTooLarge means that a body exceeds its limit.
 	ErrTooLarge = errors.New("the body is too large")
-	// ErrQuota means that the quota for long bodies is used up.
-	ErrQuota = errors.New("no memory is left for a long body")
+	// ErrQuota means that the quota for long heads and bodies is used up.
+	ErrQuota = errors.New("no memory is left for a long message")
 )
 
 const (
@@ -22,7 +22,7 @@
 	maxGrowthBytes = 1 << 20
 )
 
-// Quota limits the memory for long bodies that are being read at the same time. It is safe for concurrent use.
+// Quota limits the memory for long heads and bodies that are being read at the same time. It is safe for concurrent use.
 type Quota struct {
 	limit int64
 	used  atomic.Int64
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -26,8 +26,6 @@
 	maxMismatches = 3
 	// maxSkippedBytes limits the body of such a response.
 	maxSkippedBytes = 1 << 20
-	// maxHeadBytes limits the bytes read for the head of one response.
-	maxHeadBytes = 128 << 10
 	// maxInformational limits the informational responses (1xx) before a response.
 	maxInformational = 16
 	// idleMargin is subtracted from the idle timeout that a server announces, so that a connection isn't reused while the
@@ -38,40 +36,15 @@
 // errNoResponse marks errors on a connection that ended before a valid response head was received.
 var errNoResponse = errors.New("the connection ended without a response")
 
-// errHeadTooLarge means that a response's head exceeds maxHeadBytes.
-var errHeadTooLarge = errors.New("the head of the response is too large")
-
-// headLimiter limits the bytes that are read from a socket while a response's head is parsed, since net/http buffers a
-// head of any length.
-type headLimiter struct {
-	socket net.Conn
-	// remaining is the number of bytes that may still be read, or negative if there is no limit.
-	remaining int
-}
-
-// Read reads from the socket. It returns errHeadTooLarge once the limit is reached.
-func (l *headLimiter) Read(p []byte) (n int, err error) {
-	if l.remaining < 0 {
-		return l.socket.Read(p)
-	}
-	if l.remaining == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err = l.socket.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
-// unlimited is the value of headLimiter.remaining while a body is read.
-const unlimited = -1
-
 // connection is one connection to a backend server.
 type connection struct {
 	client *Client
 	key    poolKey
 	socket net.Conn
-	heads  *headLimiter
+	source *source
 	reader *bufio.Reader
+	// reserved is what the response's head has taken from the quota.
+	reserved int
 	// userTimeout is the socket's TCP_USER_TIMEOUT.
 	userTimeout time.Duration
 	// carried holds the ids of the latest requests.
@@ -93,9 +66,9 @@
 		}
 		return nil, err
 	}
-	heads := &headLimiter{socket: socket, remaining: unlimited}
+	from := &source{socket: socket}
 	return &connection{
-		client: c, key: key, socket: socket, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
+		client: c, key: key, socket: socket, source: from, reader: bufio.NewReaderSize(from, readBufferBytes),
 		usableUntil: time.Now().Add(c.options.IdleTimeout), userTimeout: c.options.UserTimeout,
 	}, nil
 }
@@ -168,11 +141,13 @@
 	// Errors are ignored, since they mean that the connection is already closed.
 	_ = c.socket.(*net.TCPConn).SetLinger(0)
 	_ = c.socket.Close()
+	c.giveBack()
 	c.client.release(c.key)
 }
 
 // keep keeps the connection for later requests, without the settings of this one.
 func (c *connection) keep() {
+	c.giveBack()
 	if c.setUserTimeout(c.client.options.UserTimeout) != nil {
 		c.reset()
 		return
@@ -244,9 +219,7 @@
 // The response's body is closed by the body that roundTrip returns.
 func (c *connection) readHead(r Request) (got *http.Response, err error) {
 	for mismatches, informational := 0, 0; ; {
-		c.heads.remaining = maxHeadBytes
-		got, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.heads.remaining = unlimited
+		got, err := c.parseHead(r.Method)
 		if err != nil {
 			return nil, errors.Mark(err, errNoResponse)
 		}
@@ -329,7 +302,7 @@
 		return false
 	}
 	complete := b.atEOF || b.response.ContentLength == 0
-	return complete && !b.response.Close && b.connection.reader.Buffered() == 0
+	return complete && !b.response.Close && b.connection.reader.Buffered() == 0 && len(b.connection.source.ahead) == 0
 }
 
 // idleTimeout returns how long the connection may stay idle, taking the server's Keep-Alive field into account.
--- a/transport/http1/options.go
+++ b/transport/http1/options.go
@@ -18,6 +18,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnDial is called after each attempt to open a connection to a backend server, unless its context was cancelled.
 	OnDial func(server string, err error)
+	// Quota limits the memory for long heads; nil means no limit.
+	Quota *Quota
 }
 
 // Defaults of the options.
@@ -46,6 +48,9 @@
 // WithOnDial sets the function that is called after each attempt to open a connection.
 func WithOnDial(f func(server string, err error)) Option { return func(o *Options) { o.OnDial = f } }
 
+// WithQuota sets the quota for long heads of responses.
+func WithQuota(q *Quota) Option { return func(o *Options) { o.Quota = q } }
+
 func newOptions(opts []Option) Options {
 	o := Options{DialTimeout: defaultDialTimeout, IdleTimeout: defaultIdleTimeout, UserTimeout: defaultUserTimeout, OnDial: func(string, error) {}}
 	for _, opt := range opts {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -124,9 +124,9 @@
 	quota   *http1.Quota
 }
 
-// NewClient returns a client without connections. Long results are read within the quota.
+// NewClient returns a client without connections. Long heads and results are read within the quota.
 func NewClient(quota *http1.Quota, opts ...Option) *Client {
-	return &Client{options: newOptions(opts), client: http1.NewClient(http1.WithDialTimeout(dialTimeout)), quota: quota}
+	return &Client{options: newOptions(opts), client: http1.NewClient(http1.WithDialTimeout(dialTimeout), http1.WithQuota(quota)), quota: quota}
 }
 
 // Do asks the VM at an address to make an attempt. The error is marked with ErrDeclined unless the attempt may have been made.
