--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -29,6 +29,9 @@
 // maxControlResponseBytes bounds the body of the response to a grant or probe.
 const maxControlResponseBytes = 64 << 10
 
+// maxHeaderBytes bounds the head of a response; a parsed head takes up to 25 times its bytes.
+const maxHeaderBytes = 32 << 10
+
 // transport implements a group's transport, with one connection pool for each backend server.
 type transport struct {
 	options Options
@@ -79,10 +82,11 @@
 			}
 			return t.track(c), nil
 		},
-		MaxConnsPerHost:     limit,
-		MaxIdleConnsPerHost: max(limit, 1),
-		IdleConnTimeout:     t.options.IdleTimeout,
-		DisableCompression:  true,
+		MaxConnsPerHost:        limit,
+		MaxIdleConnsPerHost:    max(limit, 1),
+		IdleConnTimeout:        t.options.IdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/transport/platform/options.go
+++ b/transport/platform/options.go
@@ -57,7 +57,7 @@
 func newOptions(opts []Option) Options {
 	o := Options{
 		Timeout:   defaultTimeout,
-		HTTP:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		HTTP:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 		CallStats: &CallStats{},
 	}
 	WithReadRate(defaultReadRate)(&o)
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -44,6 +44,9 @@
 // maxResponseBytes bounds the body of the store's responses.
 const maxResponseBytes = 64 << 20
 
+// maxHeaderBytes bounds the head of the store's responses; a parsed head takes up to 25 times its bytes.
+const maxHeaderBytes = 32 << 10
+
 // Client calls the store; its functions are fields so that tests can replace them.
 type Client struct {
 	// Get returns a key's item; an absent key has revision 0.
