Count the long heads of callers' requests towards a quota

A VM reads the heads of all callers' connections, each up to 256 KB, and a head of short fields takes many times its bytes: 200 connections with heads that didn't end held 387 MB, several times the memory of the smallest VM.

What a connection reads beyond 16 KB before its handler runs now counts, with the memory of the parse, towards a quota of one eighth of the memory. A connection that finds it used up ends; its request isn't passed on. The quota isn't that of backend servers, so that callers can't use up theirs.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -69,17 +69,19 @@
 	relayClient  *relay.Client
 	relayHandler *relay.Handler
 	// bodies is the quota for the long heads and bodies of requests and responses that are being read.
-	bodies     *http1.Quota
-	dispatcher *dispatch.Dispatcher
-	forwarder  *forward.Forwarder
-	crashes    *poison.Ledger
-	splitter   *trafficSplitter
-	handler    *entry.Handler
-	callers    *http1server.Server
-	metrics    *metrics
-	keys       *keyManager
-	allotments *allotments
-	tasks      *task.Set
+	bodies *http1.Quota
+	// callerHeads is the quota for the long heads of callers' requests.
+	callerHeads *http1.Quota
+	dispatcher  *dispatch.Dispatcher
+	forwarder   *forward.Forwarder
+	crashes     *poison.Ledger
+	splitter    *trafficSplitter
+	handler     *entry.Handler
+	callers     *http1server.Server
+	metrics     *metrics
+	keys        *keyManager
+	allotments  *allotments
+	tasks       *task.Set
 
 	mu      sync.Mutex
 	elector *leader.Elector
@@ -157,6 +159,7 @@
 		reach:          reach.NewDetector(reach.WithClock(o.Clock)),
 		relays:         reach.NewRelays(reach.WithClock(o.Clock)),
 		bodies:         http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
+		callerHeads:    http1.NewQuota(s.Memory.Int64() / bodyMemoryDivisor),
 		splitter:       newTrafficSplitter(),
 		elector:        leader.NewElector(s.VM, o.Clock.Boot()),
 		departures:     departure.NewRecords(s.DrainTime.Std()),
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -103,7 +103,7 @@
 
 // newCallerServer returns the server of callers' connections.
 func (e *Edge) newCallerServer() *http1server.Server {
-	return http1server.New(e.handler, http1server.WithClock(e.clock), http1server.WithTimeouts(headerTimeout, 0, idleTimeout), http1server.WithMaxHeaderBytes(maxHeaderBytes),
+	return http1server.New(e.handler, http1server.WithClock(e.clock), http1server.WithTimeouts(headerTimeout, 0, idleTimeout), http1server.WithMaxHeaderBytes(maxHeaderBytes), http1server.WithQuota(e.callerHeads),
 		http1server.WithRequestID(func(r *http.Request) string { return r.Header.Get(platform.HeaderRequestID) }),
 		http1server.WithOnLost(e.observeLost), http1server.WithOnPanic(e.observePanic))
 }
--- a/transport/http1/body.go
+++ b/transport/http1/body.go
@@ -34,8 +34,8 @@
 // Used returns the number of bytes in use.
 func (q *Quota) Used() int64 { return q.used.Load() }
 
-// take takes n bytes from the quota and reports whether they were available; a nil quota has no limit.
-func (q *Quota) take(n int) bool {
+// Take takes n bytes from the quota and reports whether they were available; a nil quota has no limit.
+func (q *Quota) Take(n int) bool {
 	if q == nil {
 		return true
 	}
@@ -46,7 +46,8 @@
 	return true
 }
 
-func (q *Quota) giveBack(n int) {
+// GiveBack gives n bytes back that were taken.
+func (q *Quota) GiveBack(n int) {
 	if q != nil {
 		q.used.Add(-int64(n))
 	}
@@ -56,14 +57,14 @@
 // been read; a nil quota has no limit.
 func ReadBody(r io.Reader, limit int, q *Quota) (data []byte, err error) {
 	taken := 0
-	defer func() { q.giveBack(taken) }()
+	defer func() { q.GiveBack(taken) }()
 	data = make([]byte, 0, 512)
 	for {
 		if len(data) == cap(data) {
 			// The old and the new buffer exist at the same time while the data is copied.
 			grown := cap(data) + min(cap(data), maxGrowthBytes)
 			if grown > freeBodyBytes {
-				if !q.take(grown) {
+				if !q.Take(grown) {
 					return nil, errors.Wrapf(ErrQuota, "after %d bytes", len(data))
 				}
 				taken += grown
--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -171,7 +171,7 @@
 	if n <= freeHeadBytes || n <= c.reserved {
 		return nil
 	}
-	if !c.client.options.Quota.take(n - c.reserved) {
+	if !c.client.options.Quota.Take(n - c.reserved) {
 		return errNoMemoryForHead
 	}
 	c.reserved = n
@@ -180,7 +180,7 @@
 
 // giveBack gives back what the connection has taken from the quota.
 func (c *connection) giveBack() {
-	c.client.options.Quota.giveBack(c.reserved)
+	c.client.options.Quota.GiveBack(c.reserved)
 	c.reserved = 0
 }
 
--- a/transport/http1server/connection.go
+++ b/transport/http1server/connection.go
@@ -45,6 +45,8 @@
 	beganAt  clock.Instant
 	// finished is set when the handler has returned; the end of the response may still be in a buffer.
 	finished bool
+	// headBytes is the number of bytes read since the connection was idle, before the handler, and taken what they have taken from the quota.
+	headBytes, taken int
 	// writeErr is the first error of a write of the response.
 	writeErr error
 }
@@ -63,9 +65,42 @@
 			_ = c.applyReadDeadline()
 		}
 	}
+	if !c.handling && !c.countHead(n) {
+		return 0, errNoMemory
+	}
 	return n, err
 }
 
+const (
+	// freeHeadBytes is the length up to which a head doesn't count towards the quota.
+	freeHeadBytes = 16 << 10
+	// parseFactor is how many times its bytes a head of short fields takes while net/http parses it.
+	parseFactor = 16
+)
+
+// errNoMemory means that the quota for long heads is used up.
+var errNoMemory = errors.New("no memory is left for the head of the request")
+
+// countHead counts n further bytes of a head towards the quota, and reports whether they were available. The lock must be held.
+func (c *connection) countHead(n int) bool {
+	c.headBytes += n
+	more := max(0, c.headBytes-freeHeadBytes)*parseFactor - c.taken
+	if more <= 0 {
+		return true
+	}
+	if !c.server.options.Quota.Take(more) {
+		return false
+	}
+	c.taken += more
+	return true
+}
+
+// giveBack gives back what the head has taken from the quota. The lock must be held.
+func (c *connection) giveBack() {
+	c.server.options.Quota.GiveBack(c.taken)
+	c.headBytes, c.taken = 0, 0
+}
+
 // Write writes a part of a response.
 func (c *connection) Write(p []byte) (n int, err error) {
 	n, err = c.Conn.Write(p)
@@ -155,6 +190,7 @@
 func (c *connection) end() {
 	c.mu.Lock()
 	lost, isLost := c.endRequest(c.lossAfterLastWrite())
+	c.giveBack()
 	c.mu.Unlock()
 	if isLost {
 		c.server.options.OnLost(lost)
--- a/transport/http1server/options.go
+++ b/transport/http1server/options.go
@@ -17,6 +17,8 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes limits a request's header; 0 means the default of net/http.
 	MaxHeaderBytes int
+	// Quota limits the memory for long heads of requests.
+	Quota Quota
 	// RequestID returns the name under which a request is reported.
 	RequestID func(r *http.Request) string
 	// OnLost is called for each request whose connection ends before its response is written.
@@ -25,6 +27,23 @@
 	OnPanic func(value any, stack []byte)
 }
 
+// Quota limits memory that connections share.
+type Quota interface {
+	// Take takes n bytes and reports whether they were available.
+	Take(n int) bool
+	// GiveBack gives n bytes back that were taken.
+	GiveBack(n int)
+}
+
+// unlimited is a quota without a limit.
+type unlimited struct{}
+
+// Take implements Quota.
+func (unlimited) Take(int) bool { return true }
+
+// GiveBack implements Quota.
+func (unlimited) GiveBack(int) {}
+
 // Defaults of the options.
 const (
 	defaultHeaderTimeout = 5 * time.Second
@@ -45,6 +64,9 @@
 // WithMaxHeaderBytes sets the limit of a request's header, in bytes.
 func WithMaxHeaderBytes(n int) Option { return func(o *Options) { o.MaxHeaderBytes = n } }
 
+// WithQuota sets the quota for long heads of requests. A connection whose head finds it used up ends.
+func WithQuota(q Quota) Option { return func(o *Options) { o.Quota = q } }
+
 // WithRequestID sets the function that returns the name under which a request is reported.
 func WithRequestID(f func(r *http.Request) string) Option {
 	return func(o *Options) { o.RequestID = f }
@@ -58,7 +80,7 @@
 
 func newOptions(opts []Option) Options {
 	o := Options{
-		Clock: clock.System{}, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		Clock: clock.System{}, Quota: unlimited{}, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		RequestID: func(r *http.Request) string { return r.Method + " " + r.URL.Path },
 		OnLost:    func(Lost) {}, OnPanic: func(any, []byte) {},
 	}
