--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -29,7 +29,7 @@
 // maxControlResponseBytes bounds the body of the response to a grant or probe.
 const maxControlResponseBytes = 64 << 10
 
-// maxHeaderBytes bounds the head of a response; a parsed head takes up to 25 times its bytes.
+// maxHeaderBytes bounds the head of a response; a parsed head of short fields takes about 15 times its bytes.
 const maxHeaderBytes = 32 << 10
 
 // transport implements a group's transport, with one connection pool for each backend server.
--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -104,7 +104,7 @@
 // parseHead reads the head of the next response.
 //
 // net/http parses a head while it reads it, without a limit, and a parsed head
-// takes up to 25 times its bytes. So only a complete head is parsed, and it
+// of short fields takes about 15 times its bytes. So only a complete head is parsed, and it
 // counts towards the quota until the response has been read.
 func (c *connection) parseHead(method string) (got *http.Response, err error) {
 	defer func() {
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -44,7 +44,7 @@
 // maxResponseBytes bounds the body of the store's responses.
 const maxResponseBytes = 64 << 20
 
-// maxHeaderBytes bounds the head of the store's responses; a parsed head takes up to 25 times its bytes.
+// maxHeaderBytes bounds the head of the store's responses; a parsed head of short fields takes about 15 times its bytes.
 const maxHeaderBytes = 32 << 10
 
 // Client calls the store; its functions are fields so that tests can replace them.
