--- a/edge/commands.go
+++ b/edge/commands.go
@@ -39,6 +39,7 @@
 			defer func() {
 				if value := recover(); value != nil {
 					// The range would otherwise wait for this command for ever.
+					c.WriteReturnedAt = k.edge.clock.Boot()
 					k.recordOutcome(c, ownership.Unanswered, "", false)
 					panic(value)
 				}
