Read at most 64 KB of an answer to a grant, release or health check

Found by the measurement of bytes without end: answers to commands, which have short bodies or none, could be as long as those to callers' requests, 32 MB, within the quota, so that some of them used up the quota of callers' answers.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -101,7 +101,11 @@
 	answered = true
 	e.reach.Answered(wait)
 	defer resp.Body.Close()
-	body, err := http1.ReadBody(resp.Body, maxResponseBytes, e.bodies)
+	limit := maxResponseBytes
+	if a.Command {
+		limit = maxCommandResponseBytes
+	}
+	body, err := http1.ReadBody(resp.Body, limit, e.bodies)
 	if err != nil {
 		r.Failure = &relay.Failure{Sent: true, Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Cause: "read the answer: " + err.Error()}
 		return r
--- a/edge/send.go
+++ b/edge/send.go
@@ -15,8 +15,12 @@
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
-// maxResponseBytes limits the size of a buffered response, in bytes.
-const maxResponseBytes = 32 << 20
+const (
+	// maxResponseBytes limits the size of a buffered response, in bytes.
+	maxResponseBytes = 32 << 20
+	// maxCommandResponseBytes is the same for grants, releases and health checks, whose responses have short bodies or none.
+	maxCommandResponseBytes = 64 << 10
+)
 
 // sendAttempt makes one attempt at sending a request to a backend server.
 func (e *Edge) sendAttempt(ctx context.Context, a forward.Attempt) (reply *forward.Reply, failure *forward.Failure) {
