Known red: a former leader that counts by a list of VMs that the next one never had

The next one never had the list of VMs by which the former one counts the reports that the store is out of reach, as it started, or first read that era of the store, later. Closing it takes the revisions of registrations, or lists in messages.

--- a/coordination/leader/model_registrations_test.go
+++ b/coordination/leader/model_registrations_test.go
@@ -244,3 +244,13 @@
 	is.True(overlaps > 0)
 	is.True(restorations > histories)
 }
+
+// Guards against a former leader that counts by a list of VMs which the next leader never had.
+func TestFormerLeaderWithUnknownListActsNoLonger(t *testing.T) {
+	for _, seed := range []uint64{1127, 1168, 1764, 3357, 3578, 4176} {
+		m := newRegistrationModel(seed, 3+2*int(seed%2))
+		if problem := m.play(); problem != "" {
+			t.Errorf("seed %d: %s", seed, problem)
+		}
+	}
+}
