Look at other VMs' reports only where the lease doesn't confirm a connection

Each renewal of a grant made the list of all VMs and sorted their reports, though nearly all connections are older than the lease's last renewal. The result is the same. Found on the read-through; not measured apart.

--- a/coordination/leader/confirmed.go
+++ b/coordination/leader/confirmed.go
@@ -7,6 +7,9 @@
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
+// LeaseFrom returns when the call was sent that last renewed the lease, which ConfirmedAt is not before.
+func (e *Elector) LeaseFrom() clock.Instant { return e.leaseFrom }
+
 // ConfirmedAt returns the latest time at which a leader of a later term than this VM's last one was surely followed by fewer than half of the
 // VMs, so that FollowedSince of that leader is later.
 //
--- a/edge/confirmed_test.go
+++ b/edge/confirmed_test.go
@@ -96,7 +96,7 @@
 	execute()
 	is.Equal(len(commands), 0)
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if at, _ := v.confirmedAt(7); at == v.clock.now {
+		if at, _ := v.confirmedAt(7, 0); at == v.clock.now {
 			break
 		}
 	}
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -271,7 +271,7 @@
 // confirmLeadership returns the latest time at which the leader of a later term than the given one was surely followed by fewer than half of the
 // VMs; 0 if this VM's last leadership isn't of that term. If wanted is later, it first renews the lease.
 func (e *Edge) confirmLeadership(ctx context.Context, term id.Revision, wanted clock.Instant) clock.Instant {
-	at, canAsk := e.confirmedAt(term)
+	at, canAsk := e.confirmedAt(term, wanted)
 	if !wanted.After(at) || !canAsk {
 		return at
 	}
@@ -282,7 +282,7 @@
 		case <-ctx.Done():
 			return at
 		}
-		if at, canAsk = e.confirmedAt(term); !wanted.After(at) || !canAsk {
+		if at, canAsk = e.confirmedAt(term, wanted); !wanted.After(at) || !canAsk {
 			return at
 		}
 	}
@@ -330,16 +330,19 @@
 	return isWanted
 }
 
-// confirmedAt returns the result of confirmLeadership as far as it is known; canAsk says that the store may confirm a later time.
-func (e *Edge) confirmedAt(term id.Revision) (at clock.Instant, canAsk bool) {
-	members := e.members()
+// confirmedAt returns the result of confirmLeadership as far as it is known, or an earlier time that is late enough; canAsk says that the store may
+// confirm a later one.
+func (e *Edge) confirmedAt(term id.Revision, wanted clock.Instant) (at clock.Instant, canAsk bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.elector.Term() != term {
 		return 0, false
 	}
+	if at = e.elector.LeaseFrom(); wanted > 0 && !wanted.After(at) {
+		return at, true
+	}
 	now := e.clock.Boot()
-	return e.elector.ConfirmedAt(now, members), !e.missesStore(now)
+	return e.elector.ConfirmedAt(now, e.members()), !e.missesStore(now)
 }
 
 // resign gives up the leadership and announces that this VM is leaving.
