--- a/review/tools/cases/main.go
+++ b/review/tools/cases/main.go
@@ -33,6 +33,7 @@
 	"unsigned": playUnsigned,
 	"limit":    playLimit,
 	"idle":     playIdle,
+	"era":      playEra,
 }
 
 func main() {
--- a/review/tools/site/site.go
+++ b/review/tools/site/site.go
@@ -26,6 +26,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 	ID, Service, Address, Zone string
 	Born                       int64
 
+	sequence int
+
 	http *http.Server
 }
 
@@ -83,17 +86,27 @@
 	Servers []*Server
 
 	program      string
+	storeHandler http.Handler
 	storeServer  *http.Server
 	storeAddress string
 	storeAgain   *http.Server
 	stop         chan struct{}
 	stopped      <-chan struct{}
+	storeDown    atomic.Bool
 	version      int
 	lastBorn     int64
 }
 
+// Option changes an option of a deployment.
+type Option func(*Deployment)
+
+// WithStore sets a function that wraps the store's handler.
+func WithStore(wrap func(http.Handler) http.Handler) Option {
+	return func(d *Deployment) { d.storeHandler = wrap(d.storeHandler) }
+}
+
 // New starts a deployment without VMs and backend servers. The program is the one that the build line of the deploy file makes.
-func New(program string) (d *Deployment, err error) {
+func New(program string, opts ...Option) (d *Deployment, err error) {
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -102,12 +115,15 @@
 		return nil, err
 	}
 	d = &Deployment{Folder: folder, Store: kv.NewStore(rand.Float64), Memory: "284MB", program: program, stop: make(chan struct{})}
-	d.stopped = d.Store.Run(d.stop)
+	d.stopped, d.storeHandler = d.Store.Run(d.stop), d.Store
+	for _, opt := range opts {
+		opt(d)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	d.storeAddress, d.storeServer = l.Addr().String(), &http.Server{Handler: d.Store}
+	d.storeAddress, d.storeServer = l.Addr().String(), &http.Server{Handler: d.storeHandler}
 	go func() { _ = d.storeServer.Serve(l) }()
 	return d, nil
 }
@@ -164,13 +180,35 @@
 	return s, nil
 }
 
-// Register writes a backend server's entry.
+// Register writes a backend server's entry, with the next number of its sequence.
 func (d *Deployment) Register(s *Server, state string) {
+	s.sequence++
 	d.put("servers/"+s.ID, map[string]any{
-		"Service": s.Service, "Address": s.Address, "Zone": s.Zone, "Version": "v1", "Slots": 4, "State": state, "WarmupLeftS": 0, "Sequence": 4, "born": s.Born,
+		"Service": s.Service, "Address": s.Address, "Zone": s.Zone, "Version": "v1", "Slots": 4, "State": state, "WarmupLeftS": 0, "Sequence": s.sequence, "born": s.Born,
 	})
 }
 
+// Heartbeat writes the entries of all backend servers once in each period, spread over it, until stop is closed. A call that fails while the store is
+// away is left out.
+func (d *Deployment) Heartbeat(period time.Duration, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(period / time.Duration(len(d.Servers))):
+		}
+		if !d.storeDown.Load() {
+			d.Register(d.Servers[n%len(d.Servers)], "ready")
+		}
+	}
+}
+
+// SetStoreDown makes the store answer each call with 503, or ends that.
+func (d *Deployment) SetStoreDown(down bool) {
+	d.storeDown.Store(down)
+	d.Store.SetFault(kv.Fault{Down: down})
+}
+
 // AddVM starts an entry VM with settings like those of the deploy file's template.
 func (d *Deployment) AddVM(name, zone string) (err error) {
 	v := &VM{Name: name, settings: filepath.Join(d.Folder, name+".json")}
@@ -217,7 +255,7 @@
 	if err != nil {
 		return "", err
 	}
-	d.storeAgain = &http.Server{Handler: d.Store}
+	d.storeAgain = &http.Server{Handler: d.storeHandler}
 	go func() { _ = d.storeAgain.Serve(l) }()
 	return l.Addr().String(), nil
 }
