--- a/review/tools/cases/main.go
+++ b/review/tools/cases/main.go
@@ -34,6 +34,7 @@
 	"limit":    playLimit,
 	"idle":     playIdle,
 	"era":      playEra,
+	"route":    playRoute,
 }
 
 func main() {
