--- a/review/tools/cases/main.go
+++ b/review/tools/cases/main.go
@@ -35,6 +35,8 @@
 	"idle":     playIdle,
 	"era":      playEra,
 	"route":    playRoute,
+	"slow":     playSlow,
+	"leaders":  playLeaders,
 }
 
 func main() {
--- a/review/tools/cases/parts.go
+++ b/review/tools/cases/parts.go
@@ -75,6 +75,8 @@
 	method, path string
 	body         int
 	deadline     time.Duration
+	// key is the key of a request to a keyed service, or 0.
+	key int
 }
 
 // ids numbers the attempts.
@@ -96,6 +98,9 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(q.deadline))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nConnection: close\r\n", q.method, q.path, site.Host, a.id, q.deadline.Milliseconds())
+	if q.key > 0 {
+		head += "Shard-Key: " + strconv.Itoa(q.key) + "\r\n"
+	}
 	if q.body > 0 {
 		head += "Content-Length: " + strconv.Itoa(q.body) + "\r\n"
 	}
--- a/review/tools/site/site.go
+++ b/review/tools/site/site.go
@@ -59,6 +59,8 @@
 	ID, Service, Address, Zone string
 	Born                       int64
 
+	// Silent is set while the backend server doesn't reach the store.
+	Silent   atomic.Bool
 	sequence int
 
 	http *http.Server
@@ -66,7 +68,7 @@
 
 // VM is an entry VM.
 type VM struct {
-	Name, Caller, Ready, Metrics string
+	Name, Zone, Caller, Ready, Metrics string
 
 	settings string
 	values   map[string]any
@@ -84,6 +86,8 @@
 	Memory  string
 	VMs     []*VM
 	Servers []*Server
+	// Network connects VMs and backend servers; nil means that they reach each other directly.
+	Network *faultproxy.Network
 
 	program      string
 	storeHandler http.Handler
@@ -92,6 +96,7 @@
 	storeAgain   *http.Server
 	stop         chan struct{}
 	stopped      <-chan struct{}
+	mu           sync.Mutex
 	storeDown    atomic.Bool
 	version      int
 	lastBorn     int64
@@ -174,6 +179,12 @@
 	}
 	d.lastBorn = max(d.lastBorn+1, time.Now().UnixMilli())
 	s = &Server{ID: id, Service: service, Zone: zone, Address: l.Addr().String(), Born: d.lastBorn, http: &http.Server{Handler: h}}
+	if d.Network != nil {
+		if err := d.Network.Attach(id, s.Address); err != nil {
+			return nil, err
+		}
+		s.Address = d.Network.Address(id)
+	}
 	go func() { _ = s.http.Serve(l) }()
 	d.Servers = append(d.Servers, s)
 	d.Register(s, "ready")
@@ -197,8 +208,8 @@
 			return
 		case <-time.After(period / time.Duration(len(d.Servers))):
 		}
-		if !d.storeDown.Load() {
-			d.Register(d.Servers[n%len(d.Servers)], "ready")
+		if s := d.Servers[n%len(d.Servers)]; !d.storeDown.Load() && !s.Silent.Load() {
+			d.Register(s, "ready")
 		}
 	}
 }
@@ -209,9 +220,20 @@
 	d.Store.SetFault(kv.Fault{Down: down})
 }
 
+// Machine is the size of a VM's machine.
+type Machine struct {
+	Processor, LinkMbps float64
+	Memory              string
+}
+
 // AddVM starts an entry VM with settings like those of the deploy file's template.
 func (d *Deployment) AddVM(name, zone string) (err error) {
-	v := &VM{Name: name, settings: filepath.Join(d.Folder, name+".json")}
+	return d.AddMachine(name, zone, Machine{0.32, 1000, d.Memory})
+}
+
+// AddMachine is AddVM for a machine of a given size.
+func (d *Deployment) AddMachine(name, zone string, m Machine) (err error) {
+	v := &VM{Name: name, Zone: zone, settings: filepath.Join(d.Folder, name+".json")}
 	if v.store, err = faultproxy.Listen(d.storeAddress); err != nil {
 		return err
 	}
@@ -222,10 +244,15 @@
 		}
 	}
 	v.Caller, v.Ready, v.Metrics = a[0], a[1], a[3]
+	if d.Network != nil {
+		if err := d.Network.Attach(name, a[2]); err != nil {
+			return err
+		}
+	}
 	v.values = map[string]any{
 		"VM": name, "FailureDomain": zone, "CallerAddress": a[0], "ReadyAddress": a[1], "PeerAddress": a[2], "MetricsAddress": a[3], "Store": v.store.Address(),
 		"LogLevel": "info", "GraceTime": "6s", "ServerHeartbeat": "0.87s", "RetryShare": 0.2, "RetrySlack": 62, "RetryWindow": "10s", "WarmOverage": 1.5, "WarmSlack": 5,
-		"DrainTime": "2s", "MaxHold": "10s", "Processor": 0.32, "Link": 1000.0, "Memory": d.Memory,
+		"DrainTime": "2s", "MaxHold": "10s", "Processor": m.Processor, "Link": m.LinkMbps, "Memory": m.Memory,
 	}
 	if err := v.writeSettings(); err != nil {
 		return err
@@ -233,7 +260,9 @@
 	if v.log, err = os.Create(filepath.Join(d.Folder, name+".log")); err != nil {
 		return err
 	}
+	d.mu.Lock()
 	d.VMs = append(d.VMs, v)
+	d.mu.Unlock()
 	return d.Start(v)
 }
 
@@ -292,6 +321,16 @@
 	return nil
 }
 
+// pid returns the id of the VM's process, or 0 before its start.
+func (v *VM) pid() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process == nil {
+		return 0
+	}
+	return v.process.Process.Pid
+}
+
 // Signal sends a signal to a VM's process.
 func (v *VM) Signal(s syscall.Signal) {
 	v.mu.Lock()
@@ -316,10 +355,7 @@
 
 // ResidentMB returns the resident memory of the VM's process, in MB of 10^6 bytes, or 0 if it has ended.
 func (v *VM) ResidentMB() float64 {
-	v.mu.Lock()
-	pid := v.process.Process.Pid
-	v.mu.Unlock()
-	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(v.pid()) + "/status")
 	if err != nil {
 		return 0
 	}
@@ -334,12 +370,12 @@
 
 // LimitDescriptors sets the number of descriptors that the VM's process may have, as the platform does.
 func (v *VM) LimitDescriptors(n uint64) error {
-	return unix.Prlimit(v.process.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil)
+	return unix.Prlimit(v.pid(), unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil)
 }
 
 // Descriptors returns the number of descriptors that the VM's process has.
 func (v *VM) Descriptors() int {
-	entries, _ := os.ReadDir("/proc/" + strconv.Itoa(v.process.Process.Pid) + "/fd")
+	entries, _ := os.ReadDir("/proc/" + strconv.Itoa(v.pid()) + "/fd")
 	return len(entries)
 }
 
@@ -376,6 +412,9 @@
 	for _, s := range d.Servers {
 		_ = s.http.Close()
 	}
+	if d.Network != nil {
+		d.Network.Close()
+	}
 	_ = d.storeServer.Close()
 	if d.storeAgain != nil {
 		_ = d.storeAgain.Close()
