--- a/review/tools/cases/leaders.go
+++ b/review/tools/cases/leaders.go
@@ -193,6 +193,9 @@
 		r.note("%s; meanwhile %s began %d requests on them and %s %d", c.Text, c.Servers[0], former, c.Servers[1], later)
 	}
 	r.note("longest time in which two servers held the same keys: %s; both began requests on them: %t", longest, areBothUsed)
+	if len(done.all) == 0 {
+		return false, fmt.Errorf("no request was served")
+	}
 	return areBothUsed || longest > maxShared, nil
 }
 
