--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -154,10 +154,7 @@
 //
 // Members are the registered VMs, including this one.
 func (e *Elector) Leads(now clock.Instant, members []id.VM) bool {
-	if !e.leading {
-		return false
-	}
-	return !e.uncertain && now.Sub(e.leaseFrom) < LeaseTTL || e.isStoreUnreachable(now, members)
+	return e.Basis(now, members) != NoBasis
 }
 
 // isStoreUnreachable reports whether most VMs have recently called the store and got no answer; this VM is always counted as one of them. None of
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -41,6 +41,7 @@
 		e.endEarlierEra(now)
 		e.endReplaced(now)
 		e.learnRecordedTerm(now)
+		e.logLeadership(now)
 		e.mu.Lock()
 		vm, term, fresh := e.elector.Leader(now)
 		campaign := !fresh && !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,6 +96,9 @@
 	// ledAt is when this VM could last act as the leader, and continuesIn the era of the store in which it may lead on with its key tables.
 	ledAt       clock.Instant
 	continuesIn id.Era
+	// basis is why this VM may act as the leader, and formerGoneIn the last term in which it knew until when former leaders may act; for the log.
+	basis        leader.Basis
+	formerGoneIn id.Revision
 	// registeredAt is the store's revision of this VM's registration, or 0 before it.
 	registeredAt id.Revision
 	// registerTriedAt is when this VM last tried to register.
@@ -177,6 +180,7 @@
 		unusedLogs:     rate.Sometimes{First: maxUnusedLogs, Interval: unusedLogPeriod},
 		unansweredLogs: rate.Sometimes{First: maxUnansweredLogs, Interval: unansweredLogPeriod},
 		keeper:         retention.NewKeeper(),
+		basis:          leader.NoBasis,
 		warmupSign:     make(chan struct{}, 1),
 		resync:         make(chan struct{}, 1),
 		replan:         make(chan struct{}, 1),
