A leader without its lease acts by VMs that it has recorded, in most failure domains

Cause: a former leader led on by two of a list of three VMs, from within a failure domain that was cut off. The next one had started during the cut. It took former leaders for gone once half of each list that it had had itself followed it, and none of these lists was that one.

Change: the VMs by which a leader counts, the voters, are a record of the store, written under its own record and the last voters. The next leader reads it once no write of a former one can take effect. While the outcome of a write is unknown, the leader counts by both lists, and without voters it acts by its lease alone. Most VMs now means more than half of them, in more than half of the failure domains (coordination/quorum): otherwise the next leader would wait for a failure domain without power as for one that is cut off. So a failure domain that is cut off with most VMs is no majority, and all VMs of half of the failure domains are enough to take former leaders for gone. ConfirmedAt, which lets grants go on new connections, and HasMajority, which lets a leader lead on in a new era, counted the registered VMs as each VM knew them. They count the voters, too.

Changed tests: electors are told the voters where they were passed a list of VMs; the store of TestTablesAreSettledAfterARestoration has voters, as each store has that a leader has used; TestLeadsThroughAnOutage keeps its cases and has new ones with failure domains.

Costs: in a deployment with two failure domains, a leader without its lease stops if it hears none of the other one. One write for each election, and for registrations that change within a second.

--- a/coordination/leader/basis.go
+++ b/coordination/leader/basis.go
@@ -21,13 +21,13 @@
 )
 
 // Basis returns why this VM may act as the leader now.
-func (e *Elector) Basis(now clock.Instant, members []id.VM) Basis {
+func (e *Elector) Basis(now clock.Instant) Basis {
 	switch {
 	case !e.leading:
 		return NoBasis
 	case !e.uncertain && now.Sub(e.leaseFrom) < LeaseTTL:
 		return ByLease
-	case e.isStoreUnreachable(now, members):
+	case e.isStoreUnreachable(now):
 		return ByReports
 	default:
 		return NoBasis
@@ -53,11 +53,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// Lists returns the lists of VMs by which this VM judges whether former leaders are gone.
-func (e *Elector) Lists() (out [][]id.VM) {
-	for _, l := range append(slices.Clone(e.earlierLists), e.list) {
-		out = append(out, l.members)
-	}
-	return out
-}
--- a/coordination/leader/confirmed_test.go
+++ b/coordination/leader/confirmed_test.go
@@ -64,10 +64,10 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := leader.NewElector("a", start)
+			e := newElector("a", members...)
 			e.Won(start, term)
 			test.prepare(e)
-			is.Equal(e.ConfirmedAt(second(6), members), test.want)
+			is.Equal(e.ConfirmedAt(second(6)), test.want)
 		})
 	}
 }
--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -5,13 +5,20 @@
 // most VMs report that they can't reach the store either, since another VM
 // can't have acquired the lease unnoticed then. A report counts from when the
 // leader sent the heartbeat that it answers, and a VM that knows of a later leader
-// doesn't count. The package uses no sockets, and its callers pass the time.
+// doesn't count.
+//
+// Most VMs are a majority (package quorum) of the voters, a list that the leader
+// has recorded in the store. The next leader reads it there, so it knows by which
+// VMs a former one may act, also if it has started after that one was cut off.
+//
+// The package uses no sockets, and its callers pass the time.
 //
 // # Usage
 //
 //	e := leader.NewElector("vm1", now)
+//	e.RecordVoters(now, stored)
 //	e.Won(now, term)
-//	if e.Leads(now, members) {
+//	if e.Leads(now) {
 //		grant()
 //	}
 package leader
@@ -20,6 +27,7 @@
 	"time"
 
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
@@ -63,9 +71,18 @@
 	// followedSince is since when a majority is known to follow followedTerm.
 	followedTerm  id.Revision
 	followedSince clock.Instant
+	// voters is the latest known record of the voters, stored the one that the store has, and proposed are later ones of this VM whose writes have
+	// no known outcome.
+	voters   fleet.Voters
+	stored   fleet.VotersID
+	proposed []fleet.Voters
+	// secondTerm is the second highest known term, and formerTerm the highest one before this VM's last leadership.
+	secondTerm, formerTerm id.Revision
 	// list is the present list of the registered VMs, and earlierLists those before it that a former leader may still count.
 	list         memberList
 	earlierLists []memberList
+	// firstEra is the era of the store in which this VM first knew a list.
+	firstEra id.Era
 	// startedAt is when the elector was created, and wonAt when this VM last became the leader.
 	startedAt, wonAt clock.Instant
 	// waitStart is when the wait for a leader's heartbeat began; CampaignFailed and Resigned move it so that the next campaign begins
@@ -113,7 +130,11 @@
 // Won records that this VM has written the leader's record of a term, under a lease opened at the given time. It doesn't lead if a later term is
 // known already.
 func (e *Elector) Won(begun clock.Instant, term id.Revision) {
-	e.highestTerm = max(e.highestTerm, term)
+	// This VM may have read its own record already.
+	if e.formerTerm = e.highestTerm; e.formerTerm >= term {
+		e.formerTerm = e.secondTerm
+	}
+	e.highestTerm, e.proposed = max(e.highestTerm, term), nil
 	e.leading, e.uncertain, e.term, e.leaseFrom, e.wonAt = term == e.highestTerm, false, term, begun, begun
 }
 
@@ -151,22 +172,12 @@
 func (e *Elector) Term() id.Revision { return e.term }
 
 // Leads reports whether the VM may act as the leader now.
-//
-// Members are the registered VMs, including this one.
-func (e *Elector) Leads(now clock.Instant, members []id.VM) bool {
-	return e.Basis(now, members) != NoBasis
-}
+func (e *Elector) Leads(now clock.Instant) bool { return e.Basis(now) != NoBasis }
 
-// isStoreUnreachable reports whether most VMs have recently called the store and got no answer; this VM is always counted as one of them. None of
-// them knows a later term, since that would have ended the leadership.
-func (e *Elector) isStoreUnreachable(now clock.Instant, members []id.VM) bool {
-	unreachable := 0
-	for _, m := range members {
-		if m == e.self || now < e.peers[m].reportUntil {
-			unreachable++
-		}
-	}
-	return 2*unreachable > len(members)
+// isStoreUnreachable reports whether a majority of the voters has recently called the store and got no answer; this VM is always counted as one of
+// them. None of them knows a later term, since that would have ended the leadership.
+func (e *Elector) isStoreUnreachable(now clock.Instant) bool {
+	return e.hasMajority(func(vm id.VM) bool { return vm == e.self || now < e.peers[vm].reportUntil })
 }
 
 // SilentFor returns for how long no heartbeat of a VM has reached this leader. VMs send heartbeats to the leader only, so the time
@@ -181,16 +192,10 @@
 	return ok && now.Sub(p.at) < peerTimeout
 }
 
-// HasMajority reports whether most VMs, this one included, are reachable and follow this VM's term; none does once a later one is known.
-func (e *Elector) HasMajority(now clock.Instant, members []id.VM) bool {
-	if e.highestTerm > e.term {
-		return false
-	}
-	reachable := 0
-	for _, m := range members {
-		if m == e.self || e.IsReachable(now, m) && e.peers[m].follows(e.term) {
-			reachable++
-		}
-	}
-	return 2*reachable > len(members)
+// HasMajority reports whether a majority of the voters, this VM included, is reachable and follows this VM's term; none does once a later one is
+// known.
+func (e *Elector) HasMajority(now clock.Instant) bool {
+	return e.highestTerm <= e.term && e.hasMajority(func(vm id.VM) bool {
+		return vm == e.self || e.IsReachable(now, vm) && e.peers[vm].follows(e.term)
+	})
 }
--- a/coordination/leader/leader_test.go
+++ b/coordination/leader/leader_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
@@ -15,6 +16,22 @@
 
 var members = []id.VM{"a", "b", "c", "d", "e"}
 
+// listOf returns a list of VMs in one failure domain.
+func listOf(vms ...id.VM) map[id.VM]id.Domain {
+	list := map[id.VM]id.Domain{}
+	for _, vm := range vms {
+		list[vm] = "east"
+	}
+	return list
+}
+
+// newElector returns the elector of a VM that knows the voters in the store.
+func newElector(vm id.VM, voters ...id.VM) *leader.Elector {
+	e := leader.NewElector(vm, start)
+	e.RecordVoters(start, fleet.Voters{VotersID: fleet.VotersID{Term: 1, Number: 1}, Members: listOf(voters...)})
+	return e
+}
+
 func TestLeads(t *testing.T) {
 	tests := map[string]struct {
 		prepare func(e *leader.Elector)
@@ -88,9 +105,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := leader.NewElector("a", start)
+			e := newElector("a", members...)
 			test.prepare(e)
-			is.Equal(e.Leads(start.Add(test.after), members), test.want)
+			is.Equal(e.Leads(start.Add(test.after)), test.want)
 		})
 	}
 }
@@ -125,7 +142,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := leader.NewElector("a", start)
+			e := newElector("a", members...)
 			test.prepare(e)
 			is.Equal(e.ShouldCampaign(start.Add(test.after), test.rank), test.want)
 		})
@@ -136,7 +153,7 @@
 func TestSilentFor(t *testing.T) {
 	is := is.New(t)
 	start := clock.Instant(time.Hour)
-	e := leader.NewElector("a", start)
+	e := newElector("a", members...)
 	is.Equal(e.SilentFor(start.Add(time.Minute), "b"), time.Minute)
 	e.RecordHeartbeat(start.Add(time.Minute), "b", leader.Heartbeat{})
 	won := start.Add(2 * time.Minute)
@@ -157,7 +174,7 @@
 // heartbeat returns what an elector's VM sends now.
 func heartbeat(e *leader.Elector, now clock.Instant, storeUnreachable bool) leader.Heartbeat {
 	stamp := e.Stamp(now)
-	h := leader.Heartbeat{Leading: e.Leads(now, members), StoreUnreachable: storeUnreachable, KnownTerm: e.KnownTerm(), Stamp: &stamp}
+	h := leader.Heartbeat{Leading: e.Leads(now), StoreUnreachable: storeUnreachable, KnownTerm: e.KnownTerm(), Stamp: &stamp}
 	if h.Leading {
 		h.Term = e.Term()
 	}
@@ -168,7 +185,7 @@
 func newFollowers(former *leader.Elector, vms []id.VM) map[id.VM]*leader.Elector {
 	followers := map[id.VM]*leader.Elector{}
 	for _, m := range vms {
-		followers[m] = leader.NewElector(m, start)
+		followers[m] = newElector(m, members...)
 		followers[m].RecordHeartbeat(start, "a", heartbeat(former, start, false))
 	}
 	return followers
@@ -177,20 +194,20 @@
 // The reports were sent before the second leader was elected, and are read by the former one after it was frozen.
 func TestFormerLeaderLeadsByQueuedReports(t *testing.T) {
 	is := is.New(t)
-	former := leader.NewElector("a", start)
+	former := newElector("a", members...)
 	former.Won(start, 7)
 	elected := start.Add(2 * time.Second)
 	thawed := elected.Add(formerAllowance + time.Second)
 	for m, follower := range newFollowers(former, members[2:]) {
 		former.RecordHeartbeat(thawed, m, heartbeat(follower, elected, true))
 	}
-	is.True(!former.Leads(thawed, members))
+	is.True(!former.Leads(thawed))
 }
 
 // Three VMs hear neither leader and report to all, so that both leaders count them.
 func TestTwoLeadersCountTheSameVMs(t *testing.T) {
 	is := is.New(t)
-	former, next := leader.NewElector("a", start), leader.NewElector("b", start)
+	former, next := newElector("a", members...), newElector("b", members...)
 	former.Won(start, 7)
 	followers := newFollowers(former, members[2:])
 	elected := start.Add(2 * time.Second)
@@ -201,7 +218,7 @@
 			next.RecordHeartbeat(now, m, heartbeat(follower, now, true))
 		}
 		if now.Sub(elected) > formerAllowance {
-			is.True(!former.Leads(now, members) || !next.HasMajority(now, members))
+			is.True(!former.Leads(now) || !next.HasMajority(now))
 		}
 	}
 }
--- a/coordination/leader/lists.go
+++ b/coordination/leader/lists.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,9 +17,9 @@
 	maxLists = 32
 )
 
-// memberList is a list of the registered VMs.
+// memberList is a list of the registered VMs with their failure domains.
 type memberList struct {
-	members []id.VM
+	members map[id.VM]id.Domain
 	// position is the revision of the store at which the list was first seen, and endedAt when the next one took its place.
 	position id.Revision
 	endedAt  clock.Instant
@@ -26,17 +27,18 @@
 
 // RecordMembers records the list of the registered VMs, which has this VM only if that is registered, at a revision of the store.
 //
-// A former leader that reaches neither the store nor the later leader counts the
-// VMs of an earlier list. The later leader may know other ones: VMs that have
-// registered since, or fewer after the store came back from an older copy. So
-// its term must be known to half of the VMs of each list that the former one may
-// have: those since the last heartbeat of a leader that it heard.
-func (e *Elector) RecordMembers(now clock.Instant, position id.Revision, members []id.VM) {
-	next := memberList{members: slices.Sorted(slices.Values(members)), position: position}
-	if slices.Equal(next.members, e.list.members) {
+// A later leader needs them where the store doesn't have the voters of the former
+// one: after it came back from an older copy, and beside builds that recorded none.
+// Its term must then be known by each list that the former one may have had: those
+// since the last heartbeat of a leader that it heard.
+func (e *Elector) RecordMembers(now clock.Instant, position id.Revision, members map[id.VM]id.Domain) {
+	next := memberList{members: maps.Clone(members), position: position}
+	if maps.Equal(next.members, e.list.members) {
 		return
 	}
-	if len(e.list.members) > 0 {
+	if len(e.list.members) == 0 {
+		e.firstEra = position.Era()
+	} else {
 		e.list.endedAt = now
 		e.earlierLists = append(e.earlierLists, e.list)
 	}
@@ -60,21 +62,3 @@
 	}
 	e.earlierLists = slices.DeleteFunc(e.earlierLists, func(l memberList) bool { return l.position < latest && l.position.Era() == latest.Era() })
 }
-
-// followedSinceBy returns since when at least half of some VMs have known this VM's term; ok is false while it isn't known.
-func (e *Elector) followedSinceBy(members []id.VM) (at clock.Instant, ok bool) {
-	var confirmed []clock.Instant
-	for _, m := range members {
-		if m == e.self {
-			confirmed = append(confirmed, e.wonAt)
-		} else if p := e.peers[m]; p.followedTerm == e.term {
-			confirmed = append(confirmed, p.followedSince)
-		}
-	}
-	enough := (len(members) + 1) / 2
-	if enough == 0 || len(confirmed) < enough {
-		return 0, false
-	}
-	slices.Sort(confirmed)
-	return confirmed[enough-1], true
-}
--- a/coordination/leader/lists_test.go
+++ b/coordination/leader/lists_test.go
@@ -48,7 +48,7 @@
 			now := start
 			for _, l := range test.lists {
 				now = now.Add(time.Second)
-				e.RecordMembers(now, l.position, l.members)
+				e.RecordMembers(now, l.position, listOf(l.members...))
 			}
 			last := test.lists[len(test.lists)-1]
 			if test.heard > 0 {
@@ -60,7 +60,7 @@
 				e.RecordHeartbeat(now, m, leader.Heartbeat{KnownTerm: won, Stamp: &leader.Stamp{}})
 			}
 			e.Renewed(now.Add(test.after))
-			_, ok := e.FollowedSince(last.members)
+			_, ok := e.FollowedSince(listOf(last.members...))
 			is.Equal(ok, test.ok)
 		})
 	}
@@ -70,24 +70,24 @@
 func TestRenewedLeaseEndsEarlierLists(t *testing.T) {
 	is := is.New(t)
 	e := leader.NewElector("a", start)
-	e.RecordMembers(start, 1, []id.VM{"a"})
+	e.RecordMembers(start, 1, listOf("a"))
 	e.Won(start, 2)
-	_, ok := e.FollowedSince([]id.VM{"a"})
+	_, ok := e.FollowedSince(listOf("a"))
 	is.True(ok)
-	e.RecordMembers(start, 3, []id.VM{"a", "b", "c"})
-	e.RecordMembers(start, 4, []id.VM{"a"})
+	e.RecordMembers(start, 3, listOf("a", "b", "c"))
+	e.RecordMembers(start, 4, listOf("a"))
 	wins := func(now clock.Instant, term id.Revision) bool {
 		e.LeaseEnded(now)
 		e.Won(now, term)
-		_, ok := e.FollowedSince([]id.VM{"a"})
+		_, ok := e.FollowedSince(listOf("a"))
 		return ok
 	}
 	is.True(!wins(start.Add(time.Second), 5)) // another VM may have led with the list of three
 	e.RecordHeartbeat(start, "b", leader.Heartbeat{KnownTerm: 5, Stamp: &leader.Stamp{}})
-	_, ok = e.FollowedSince([]id.VM{"a"})
+	_, ok = e.FollowedSince(listOf("a"))
 	is.True(ok)
-	e.RecordMembers(start, 6, []id.VM{"a", "b", "c"})
-	e.RecordMembers(start, 7, []id.VM{"a"})
+	e.RecordMembers(start, 6, listOf("a", "b", "c"))
+	e.RecordMembers(start, 7, listOf("a"))
 	e.Renewed(start.Add(time.Second))
 	is.True(wins(start.Add(2*time.Second), 8))
 }
--- a/coordination/leader/model_test.go
+++ b/coordination/leader/model_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/leader"
 	"github.com/hickorylug/hickorylug/state/clock"
+	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
@@ -61,6 +62,7 @@
 // modelVM is a VM with a clock of its own.
 type modelVM struct {
 	id      id.VM
+	domain  id.Domain
 	elector *leader.Elector
 	// offset is how much its clock is ahead.
 	offset time.Duration
@@ -72,6 +74,9 @@
 	heartbeatAt, renewedAt clock.Instant
 	electedAt              clock.Instant
 	campaigning            bool
+	// proposing says that a call that records its voters is under way, and proposedAt when the last one began.
+	proposing  bool
+	proposedAt clock.Instant
 	// boot counts the VM's processes.
 	boot      int
 	datagrams []datagram
@@ -84,13 +89,17 @@
 // model is a model of VMs, their links and the store; times are its own unless they are passed to an elector.
 type model struct {
 	random *rand.Rand
-	fault  fault
-	now    clock.Instant
-	ticks  int
-	vms    []*modelVM
+	// votersRandom is the source of what belongs to the record of the voters.
+	votersRandom *rand.Rand
+	fault        fault
+	// candidate is the only VM that may campaign; nil means that all may.
+	candidate *modelVM
+	now       clock.Instant
+	ticks     int
+	vms       []*modelVM
 	// registry holds the registrations in the store; nil means that the VMs are always the same.
 	registry  *registry
-	members   []id.VM
+	members   map[id.VM]id.Domain
 	cut       map[[2]*modelVM]bool
 	datagrams []datagram
 	responses []response
@@ -108,24 +117,42 @@
 	restorations int
 }
 
-func newModel(seed uint64, size int, f fault) *model {
+// newModel returns a model whose voters are always the same, spread over some failure domains.
+func newModel(seed uint64, size, domains int, f fault) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 44)), fault: f, now: start, cut: map[[2]*modelVM]bool{}, lossRate: 0.03,
+		random: rand.New(rand.NewPCG(seed, 44)), votersRandom: rand.New(rand.NewPCG(seed, 45)), fault: f, revision: 1, members: map[id.VM]id.Domain{}, now: start, cut: map[[2]*modelVM]bool{}, lossRate: 0.03,
 		formerUntil: map[id.Revision]clock.Instant{},
 	}
 	m.pausesLeases = m.random.IntN(2) == 0
 	for i := range size {
-		v := &modelVM{id: id.VM(fmt.Sprintf("vm%d", i)), offset: time.Duration(i) * 1000 * time.Second, served: true, answeredAt: start, stamps: map[id.Revision]leader.Stamp{}}
-		v.elector = leader.NewElector(v.id, m.local(v))
-		m.vms, m.members = append(m.vms, v), append(m.members, v.id)
+		v := &modelVM{
+			id: id.VM(fmt.Sprintf("vm%d", i)), domain: domainOf(i, domains), offset: time.Duration(i) * 1000 * time.Second, served: true, answeredAt: start,
+			stamps: map[id.Revision]leader.Stamp{},
+		}
+		m.vms, m.members[v.id] = append(m.vms, v), v.domain
+	}
+	for _, v := range m.vms {
+		m.newElector(v)
 	}
 	return m
 }
 
+func domainOf(vm, domains int) id.Domain { return id.Domain('a' + rune(vm%domains)) }
+
+// newElector gives a VM the elector of a new process.
+func (m *model) newElector(v *modelVM) {
+	v.elector = leader.NewElector(v.id, m.local(v))
+	if m.registry == nil {
+		v.elector.RecordVoters(m.local(v), fleet.Voters{VotersID: fleet.VotersID{Term: 1, Number: 1}, Members: m.members})
+	}
+}
+
 func (m *model) local(v *modelVM) clock.Instant { return m.now.Add(v.offset) }
 
-func (m *model) delay() time.Duration {
-	return time.Duration(m.random.Int64N(int64(maxDelay))) + time.Millisecond
+func (m *model) delay() time.Duration { return delayFrom(m.random) }
+
+func delayFrom(random *rand.Rand) time.Duration {
+	return time.Duration(random.Int64N(int64(maxDelay))) + time.Millisecond
 }
 
 func (m *model) reachesStore(v *modelVM) bool { return !m.storeDown && v.served }
@@ -134,7 +161,7 @@
 func (m *model) heartbeat(v *modelVM) leader.Heartbeat {
 	now := m.local(v)
 	stamp := v.elector.Stamp(now)
-	h := leader.Heartbeat{Position: v.list.current.position, Leading: v.elector.Leads(now, m.membersOf(v)), StoreUnreachable: v.answeredAt > 0 && m.now.Sub(v.answeredAt) > storeTimeout, KnownTerm: v.elector.KnownTerm(), Stamp: &stamp}
+	h := leader.Heartbeat{Position: v.list.current.position, Leading: v.elector.Leads(now), StoreUnreachable: v.answeredAt > 0 && m.now.Sub(v.answeredAt) > storeTimeout, KnownTerm: v.elector.KnownTerm(), Stamp: &stamp}
 	if h.Leading {
 		h.Term = v.elector.Term()
 	}
@@ -254,13 +281,17 @@
 
 // call makes a call to the store, which carries it out when it arrives; execute returns what the VM does with the response.
 func (m *model) call(v *modelVM, execute func() func(now clock.Instant), failed func(now clock.Instant)) {
+	m.callWith(m.random, v, execute, failed)
+}
+
+func (m *model) callWith(random *rand.Rand, v *modelVM, execute func() func(now clock.Instant), failed func(now clock.Instant)) {
 	boot := v.boot
-	m.responses = append(m.responses, response{at: m.now.Add(m.delay()), apply: func(clock.Instant) {
+	m.responses = append(m.responses, response{at: m.now.Add(delayFrom(random)), apply: func(clock.Instant) {
 		if !m.reachesStore(v) {
 			m.responses = append(m.responses, response{m.now.Add(storeTimeout), v, boot, failed})
 			return
 		}
-		m.responses = append(m.responses, response{m.now.Add(m.delay()), v, boot, execute()})
+		m.responses = append(m.responses, response{m.now.Add(delayFrom(random)), v, boot, execute()})
 	}})
 }
 
@@ -277,13 +308,16 @@
 	m.synchronize(v)
 	vm, _, fresh := v.elector.Leader(now)
 	leads := vm == v.id
-	if !fresh && !v.campaigning && v.elector.ShouldCampaign(now, m.random.IntN(len(m.vms))) && m.now == v.answeredAt {
+	if !fresh && !v.campaigning && (m.candidate == nil || m.candidate == v) && v.elector.ShouldCampaign(now, m.random.IntN(len(m.vms))) && m.now == v.answeredAt {
 		m.campaign(v)
 	}
 	if leads && now.Sub(v.renewedAt) >= leader.RenewPeriod {
 		v.renewedAt = now
 		m.renew(v)
 	}
+	if leads {
+		m.propose(v)
+	}
 	period := reportPeriod
 	if leads {
 		period = leader.HeartbeatPeriod
@@ -384,7 +418,7 @@
 		}
 	}
 	for _, v := range m.vms {
-		if m.now < v.frozenUntil || !v.elector.Leads(m.local(v), m.membersOf(v)) {
+		if m.now < v.frozenUntil || !v.elector.Leads(m.local(v)) {
 			continue
 		}
 		if v.elector.Term() < m.term {
@@ -445,7 +479,8 @@
 
 // restart replaces a VM's process, which forgets all that it knew.
 func (m *model) restart(v *modelVM) {
-	*v = modelVM{id: v.id, offset: v.offset, served: v.served, boot: v.boot + 1, elector: leader.NewElector(v.id, m.local(v)), stamps: map[id.Revision]leader.Stamp{}, list: v.list.afterRestart()}
+	*v = modelVM{id: v.id, offset: v.offset, served: v.served, boot: v.boot + 1, domain: v.domain, stamps: map[id.Revision]leader.Stamp{}, list: v.list.afterRestart()}
+	m.newElector(v)
 }
 
 // play plays a history of 14 s.
@@ -464,7 +499,7 @@
 // firstFinding plays histories until one shows a former leader that acts too late.
 func firstFinding(f fault, histories uint64) (problem string, overlaps int) {
 	for seed := range histories {
-		m := newModel(seed, 3+2*int(seed%2), f)
+		m := newModel(seed, 3+2*int(seed%2), 1, f)
 		problem = m.play()
 		overlaps += m.overlaps
 		if problem != "" {
@@ -497,40 +532,50 @@
 	}
 }
 
-// In an outage of the store a leader must lead on, also if one heartbeat in ten is lost.
+// In an outage of the store a leader must lead on, also if one heartbeat in ten is lost. Where one VM is alone in one of two failure domains, the
+// leader needs its reports, and may pause for less than the time within which a key is to be served again.
 func TestLeadsThroughAnOutage(t *testing.T) {
-	const histories, settle, outage = 20, 6 * time.Second, 60 * time.Second
-	for _, size := range []int{3, 5, 9} {
-		for _, lossRate := range []float64{0, 0.1} {
-			t.Run(fmt.Sprintf("%d VMs, loss %v", size, lossRate), func(t *testing.T) {
-				is := is.New(t)
-				longest, idle := time.Duration(0), 0
-				for seed := range uint64(histories) {
-					m := newModel(seed, size, noFault)
-					m.lossRate = lossRate
-					for m.now.Sub(start) < settle/2 {
-						is.Equal(m.step(), "")
-					}
-					v, gap := m.holder, time.Duration(0)
-					is.True(v != nil)
-					m.storeDown = true
-					for m.now.Sub(start) < settle {
-						is.Equal(m.step(), "")
-					}
-					for m.now.Sub(start) < settle+outage {
-						is.Equal(m.step(), "")
-						if v.elector.Leads(m.local(v), m.membersOf(v)) {
-							gap = 0
-							continue
-						}
-						idle++
-						gap += modelTick
-						longest = max(longest, gap)
+	const histories, settle, outage, maxPause = 20, 6 * time.Second, 60 * time.Second, time.Second
+	for _, test := range []struct {
+		size, domains int
+		lossRate      float64
+		maxPause      time.Duration
+	}{
+		{size: 3, domains: 1}, {size: 3, domains: 1, lossRate: 0.1},
+		{size: 5, domains: 1}, {size: 5, domains: 1, lossRate: 0.1},
+		{size: 9, domains: 1}, {size: 9, domains: 1, lossRate: 0.1},
+		{size: 3, domains: 2}, {size: 3, domains: 2, lossRate: 0.1, maxPause: maxPause},
+		{size: 5, domains: 3}, {size: 5, domains: 3, lossRate: 0.1},
+		{size: 9, domains: 4}, {size: 9, domains: 4, lossRate: 0.1},
+	} {
+		t.Run(fmt.Sprintf("%d VMs, %d failure domains, loss %v", test.size, test.domains, test.lossRate), func(t *testing.T) {
+			is := is.New(t)
+			longest, idle := time.Duration(0), 0
+			for seed := range uint64(histories) {
+				m := newModel(seed, test.size, test.domains, noFault)
+				m.lossRate = test.lossRate
+				for m.now.Sub(start) < settle/2 {
+					is.Equal(m.step(), "")
+				}
+				v, gap := m.holder, time.Duration(0)
+				is.True(v != nil)
+				m.storeDown = true
+				for m.now.Sub(start) < settle {
+					is.Equal(m.step(), "")
+				}
+				for m.now.Sub(start) < settle+outage {
+					is.Equal(m.step(), "")
+					if v.elector.Leads(m.local(v)) {
+						gap = 0
+						continue
 					}
+					idle++
+					gap += modelTick
+					longest = max(longest, gap)
 				}
-				t.Log("longest time without a leader:", longest, "of the outages:", time.Duration(idle)*modelTick)
-				is.Equal(longest, time.Duration(0))
-			})
-		}
+			}
+			t.Log("longest time without a leader:", longest, "of the outages:", time.Duration(idle)*modelTick)
+			is.True(longest <= test.maxPause)
+		})
 	}
 }
--- a/coordination/leader/report.go
+++ b/coordination/leader/report.go
@@ -108,7 +108,12 @@
 
 // LearnTerm records that a VM was elected in a term. If it is after this VM's own, this VM's leadership has ended for good.
 func (e *Elector) LearnTerm(now clock.Instant, term id.Revision) {
-	e.highestTerm = max(e.highestTerm, term)
+	if term > e.highestTerm {
+		e.highestTerm, term = term, e.highestTerm
+	}
+	if term < e.highestTerm {
+		e.secondTerm = max(e.secondTerm, term)
+	}
 	if e.leading && e.highestTerm > e.term {
 		e.leading, e.waitStart = false, now
 	}
--- a/coordination/leader/report_test.go
+++ b/coordination/leader/report_test.go
@@ -42,12 +42,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := leader.NewElector("a", start)
+			e := newElector("a", members...)
 			e.Won(start, term)
 			for _, m := range members[1:3] {
 				e.RecordHeartbeat(sentAt.Add(test.readAfter), m, test.report)
 			}
-			is.Equal(e.Leads(sentAt.Add(test.after), members), test.want)
+			is.Equal(e.Leads(sentAt.Add(test.after)), test.want)
 		})
 	}
 }
@@ -69,25 +69,25 @@
 	for name, learn := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := leader.NewElector("a", start)
+			e := newElector("a", members...)
 			e.Won(start, 7)
 			resumes := func(now clock.Instant) bool {
 				stamp := leader.Stamp{Term: 7, SentAt: now}
 				for _, m := range members[1:3] {
 					e.RecordHeartbeat(now, m, leader.Heartbeat{StoreUnreachable: true, KnownTerm: 7, Stamp: &stamp})
 				}
-				return e.Leads(now, members)
+				return e.Leads(now)
 			}
 			interrupted := start.Add(2 * time.Second)
-			is.True(!e.Leads(interrupted, members))
+			is.True(!e.Leads(interrupted))
 			is.Equal(e.Stamp(interrupted), leader.Stamp{Term: 7, SentAt: interrupted})
 			is.True(resumes(interrupted))
 			learn(e, interrupted)
-			is.True(!e.Leads(interrupted, members))
+			is.True(!e.Leads(interrupted))
 			is.True(!resumes(interrupted.Add(time.Second)))
 			is.Equal(e.KnownTerm(), id.Revision(8))
 			e.Won(interrupted, 7)
-			is.True(!e.Leads(interrupted, members))
+			is.True(!e.Leads(interrupted))
 		})
 	}
 }
@@ -111,7 +111,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := leader.NewElector("a", start)
+			e := newElector("a", members...)
 			for _, m := range members {
 				e.RecordHeartbeat(start, m, leader.Heartbeat{KnownTerm: 6, Stamp: &leader.Stamp{}})
 			}
@@ -121,17 +121,17 @@
 				now = start.Add(time.Duration(i+1) * time.Second)
 				e.RecordHeartbeat(now, members[i+1], h)
 			}
-			at, ok := e.FollowedSince(members)
+			at, ok := e.FollowedSince(listOf(members...))
 			is.Equal(ok, test.ok)
 			if ok {
 				is.Equal(at, start.Add(test.want))
 				// It stays the same when registrations come and followers are lost.
-				at, ok = e.FollowedSince(append([]id.VM{"f", "g", "h"}, members...))
+				at, ok = e.FollowedSince(listOf(append([]id.VM{"f", "g", "h"}, members...)...))
 				is.True(ok)
 				is.Equal(at, start.Add(test.want))
-				is.True(!e.HasMajority(now.Add(time.Minute), members))
+				is.True(!e.HasMajority(now.Add(time.Minute)))
 			}
-			is.Equal(e.HasMajority(now, members), ok)
+			is.Equal(e.HasMajority(now), ok)
 		})
 	}
 }
@@ -154,7 +154,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := leader.NewElector("a", start)
+			e := newElector("a", test.members...)
 			for _, m := range test.members {
 				e.RecordHeartbeat(start, m, leader.Heartbeat{KnownTerm: 6, Stamp: &leader.Stamp{}})
 			}
@@ -162,7 +162,7 @@
 			for _, m := range test.members[1 : 1+test.followers] {
 				e.RecordHeartbeat(start, m, leader.Heartbeat{KnownTerm: 7, Stamp: &leader.Stamp{}})
 			}
-			_, ok := e.FollowedSince(test.members)
+			_, ok := e.FollowedSince(listOf(test.members...))
 			is.Equal(ok, test.ok)
 		})
 	}
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -312,7 +314,7 @@
 	answer, ok = m.granter.Answer(now, from, incarnation, ask)
 	if m.granter.NeedsMembers() && now.Sub(m.membersAt) >= membersPeriod {
 		m.membersAt = now
-		m.granter.SetMembers(now, e.members())
+		m.granter.SetMembers(now, slices.Collect(maps.Keys(e.members())))
 	}
 	return answer, ok
 }
--- a/edge/confirmed_test.go
+++ b/edge/confirmed_test.go
@@ -15,6 +15,7 @@
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
+	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
@@ -40,7 +41,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			v := newLeavingVM(t)
+			voters := []id.VM{"a"}
 			if test.isKnown {
+				voters = append(voters, "b")
 				v.put("hickorylug/vm/b", `{"VM":"b","Domain":"east","Address":"127.0.0.1:6","Incarnation":"i"}`)
 			}
 			address, commands := serveCommands(t)
@@ -50,7 +53,7 @@
 				dials++
 				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 			}))
-			v.elector.Won(v.clock.now, 7)
+			v.lead(7, voters...)
 			execute := func(at clock.Instant) {
 				v.clock.now = at
 				v.keys.execute(t.Context(), &call{term: 7, Command: ownership.Command{
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -41,7 +41,7 @@
 		e.endEarlierEra(now)
 		e.endReplaced(now)
 		e.learnRecordedTerm(now)
-		e.logLeadership(now)
+		e.observeLeadership(now)
 		e.mu.Lock()
 		vm, term, fresh := e.elector.Leader(now)
 		campaign := !fresh && !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
@@ -55,6 +55,10 @@
 			renewedAt = now
 			e.tasks.Go(ctx, e.renewLease)
 		}
+		if leading {
+			e.observeFormerLeaders(now)
+			e.proposeVoters(ctx, now)
+		}
 		period := followerHeartbeatPeriod
 		if leading {
 			period = leader.HeartbeatPeriod
@@ -91,14 +95,13 @@
 
 // heartbeatMessage returns a message with this VM's heartbeat.
 func (e *Edge) heartbeatMessage() gossip.Message {
-	members := e.members()
 	position := e.mirror.Position()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Boot()
 	stamp := e.elector.Stamp(now)
 	heartbeat := &gossip.Heartbeat{
-		Position: position, StoreStaleness: now.Sub(e.storeSyncedAt), Leading: e.elector.Leads(now, members), Leaving: e.resigned.Load(),
+		Position: position, StoreStaleness: now.Sub(e.storeSyncedAt), Leading: e.elector.Leads(now), Leaving: e.resigned.Load(),
 		SettlingTime: max(0, e.removalsHeldUntil.Sub(now)), StoreUnreachable: e.missesStore(now),
 		KnownTerm: e.elector.KnownTerm(), Stamp: &stamp,
 	}
--- a/edge/departures_test.go
+++ b/edge/departures_test.go
@@ -61,6 +61,25 @@
 	v.publishSnapshot()
 }
 
+// lead makes the VM the leader of a term that counts by some VMs.
+func (v *leavingVM) lead(term id.Revision, voters ...id.VM) {
+	v.put(platform.KeyVoters(), string(encodedVoters(voters...)))
+	v.elector.Won(v.clock.now, term)
+}
+
+// encodedVoters returns a record of voters of one failure domain.
+func encodedVoters(vms ...id.VM) []byte {
+	members := map[id.VM]id.Domain{}
+	for _, vm := range vms {
+		members[vm] = "east"
+	}
+	data, err := fleet.EncodeVoters(fleet.Voters{VotersID: fleet.VotersID{Term: 1, Number: 1}, Members: members})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 // register registers an incarnation of a backend server.
 func (v *leavingVM) register(name id.Server, address string, born fleet.StartTime) {
 	v.put("servers/"+string(name), fmt.Sprintf(`{"Service":"plans","Address":%q,"Zone":"east","Version":"v1","Slots":4,"State":"ready","WarmupLeftS":0,"Sequence":1,"born":%d}`, address, born))
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -103,6 +103,8 @@
 	registeredAt id.Revision
 	// registerTriedAt is when this VM last tried to register.
 	registerTriedAt clock.Instant
+	// votersTriedAt is when this VM, as the leader, last tried to record the voters; only the component "coordination" uses it.
+	votersTriedAt clock.Instant
 	// fetching is set while store items are being fetched from another VM.
 	fetching bool
 	// storeSyncedAt is when the store last answered this VM or the leader; removalsHeldUntil is when removals of entries take effect again after an outage.
--- a/edge/guards_test.go
+++ b/edge/guards_test.go
@@ -84,11 +84,12 @@
 			s1, s2 := fleet.Incarnation{Server: "s1", Born: 1}, fleet.Incarnation{Server: "s2", Born: 1}
 			never := func(fleet.Incarnation) bool { return false }
 			healthy := ownership.Liveness{IsDead: never, IsSuspended: never, IsLost: never}
+			v.lead(7, "a")
 			g := ownership.NewGranter(v.clock.now.Add(-time.Minute))
 			v.keys.granter = g
 			table := &fleet.Table{Service: plans, Fence: first, Ranges: []fleet.Range{{To: fleet.KeyCount - 1, Owner: s1, Fence: first}}}
 			for _, c := range g.Due(v.clock.now, table, healthy) {
-				v.keys.execute(t.Context(), &call{Command: c})
+				v.keys.execute(t.Context(), &call{term: 7, Command: c})
 			}
 			if test.serve != nil && test.born == s1.Born {
 				is.Equal(<-expected, "s1") // the process under another id turns the call down
@@ -142,6 +143,7 @@
 	for _, vm := range vms {
 		store.Put(platform.KeyPeer(vm), fmt.Appendf(nil, `{"VM":%q,"Domain":"east","Address":"127.0.0.1:9"}`, vm))
 	}
+	store.Put(platform.KeyVoters(), encodedVoters(append([]id.VM{"a"}, vms...)...))
 	won, leaseStart, term, lease := e.acquireLeadership(t.Context())
 	e.keys.reset(c.now, false)
 	if !e.recordCampaign(won, leaseStart, term, lease) {
@@ -304,8 +306,8 @@
 	e.clock = &steppingClock{fixedClock: c, step: leader.LeaseTTL / 8}
 	e.renewLease(t.Context())
 	is.True(c.now > sent.Add(leader.LeaseTTL/8))
-	is.True(e.elector.Leads(sent.Add(leader.LeaseTTL-1), e.members()))
-	is.True(!e.elector.Leads(sent.Add(leader.LeaseTTL), e.members()))
+	is.True(e.elector.Leads(sent.Add(leader.LeaseTTL - 1)))
+	is.True(!e.elector.Leads(sent.Add(leader.LeaseTTL)))
 }
 
 // steppingClock is a clock that goes on by a step at each reading.
--- a/edge/lategrants_test.go
+++ b/edge/lategrants_test.go
@@ -45,13 +45,14 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			v := newLeavingVM(t)
+			v.lead(7, "a")
 			address, commands := serveCommands(t)
 			v.register("s1", address, 1)
 			v.backends = http1.NewClient(http1.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
 				v.clock.now = v.clock.now.Add(test.pause)
 				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 			}))
-			c := &call{Command: ownership.Command{
+			c := &call{term: 7, Command: ownership.Command{
 				Service: "plans", Incarnation: fleet.Incarnation{Server: "s1", Born: 1}, To: 1, Fence: 1, Release: test.release, IssuedAt: v.clock.now,
 			}}
 			v.keys.execute(t.Context(), c)
@@ -124,6 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			v := newLeavingVM(t)
+			v.lead(7, "a")
 			sockets, got := make(chan *net.TCPConn, 1), make(chan int, 1)
 			v.backends = http1.NewClient(http1.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
 				d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
@@ -146,7 +148,7 @@
 			}))
 			t.Cleanup(server.Close)
 			v.register("s1", strings.TrimPrefix(server.URL, "http://"), 1)
-			v.keys.execute(t.Context(), &call{Command: ownership.Command{
+			v.keys.execute(t.Context(), &call{term: 7, Command: ownership.Command{
 				Service: "plans", Incarnation: fleet.Incarnation{Server: "s1", Born: 1}, To: 1, Fence: 1, Release: test.release, IssuedAt: v.clock.now,
 			}})
 			is.Equal(time.Duration(<-got)*time.Millisecond, test.want)
@@ -168,6 +170,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			v := newLeavingVM(t)
+			v.lead(7, "a")
 			address, commands := serveCommands(t)
 			v.register("s1", address, 1)
 			opened := 0
@@ -177,7 +180,7 @@
 			}))
 			for _, command := range []ownership.Command{{}, test.command} {
 				command.Service, command.Incarnation, command.To, command.Fence, command.IssuedAt = "plans", fleet.Incarnation{Server: "s1", Born: 1}, 1, 1, v.clock.now
-				v.keys.execute(t.Context(), &call{Command: command})
+				v.keys.execute(t.Context(), &call{term: 7, Command: command})
 			}
 			is.Equal(len(commands), 2)
 			is.Equal(opened, test.want)
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"math"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,16 +15,17 @@
 	"github.com/hickorylug/hickorylug/state/id"
 )
 
-// members returns the registered VMs, always including this one.
-func (e *Edge) members() (out []id.VM) {
-	s := e.snapshot.Load()
-	includesSelf := false
-	for vm := range s.Peers {
-		out = append(out, vm)
-		includesSelf = includesSelf || vm == e.settings.VM
-	}
-	if !includesSelf {
-		out = append(out, e.settings.VM)
+// members returns the registered VMs with their failure domains, always including this one.
+func (e *Edge) members() map[id.VM]id.Domain {
+	out := domainsOf(e.snapshot.Load().Peers)
+	out[e.settings.VM] = e.settings.FailureDomain
+	return out
+}
+
+func domainsOf(peers map[id.VM]fleet.Peer) map[id.VM]id.Domain {
+	out := make(map[id.VM]id.Domain, len(peers)+1)
+	for vm, p := range peers {
+		out[vm] = p.Domain
 	}
 	return out
 }
@@ -35,15 +34,14 @@
 func (e *Edge) recordMembers(s *fleet.Snapshot) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.elector.RecordMembers(e.clock.Boot(), s.Position, slices.Collect(maps.Keys(s.Peers)))
+	e.elector.RecordMembers(e.clock.Boot(), s.Position, domainsOf(s.Peers))
 }
 
 // leads reports whether this VM may act as the leader now.
 func (e *Edge) leads() bool {
-	members := e.members()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.elector.Leads(e.clock.Boot(), members)
+	return e.elector.Leads(e.clock.Boot())
 }
 
 // ownTerm returns the term of this VM's last leadership.
@@ -117,21 +115,21 @@
 // own. The key tables of this VM are known to be the latest if it led until now,
 // and most VMs have heard it.
 func (e *Edge) endEarlierEra(now clock.Instant) {
-	members, knowsTables := e.members(), e.keys.knowsTables()
+	knowsTables := e.keys.knowsTables()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	vm, term, _ := e.elector.Leader(now)
 	if vm != e.settings.VM {
 		return
 	}
-	if e.elector.Leads(now, members) {
+	if e.elector.Leads(now) {
 		e.ledAt = now
 	}
 	era := e.store.Era()
 	if term.Era() >= era {
 		return
 	}
-	if knowsTables && now.Sub(e.ledAt) < leader.LeaseTTL && e.elector.HasMajority(now, members) {
+	if knowsTables && now.Sub(e.ledAt) < leader.LeaseTTL && e.elector.HasMajority(now) {
 		e.continuesIn = era
 	}
 	e.elector.EraEnded(now)
@@ -342,7 +340,7 @@
 		return at, true
 	}
 	now := e.clock.Boot()
-	return e.elector.ConfirmedAt(now, e.members()), !e.missesStore(now)
+	return e.elector.ConfirmedAt(now), !e.missesStore(now)
 }
 
 // resign gives up the leadership and announces that this VM is leaving.
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -73,6 +73,7 @@
 			is := is.New(t)
 			e, store, c := newSettlingSite(t)
 			ctx := context.Background()
+			store.Put(platform.KeyVoters(), encodedVoters("a"))
 			storeTable(t, e, "s1", copied)
 			before := store.Copy()
 			if test.knows {
--- a/edge/store.go
+++ b/edge/store.go
@@ -248,6 +248,9 @@
 	if !fleet.IsSameMap(old.Peers, s.Peers) {
 		e.recordMembers(s)
 	}
+	if old.Voters != s.Voters {
+		e.recordVoters(s.Voters)
+	}
 	if !fleet.IsSameMap(old.Crashes, s.Crashes) {
 		e.crashes.Restore(e.clock.Boot(), e.clock.Now(), s.Crashes)
 	}
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -77,6 +77,8 @@
 	Crashes map[Incarnation]Crash
 	// Leader is the current leader record, or nil if there is none.
 	Leader *Leader
+	// Voters is the record of the voters, or nil if there is none.
+	Voters *Voters
 	// SettledEra is the latest era of the store for which a leader has stored all key tables that were in force before.
 	SettledEra id.Era
 	// Unused holds, by key, why items of the store aren't used: they may come from another writer.
