--- a/coordination/leader/model_test.go
+++ b/coordination/leader/model_test.go
@@ -295,6 +295,10 @@
 	}})
 }
 
+func (m *model) mayCampaign(v *modelVM) bool {
+	return !v.campaigning && (m.candidate == nil || m.candidate == v)
+}
+
 // coordinate is one run of a VM's coordination.
 func (m *model) coordinate(v *modelVM) {
 	now := m.local(v)
@@ -308,7 +312,7 @@
 	m.synchronize(v)
 	vm, _, fresh := v.elector.Leader(now)
 	leads := vm == v.id
-	if !fresh && !v.campaigning && (m.candidate == nil || m.candidate == v) && v.elector.ShouldCampaign(now, m.random.IntN(len(m.vms))) && m.now == v.answeredAt {
+	if !fresh && m.mayCampaign(v) && v.elector.ShouldCampaign(now, m.random.IntN(len(m.vms))) && m.now == v.answeredAt {
 		m.campaign(v)
 	}
 	if leads && now.Sub(v.renewedAt) >= leader.RenewPeriod {
@@ -541,12 +545,18 @@
 		lossRate      float64
 		maxPause      time.Duration
 	}{
-		{size: 3, domains: 1}, {size: 3, domains: 1, lossRate: 0.1},
-		{size: 5, domains: 1}, {size: 5, domains: 1, lossRate: 0.1},
-		{size: 9, domains: 1}, {size: 9, domains: 1, lossRate: 0.1},
-		{size: 3, domains: 2}, {size: 3, domains: 2, lossRate: 0.1, maxPause: maxPause},
-		{size: 5, domains: 3}, {size: 5, domains: 3, lossRate: 0.1},
-		{size: 9, domains: 4}, {size: 9, domains: 4, lossRate: 0.1},
+		{size: 3, domains: 1},
+		{size: 3, domains: 1, lossRate: 0.1},
+		{size: 5, domains: 1},
+		{size: 5, domains: 1, lossRate: 0.1},
+		{size: 9, domains: 1},
+		{size: 9, domains: 1, lossRate: 0.1},
+		{size: 3, domains: 2},
+		{size: 3, domains: 2, lossRate: 0.1, maxPause: maxPause},
+		{size: 5, domains: 3},
+		{size: 5, domains: 3, lossRate: 0.1},
+		{size: 9, domains: 4},
+		{size: 9, domains: 4, lossRate: 0.1},
 	} {
 		t.Run(fmt.Sprintf("%d VMs, %d failure domains, loss %v", test.size, test.domains, test.lossRate), func(t *testing.T) {
 			is := is.New(t)
--- a/edge/coordinate.go
+++ b/edge/coordinate.go
@@ -42,26 +42,20 @@
 		e.endReplaced(now)
 		e.learnRecordedTerm(now)
 		e.observeLeadership(now)
-		e.mu.Lock()
-		vm, term, fresh := e.elector.Leader(now)
-		campaign := !fresh && !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
-		e.campaigning = e.campaigning || campaign
-		e.mu.Unlock()
+		vm, fresh, campaign := e.beginCampaign(now)
 		leading := vm == e.settings.VM
 		if campaign {
 			e.tasks.Go(ctx, e.campaign)
 		}
-		if leading && now.Sub(renewedAt) >= leader.RenewPeriod {
-			renewedAt = now
-			e.tasks.Go(ctx, e.renewLease)
-		}
-		if leading {
-			e.observeFormerLeaders(now)
-			e.proposeVoters(ctx, now)
-		}
 		period := followerHeartbeatPeriod
 		if leading {
 			period = leader.HeartbeatPeriod
+			if now.Sub(renewedAt) >= leader.RenewPeriod {
+				renewedAt = now
+				e.tasks.Go(ctx, e.renewLease)
+			}
+			e.observeFormerLeaders(now)
+			e.proposeVoters(ctx, now)
 		}
 		if now.Sub(heartbeatAt) >= period {
 			heartbeatAt = now
@@ -80,6 +74,16 @@
 	}
 }
 
+// beginCampaign returns the leader, whether it is fresh, and whether this VM is to campaign now.
+func (e *Edge) beginCampaign(now clock.Instant) (vm id.VM, fresh, campaign bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	vm, term, fresh := e.elector.Leader(now)
+	campaign = !fresh && !e.campaigning && !e.leaving.Load() && e.elector.ShouldCampaign(now, e.campaignRank(term)) && now.Sub(e.storeSyncedAt) < outageThreshold
+	e.campaigning = e.campaigning || campaign
+	return vm, fresh, campaign
+}
+
 // campaignRank returns this VM's position among the candidates for the next term: strongest first, ties in an order that differs by term.
 func (e *Edge) campaignRank(term id.Revision) (rank int) {
 	peers := e.snapshot.Load().Peers
