A success without Response-Signature isn't passed on

Cause: platform.ParseResponseHeader told whether the field is there, and nothing read it. Now such an answer counts as a server error of its backend server, and its request as one that may have run: what may be repeated is sent to another one within its budget, anything else gets 502, outcome unknown. All attempts pass there, also those through other VMs; failures and rejections need no signature.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -88,6 +88,8 @@
 	NotRun bool
 	// Misplaced says that another backend server than the expected one answered, or that it does not own the key.
 	Misplaced bool
+	// Unsigned says that the answer is a success without the signature of the backend server's application, so that it may be anything.
+	Unsigned bool
 }
 
 // Failure is the error of an attempt without an answer.
@@ -295,6 +297,10 @@
 		return f.handleRejection(ctx, s, slot, reply)
 	}
 	s.recordRun(slot)
+	if reply.Unsigned {
+		slot.Done(dispatch.ServerError, reply.Report)
+		return f.handleNoAnswer(ctx, s, slot.Server.Server, errors.Newf("a success without signature, status %d", reply.Answer.Status))
+	}
 	slot.Done(resultOf(reply.Answer.Status), reply.Report)
 	reply.Answer.Attempts = s.attempts
 	if reply.Answer.Status >= http.StatusInternalServerError && f.canRetry(ctx, s) {
@@ -376,7 +382,12 @@
 	if ctx.Err() != nil {
 		return nil, false, outcome.Unknown(outcome.DeadlineExceeded, "backend server %s did not answer in time", server)
 	}
-	s.noAnswer = outcome.Unknown(outcome.ServerFailed, "backend server %s gave no answer: %v", server, failure.Cause)
+	return f.handleNoAnswer(ctx, s, server, failure.Cause)
+}
+
+// handleNoAnswer handles an attempt that may have run and whose answer is missing or can't be passed on.
+func (f *Forwarder) handleNoAnswer(ctx context.Context, s *requestState, server id.Server, cause error) (answer *Answer, retry bool, err error) {
+	s.noAnswer = outcome.Unknown(outcome.ServerFailed, "backend server %s gave no answer: %v", server, cause)
 	if f.canRetry(ctx, s) {
 		s.tried = append(s.tried, server)
 		return nil, true, nil
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -38,6 +38,10 @@
 	return nil, &forward.Failure{Sent: true, Cause: errors.New("connection reset")}
 }
 
+func unsigned(context.Context) (*forward.Reply, *forward.Failure) {
+	return &forward.Reply{Answer: forward.Answer{Status: 200}, Unsigned: true}, nil
+}
+
 func unreachable(context.Context) (*forward.Reply, *forward.Failure) {
 	return nil, &forward.Failure{Refused: true, Cause: errors.New("connection refused")}
 }
@@ -110,6 +114,9 @@
 		"server error is retried if idempotent":                          {idempotent: true, steps: []step{answers(500), answers(200)}, burst: 5, status: 200, attempts: 2},
 		"server error is returned if the retries are rejected":           {idempotent: true, steps: []step{answers(500), rejects}, burst: 9, status: 500, attempts: 5},
 		"server error is returned if the connection of the retry breaks": {idempotent: true, steps: []step{answers(500), breaks}, burst: 9, status: 500, attempts: 2},
+		"success without signature, idempotent request is retried":       {idempotent: true, steps: []step{unsigned, answers(200)}, burst: 5, status: 200, attempts: 2},
+		"success without signature, other request is never retried":      {steps: []step{unsigned, answers(200)}, burst: 5, kind: outcome.KindUnknown, attempts: 1},
+		"success without signature at each attempt":                      {idempotent: true, steps: []step{unsigned}, burst: 5, kind: outcome.KindUnknown, attempts: 2},
 		"no answer before the deadline: outcome unknown":                 {steps: []step{hangs}, burst: 5, kind: outcome.KindUnknown, attempts: 1},
 	}
 	for name, test := range tests {
--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -41,7 +41,7 @@
 					s.store.Remove("servers/" + name)
 					return
 				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Attempt-Id"))
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Attempt-Id"))
 			}()
 		}
 	}()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -125,6 +125,9 @@
 	case reply.NotRun || reply.Misplaced:
 		e.metrics.attempts.Add("rejected", 1)
 		e.log.Info("sending rejected", "request", r.ID, "server", string(s.Server), "status", reply.Answer.Status, "misplaced", reply.Misplaced, "key", int(r.Key), "running", reply.Report.Running, "waiting", reply.Report.Waiting)
+	case reply.Unsigned:
+		e.metrics.attempts.Add("unsigned", 1)
+		e.log.Warn("a success without signature is not passed on", "request", r.ID, "server", string(s.Server), "status", reply.Answer.Status, "tookMs", took.Milliseconds())
 	default:
 		e.metrics.attempts.Add("answered", 1)
 		e.log.Debug("sending answered", "request", r.ID, "service", string(r.Service), "server", string(s.Server), "tookMs", took.Milliseconds(),
--- a/edge/send.go
+++ b/edge/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -43,9 +44,14 @@
 		Report:    dispatch.Report{Known: meta.HasLoad, Running: meta.Running, Waiting: meta.Waiting, Slots: meta.Slots, Slowdown: meta.Slowdown, RequestLimit: ratelimit.Rate(meta.RequestLimit), RetryAfter: meta.RetryAfter, Relayed: result.Relayed},
 		NotRun:    meta.NotRun,
 		Misplaced: meta.Misplaced,
+		Unsigned:  isSuccess(result.Status) && !meta.NotRun && !meta.Signed,
 	}, nil
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // trafficSplitter selects among the targets of a route so that each gets its exact share.
 type trafficSplitter struct {
 	mu sync.Mutex
