Encoded slashes choose no other route

RFC 3986, section 2.2: an encoded slash separates nothing. It could also take a request past the need for an API key, as in /public%2Fx.

route.Path decodes a path but for encoded slashes, for both programs. Segments that are empty, "." or ".." stay as they were sent; the request goes on byte for byte, as before.

--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -145,7 +145,7 @@
 			return nil, false
 		}
 	}
-	return r.matchPath(strings.TrimPrefix(req.URL.Path, "/"))
+	return r.matchPath(strings.TrimPrefix(Path(req.URL), "/"))
 }
 
 func (r rule) matchPath(path string) (values map[string]string, ok bool) {
--- a/transport/entry/customers_test.go
+++ b/transport/entry/customers_test.go
@@ -129,6 +129,7 @@
 		"a known key, perhaps revoked":     {header: http.Header{"Key": {acmeKey}}, stale: true, strict: true, status: 503, reason: outcome.Stopping},
 		"a public route":                   {path: "/public/x", header: http.Header{"Key": {acmeKey}, "Tenant": {"acme"}}, status: 200},
 		"a public route, perhaps revoked":  {path: "/public/x", stale: true, strict: true, status: 200},
+		"an encoded slash names no route":  {path: "/public%2Fx", header: http.Header{"Key": {acmeKey}}, status: 404, reason: outcome.NoRoute},
 		"no route":                         {path: "/none", header: http.Header{"Key": {acmeKey}}, status: 404, reason: outcome.NoRoute},
 		"no customers": {
 			header: http.Header{"Key": {"a", "b"}, "Tenant": {"c"}}, stale: true, strict: true, keyless: true, status: 200,
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -23,6 +23,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/apikey"
 	"github.com/hickorylug/hickorylug/coordination/forward"
+	routing "github.com/hickorylug/hickorylug/coordination/route"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
@@ -227,12 +228,13 @@
 		return nil, nil, outcome.NotRun(outcome.Stopping, "this VM has no configuration yet")
 	}
 	e.Version = c.Version
-	route, found := c.Match(r.Host, r.URL.Path)
+	path := routing.Path(r.URL)
+	route, found := c.Match(r.Host, path)
 	if !found {
 		if !current {
-			return nil, nil, outcome.NotRun(outcome.Stopping, "no route matches %s, but the configuration may be out of date", r.URL.Path)
+			return nil, nil, outcome.NotRun(outcome.Stopping, "no route matches %s, but the configuration may be out of date", path)
 		}
-		return nil, nil, outcome.NotRun(outcome.NoRoute, "no route matches host %s and path %s", r.Host, r.URL.Path)
+		return nil, nil, outcome.NotRun(outcome.NoRoute, "no route matches host %s and path %s", r.Host, path)
 	}
 	e.Route = route
 	// A request without a valid key is refused before its body is read, so that a flood of them costs little.
