Another address of the store is used once the settings are reloaded

Cause: a reload applied the log level only. Now it applies the store's address as well, on SIGHUP and when the file has changed, and a warning names the other fields that have changed, which take effect at the next start.

--- a/cmd/hickorylug/edge.go
+++ b/cmd/hickorylug/edge.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -33,6 +34,16 @@
 	Settings string `help:"Settings file, in JSON." required:"" type:"existingfile" env:"HICKORYLUG_BOOT"`
 }
 
+// reloadable is what changes when the settings are reloaded.
+type reloadable struct {
+	log *slog.Logger
+	// current are the settings in force.
+	current settings.Edge
+	level   *slog.LevelVar
+	// setStore changes the store's address.
+	setStore func(address string)
+}
+
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully.
 func (c *edgeCommand) Run() (err error) {
 	// No signal ends the process by its default action, from the start to the last log line.
@@ -65,7 +76,8 @@
 	}
 	watchDone := make(chan error, 1)
 	watchCtx, stopWatch := context.WithCancel(context.Background())
-	go func() { watchDone <- c.watchSettings(watchCtx, reloads, log, &level) }()
+	r := &reloadable{log: log, current: s, level: &level, setStore: e.SetStore}
+	go func() { watchDone <- c.watchSettings(watchCtx, reloads, r) }()
 	err = e.Run(ctx)
 	stopWatch()
 	return errors.CombineErrors(err, <-watchDone)
@@ -83,19 +95,19 @@
 const settingsPollPeriod = 5 * time.Second
 
 // watchSettings reloads the settings on each signal and whenever the file has changed, until the context ends.
-func (c *edgeCommand) watchSettings(ctx context.Context, reloads <-chan os.Signal, log *slog.Logger, level *slog.LevelVar) error {
+func (c *edgeCommand) watchSettings(ctx context.Context, reloads <-chan os.Signal, r *reloadable) error {
 	ticker := time.NewTicker(settingsPollPeriod)
 	defer ticker.Stop()
-	lastModTime := c.settingsModTime(log)
+	lastModTime := c.settingsModTime(r.log)
 	for {
 		select {
 		case <-reloads:
-			lastModTime = c.settingsModTime(log)
-			c.reload(log, level)
+			lastModTime = c.settingsModTime(r.log)
+			c.reload(r)
 		case <-ticker.C:
-			if modTime := c.settingsModTime(log); !modTime.Equal(lastModTime) {
+			if modTime := c.settingsModTime(r.log); !modTime.Equal(lastModTime) {
 				lastModTime = modTime
-				c.reload(log, level)
+				c.reload(r)
 			}
 		case <-ctx.Done():
 			return nil
@@ -124,19 +136,37 @@
 	return s, problems.Err()
 }
 
-// reload reads the settings file and applies its log level, the only setting that can change while the process runs.
-// If the file is invalid, the current level stays.
-func (c *edgeCommand) reload(log *slog.Logger, level *slog.LevelVar) {
-	previous := level.Level()
+// reload reads the settings file and applies its log level and the address of the store, the only settings that can change while the process runs. It
+// names others that have changed. If the file is invalid, the current settings stay.
+func (c *edgeCommand) reload(r *reloadable) {
+	previous := r.level.Level()
 	s, err := c.read()
 	if err == nil {
-		err = setLevel(level, s)
+		err = setLevel(r.level, s)
 	}
 	if err != nil {
-		log.Error("failed to reload the settings; keeping the current settings", "error", err)
+		r.log.Error("failed to reload the settings; keeping the current settings", "error", err)
 		return
 	}
-	log.Info("settings reloaded", "level", level.Level().String(), "before", previous.String())
+	if s.Store != r.current.Store {
+		r.setStore(s.Store)
+	}
+	r.log.Info("settings reloaded", "level", r.level.Level().String(), "before", previous.String(), "store", s.Store, "storeBefore", r.current.Store)
+	r.current.LogLevel, r.current.Store = s.LogLevel, s.Store
+	if fields := differingFields(r.current, s); len(fields) > 0 {
+		r.log.Warn("settings that have changed take effect at the next start only", "fields", fields)
+	}
+}
+
+// differingFields returns the names of the fields in which two settings differ.
+func differingFields(a, b settings.Edge) (names []string) {
+	valueA, valueB := reflect.ValueOf(a), reflect.ValueOf(b)
+	for i := range valueA.NumField() {
+		if !reflect.DeepEqual(valueA.Field(i).Interface(), valueB.Field(i).Interface()) {
+			names = append(names, valueA.Type().Field(i).Name)
+		}
+	}
+	return names
 }
 
 func setLevel(level *slog.LevelVar, s settings.Edge) error {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -215,6 +215,12 @@
 	return e, nil
 }
 
+// SetStore changes the address of the store, of the form host:port, while the VM runs.
+func (e *Edge) SetStore(address string) {
+	e.store.SetAddress(address)
+	e.notify(e.resync)
+}
+
 const (
 	// bodyMemoryDivisor is the part of the process's memory that long heads and bodies may use while they are read: one eighth.
 	bodyMemoryDivisor = 8
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -228,3 +228,18 @@
 		is.Equal(known, test.known)
 	}
 }
+
+// The store's new address wasn't used until the next start, so that the VM followed no change once the old one had ended.
+func TestStoreIsFollowedAtItsNewAddress(t *testing.T) {
+	is := is.New(t)
+	e, store, _ := newSettlingSite(t)
+	is.NoErr(e.readAll(t.Context()))
+	e.SetStore("127.0.0.1:1")
+	is.True(e.readAll(t.Context()) != nil)
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	store.Put("op/config", []byte(`{"Version":"00000002"}`))
+	e.SetStore(strings.TrimPrefix(server.URL, "http://"))
+	is.NoErr(e.readAll(t.Context()))
+	is.Equal(e.snapshot.Load().Configuration.Version, uint64(2))
+}
