Voters that are gone expire after two minutes of leadership

Before that wait ended once the registrations were removed, after two minutes. The voters count no longer now, once a leader has held its lease for that time.

TestVotersThatAreGoneExpire failed before.

--- a/coordination/leader/former.go
+++ b/coordination/leader/former.go
@@ -20,7 +20,7 @@
 	if e.followedTerm == e.term {
 		return e.followedSince, true
 	}
-	if e.missesFormerLists() && e.leaseFrom.Sub(e.wonAt) <= listTTL {
+	if e.missesFormerLists() && !e.haveFormerListsExpired() {
 		return 0, false
 	}
 	since := clock.Instant(0)
@@ -38,11 +38,11 @@
 // FormerLists returns the lists by which a former leader may count the VMs: the voters in the store or, where these may not be the latest, also
 // those that were registered lately as far as this VM knows. members are the registered VMs, including this one.
 func (e *Elector) FormerLists(members map[id.VM]id.Domain) (lists []map[id.VM]id.Domain) {
-	if len(e.voters.Members) > 0 {
+	if len(e.voters.Members) > 0 && !e.haveFormerListsExpired() {
 		lists = append(lists, e.voters.Members)
-	}
-	if e.knowsVoters() {
-		return lists
+		if e.knowsVoters() {
+			return lists
+		}
 	}
 	for _, l := range e.earlierLists {
 		lists = append(lists, l.members)
@@ -50,6 +50,10 @@
 	return append(lists, members)
 }
 
+// haveFormerListsExpired reports whether this VM has held the lease for listTTL since its election. Then the registrations of VMs that it hasn't heard are
+// removed as well, so that it doesn't wait without end for voters that are gone.
+func (e *Elector) haveFormerListsExpired() bool { return e.leaseFrom.Sub(e.wonAt) > listTTL }
+
 // followedSinceBy returns since when VMs that know this VM's term block each majority of some VMs; ok is false while it isn't known.
 func (e *Elector) followedSinceBy(members map[id.VM]id.Domain) (at clock.Instant, ok bool) {
 	return quorum.BlockedSince(members, func(vm id.VM) (clock.Instant, bool) {
--- a/coordination/leader/lists_test.go
+++ b/coordination/leader/lists_test.go
@@ -91,3 +91,21 @@
 	e.Renewed(start.Add(time.Second))
 	is.True(wins(start.Add(2*time.Second), 8))
 }
+
+// Guards against a leader that waits for voters that are gone for good until one of them is back.
+func TestVotersThatAreGoneExpire(t *testing.T) {
+	is := is.New(t)
+	e := newElector("a", members...)
+	e.Won(start, 7)
+	follows := func(after time.Duration) bool {
+		e.Renewed(start.Add(after))
+		_, ok := e.FollowedSince(listOf("a"))
+		return ok
+	}
+	is.True(!follows(time.Second))
+	is.True(!follows(2 * time.Minute))
+	is.True(follows(2*time.Minute + 1))
+	next, ok := e.Propose(listOf("a"))
+	is.True(ok)
+	is.Equal(next.Members, listOf("a"))
+}
