--- a/coordination/leader/former.go
+++ b/coordination/leader/former.go
@@ -11,8 +11,7 @@
 // members are the registered VMs, including this one.
 //
 // Half of the voters are enough, or all of half of their failure domains. So a
-// leader needn't wait for registrations of VMs that are gone with another failure
-// domain.
+// leader needn't wait for VMs that are gone with another failure domain.
 func (e *Elector) FollowedSince(members map[id.VM]id.Domain) (at clock.Instant, ok bool) {
 	if !e.leading {
 		return 0, false
@@ -66,21 +65,22 @@
 }
 
 // FormerLeaderUntil returns until when a former leader may act, by the clock of a leader that was elected by electedAt, when the store had
-// answered it, and whose term has been known to VMs that block each majority since followedSince (FollowedSince). This VM itself counts from electedAt on, as it may
-// have reported before.
+// answered it, and whose term has been known since followedSince to VMs that block each majority (FollowedSince). This VM itself counts from
+// electedAt on, as it may have reported before.
 //
 // With its lease, a former leader acts until the lease ends at the latest. The
 // record of the next one can be written only after that, or after the store came
 // back from an older copy; the lease was last renewed before that.
 //
 // Without its lease, it acts while a majority of its voters reports that it can't
-// reach the store. This one has a VM in common with those that block. This one knew the later
-// term by followedSince, and a report sent since ends the leadership of the former leader
-// when it is read, rather than counting for it. A report that counts was thus sent
-// before, in answer to a heartbeat sent still earlier, from which ReportTTL is
-// counted by the former leader's own clock. The time for which the report was on
-// its way or queued doesn't matter. If the VM in common is the former leader or
-// the later one, the same holds of what they know themselves.
+// reach the store. The majority has a VM in common with those that block. That VM
+// knew the later term by followedSince, and a report that it has sent since ends the
+// leadership of the former leader when it is read, rather than counting for it. A
+// report that counts was thus sent before, in answer to a heartbeat sent still
+// earlier, from which ReportTTL is counted by the former leader's own clock. The
+// time for which the report was on its way or queued doesn't matter. If the VM in
+// common is the former leader or the later one, the same holds of what they know
+// themselves.
 //
 // The two may know different registrations. So the former leader counts by the
 // voters that it has recorded in the store (Propose), and the later one reads them
--- a/coordination/leader/leader.go
+++ b/coordination/leader/leader.go
@@ -68,7 +68,7 @@
 	// highestTerm is the highest known term, also of a leader that isn't heard, and stamp the newest stamp that was read.
 	highestTerm id.Revision
 	stamp       Stamp
-	// followedSince is since when a majority is known to follow followedTerm.
+	// followedSince is since when VMs that follow followedTerm are known to block each majority of former leaders.
 	followedTerm  id.Revision
 	followedSince clock.Instant
 	// voters is the latest known record of the voters, stored the one that the store has, and proposed are later ones of this VM whose writes have
--- a/coordination/leader/model_cut_test.go
+++ b/coordination/leader/model_cut_test.go
@@ -89,8 +89,8 @@
 	return v
 }
 
-// formerGoneFor reports since when no former leader acts, as a VM that leads knows.
-func (m *model) formerGoneSince(v *modelVM) (at clock.Instant, known bool) {
+// formerGoneAt returns from when on no former leader acts, as far as a VM that leads knows.
+func (m *model) formerGoneAt(v *modelVM) (at clock.Instant, known bool) {
 	since, known := v.elector.FollowedSince(m.membersOf(v))
 	return leader.FormerLeaderUntil(v.electedAt, since).Add(-v.offset), known
 }
@@ -117,7 +117,7 @@
 							m.runFor(t, modelTick)
 						}
 						m.runFor(t, cutTime)
-						at, known := m.formerGoneSince(m.holder)
+						at, known := m.formerGoneAt(m.holder)
 						is.True(known)
 						t.Log("no former leader acts after", at.Sub(cutAt))
 						is.True(at.Sub(cutAt) <= goneWithin)
--- a/coordination/quorum/quorum.go
+++ b/coordination/quorum/quorum.go
@@ -1,11 +1,12 @@
 // Package quorum says which VMs are enough to act for all.
 //
 // A majority is more than half of the VMs, in more than half of the failure
-// domains. A failure domain that is cut off with most VMs is thus no majority: from
-// within it, the others and the store look as if they had lost power. VMs block if
-// each majority has one of them, so that all VMs of half of the failure domains do,
-// and half of the VMs. The two kinds of quorums intersect, which is all that is
-// needed of them (Howard, Malkhi, Spiegelman, "Flexible Paxos", OPODIS 2016).
+// domains. So a failure domain that is cut off with most VMs is no majority: seen
+// from within it, the others and the store might as well have lost power.
+//
+// VMs block if each majority contains one of them. Half of the VMs do, and so do
+// all VMs of half of the failure domains. The two kinds of quorums only have to
+// intersect each other (Howard, Malkhi, Spiegelman, "Flexible Paxos", OPODIS 2016).
 //
 // # Usage
 //
