Stand-ins: silent backend servers, and requests whose connections end

No record told when a request reached a server, and whether its run was cut off. Change: faultproxy.Silent holds back all bytes and establishes no connection, and resets all when it ends, so that nothing arrives late by the network's doing. A worker records the arrivals of each request, and drops requests on demand (WithDroppedRequests).

--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -11,6 +11,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Mode selects the fault that a proxy injects into its connections.
@@ -28,6 +30,9 @@
 	StallResponses
 	// Reset resets all existing and new connections.
 	Reset
+	// Silent holds back the bytes of both directions, and new connections are not established, as by a machine without power. When it ends,
+	// existing connections are reset and the bytes held back are lost.
+	Silent
 )
 
 // delay is the latency that Delay adds to each chunk read.
@@ -38,13 +43,18 @@
 
 // Proxy forwards connections to one target. It is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
-	mu     sync.Mutex
-	mode   Mode
-	conns  map[net.Conn]bool
-	closed bool
+	// changing is held while the mode changes.
+	changing sync.Mutex
+	mu       sync.Mutex
+	listener net.Listener
+	mode     Mode
+	conns    map[net.Conn]bool
+	closed   bool
+	// fillers are the proxy's own connections that fill its queue of new connections while it is silent.
+	fillers []net.Conn
 }
 
 // Listen starts a proxy to target on a free loopback port.
@@ -57,30 +67,93 @@
 	if err != nil {
 		return nil, err
 	}
-	p = &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
-	go p.serve()
+	p = &Proxy{address: listener.Addr().String(), listener: listener, target: target, conns: map[net.Conn]bool{}}
+	go p.serve(listener)
 	return p, nil
 }
 
 // Address returns the address at which clients reach the target through the proxy.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // SetMode changes the mode of all existing and new connections.
 func (p *Proxy) SetMode(m Mode) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	wasSilent := p.change(m)
+	switch {
+	case m == Silent && !wasSilent:
+		p.fillQueue()
+	case m != Silent && wasSilent:
+		p.listenAgain()
+	}
+}
+
+// change sets the mode and reports whether the proxy was silent. Connections that must end are aborted before the bytes held back can pass.
+func (p *Proxy) change(m Mode) (wasSilent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = m
-	if m == Reset {
+	wasSilent = p.mode == Silent
+	if m == Reset || wasSilent && m != Silent {
 		for c := range p.conns {
 			abort(c)
 		}
 	}
+	p.mode = m
+	return wasSilent
+}
+
+// fillerTimeout limits the time to open a connection that fills the queue; a caller may have taken its place.
+const fillerTimeout = 50 * time.Millisecond
+
+// fillQueue makes the kernel drop the packets that open connections: the queue has room for one, beside the one that serve holds.
+func (p *Proxy) fillQueue() {
+	p.mu.Lock()
+	listener := p.listener
+	p.mu.Unlock()
+	setBacklog(listener, 0)
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", p.address, fillerTimeout); err == nil {
+			p.fillers = append(p.fillers, c)
+		}
+	}
+}
+
+// setBacklog changes the number of connections that wait to be accepted.
+func setBacklog(l net.Listener, n int) {
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	if raw, err := t.SyscallConn(); err == nil {
+		// Fails if the listener was closed, after which no connection is established either.
+		_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), n) })
+	}
+}
+
+// listenAgain replaces the listener after a silence, so that connections in its queue are reset.
+func (p *Proxy) listenAgain() {
+	for _, c := range p.fillers {
+		abort(c)
+	}
+	p.fillers = nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	if p.closed {
+		return
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		panic(err)
+	}
+	p.listener = listener
+	go p.serve(listener)
 }
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
+	_ = p.listener.Close()
 	p.closed = true
 	p.mu.Unlock()
 	p.SetMode(Reset)
@@ -100,17 +173,23 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) serve() {
+func (p *Proxy) serve(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		if p.currentMode() == Reset {
+		switch p.currentMode() {
+		case Reset:
+			abort(c)
+		case Silent:
+			for p.currentMode() == Silent {
+				time.Sleep(stallPollPeriod)
+			}
 			abort(c)
-			continue
+		default:
+			go p.proxyConn(c)
 		}
-		go p.proxyConn(c)
 	}
 }
 
@@ -161,7 +240,7 @@
 
 // wait holds a chunk up as the current mode says.
 func (p *Proxy) wait(toClient bool) {
-	for m := p.currentMode(); m == Stall || m == StallResponses && toClient; m = p.currentMode() {
+	for m := p.currentMode(); m == Stall || m == Silent || m == StallResponses && toClient; m = p.currentMode() {
 		time.Sleep(stallPollPeriod)
 	}
 	if p.currentMode() == Delay {
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -13,7 +13,9 @@
 	mu         sync.Mutex
 	runs       map[string]int
 	byCustomer map[string][]CustomerRun
-	holds      map[string][]*hold
+	// arrivals holds the arrivals of each request.
+	arrivals map[string][]*Arrival
+	holds    map[string][]*hold
 	// grants holds the grants by which a server came to hold keys, each range of a server once, with the highest fence.
 	grants     map[string][]grant
 	seenFences map[*Worker][]grant
@@ -59,7 +61,7 @@
 // NewJournal returns an empty journal.
 func NewJournal() *Journal {
 	return &Journal{
-		runs: map[string]int{}, byCustomer: map[string][]CustomerRun{}, holds: map[string][]*hold{}, grants: map[string][]grant{},
+		runs: map[string]int{}, byCustomer: map[string][]CustomerRun{}, arrivals: map[string][]*Arrival{}, holds: map[string][]*hold{}, grants: map[string][]grant{},
 		seenFences: map[*Worker][]grant{},
 	}
 }
@@ -140,11 +142,12 @@
 func earliest(times ...time.Time) time.Time { return slices.MinFunc(times, time.Time.Compare) }
 
 // recordStart records the start of a request; a second start of an at-most-once request is a violation.
-func (j *Journal) recordStart(w *Worker, id string, atMostOnce bool) {
+func (j *Journal) recordStart(w *Worker, id string, a *Arrival, d time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	a.BeganAt, a.ServiceTime = time.Now(), d
 	j.runs[id]++
-	if atMostOnce && j.runs[id] > 1 {
+	if a.AtMostOnce && j.runs[id] > 1 {
 		j.violations = append(j.violations, fmt.Sprintf("request %s ran %d times, last at %s", id, j.runs[id], w.ID))
 	}
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -31,7 +31,8 @@
 
 	keyed           bool
 	abortsResponses bool
-	serviceTime     time.Duration
+	serviceTime     func(r *http.Request) time.Duration
+	dropsRequests   bool
 	onRequest       func(r *http.Request)
 	slots           chan struct{}
 	journal         *Journal
@@ -48,6 +49,9 @@
 // Slots is the number of requests that a worker runs concurrently.
 const Slots = 4
 
+// DefaultServiceTime is the time for which a worker runs each request.
+const DefaultServiceTime = 20 * time.Millisecond
+
 // MaxQueued is the number of requests that wait at a worker before it rejects further ones.
 const MaxQueued = 16
 
@@ -58,7 +62,17 @@
 func WithKeys() Option { return func(w *Worker) { w.keyed = true } }
 
 // WithServiceTime sets the service time of each request.
-func WithServiceTime(d time.Duration) Option { return func(w *Worker) { w.serviceTime = d } }
+func WithServiceTime(d time.Duration) Option {
+	return WithServiceTimes(func(*http.Request) time.Duration { return d })
+}
+
+// WithServiceTimes sets the function that returns the service time of a request.
+func WithServiceTimes(f func(r *http.Request) time.Duration) Option {
+	return func(w *Worker) { w.serviceTime = f }
+}
+
+// WithDroppedRequests makes a worker drop a request when its connection ends, both while it is queued and while it runs.
+func WithDroppedRequests() Option { return func(w *Worker) { w.dropsRequests = true } }
 
 // WithAbortedResponses makes a worker close the connection without a response after it has run a request.
 func WithAbortedResponses() Option { return func(w *Worker) { w.abortsResponses = true } }
@@ -74,7 +88,8 @@
 
 // New returns a worker with the given instance ID and service.
 func New(id, service string, j *Journal, opts ...Option) *Worker {
-	w := &Worker{ID: id, Service: service, journal: j, serviceTime: 20 * time.Millisecond, slots: make(chan struct{}, Slots), stopped: make(chan struct{})}
+	w := &Worker{ID: id, Service: service, journal: j, slots: make(chan struct{}, Slots), stopped: make(chan struct{})}
+	WithServiceTime(DefaultServiceTime)(w)
 	for _, opt := range opts {
 		opt(w)
 	}
@@ -123,6 +138,7 @@
 // handleRequest runs a request if the queue has capacity and, for a keyed service, the worker owns the key.
 func (w *Worker) handleRequest(out http.ResponseWriter, r *http.Request) {
 	reachedAt := time.Now()
+	arrival := w.journal.recordArrival(w, r, reachedAt)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -141,11 +157,24 @@
 		return
 	}
 	w.journal.recordCustomer(w, r, reachedAt)
-	w.slots <- struct{}{}
-	w.queued.Add(-1)
+	dropped := w.dropped(r)
+	select {
+	case w.slots <- struct{}{}:
+		w.queued.Add(-1)
+	case <-dropped:
+		w.queued.Add(-1)
+		panic(http.ErrAbortHandler)
+	}
 	defer func() { <-w.slots }()
-	w.journal.recordStart(w, id, r.Method == http.MethodPost)
-	time.Sleep(w.serviceTime)
+	d := w.serviceTime(r)
+	w.journal.recordStart(w, id, arrival, d)
+	select {
+	case <-time.After(d):
+		w.journal.recordEnd(w, arrival, true)
+	case <-dropped:
+		w.journal.recordEnd(w, arrival, false)
+		panic(http.ErrAbortHandler)
+	}
 	if w.abortsResponses {
 		panic(http.ErrAbortHandler)
 	}
@@ -154,6 +183,14 @@
 	_, _ = io.WriteString(out, ResponseBody(id, r.URL.Path, body))
 }
 
+// dropped returns a channel that is closed when the worker is to drop a request; nil if it never is.
+func (w *Worker) dropped(r *http.Request) <-chan struct{} {
+	if !w.dropsRequests {
+		return nil
+	}
+	return r.Context().Done()
+}
+
 // ResponseBody returns the body of the response to a request.
 func ResponseBody(id, path string, body []byte) string {
 	return fmt.Sprintf("answer to %s at %s with %d bytes", id, path, len(body))
