Log lines and counters for requests sent after their callers had left

Now each request knows when its caller left (`forward.Request.CallerLeft`), each attempt when it was written, also by another VM (`relay.Result.WriteDelay`, optional), and a line names a request that was written over half a second after its caller had left; at most 100 and then one a second. No decision depends on them.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -49,6 +49,8 @@
 	// Objective is the time by which the request should be answered, counted from the caller's first attempt; a later answer is worth
 	// little to the caller.
 	Objective clock.Instant
+	// CallerLeft returns when the caller left, or 0 while it waits. Nil means that it waits.
+	CallerLeft func() clock.Instant
 	// Customer is the customer that sent the request, or empty if none is identified.
 	Customer id.Customer
 	// Weight is the rate that the customer is entitled to over all VMs, in requests per second; 0 means that it has no limit.
@@ -90,6 +92,15 @@
 	Misplaced bool
 	// Unsigned says that the answer is a success without the signature of the backend server's application, so that it may be anything.
 	Unsigned bool
+	Sending
+}
+
+// Sending says when and by whom the request of an attempt was written; it is for logs.
+type Sending struct {
+	// WrittenAt is when the write began, as far as this VM knows; 0 if it didn't begin or isn't known.
+	WrittenAt clock.Instant
+	// Relayed says that another VM wrote it.
+	Relayed bool
 }
 
 // Failure is the error of an attempt without an answer.
@@ -103,6 +114,7 @@
 	// Abandoned says that this VM gave the attempt up, so that it says nothing of the backend server.
 	Abandoned bool
 	Cause     error
+	Sending
 }
 
 // Error returns the text of the cause.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"expvar"
@@ -15,6 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/hickorylug/hickorylug/coordination/allotment"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
@@ -41,6 +43,8 @@
 	lost      *expvar.Map
 	customers *customerCounters
 	lines     *lineLimiter
+	// afterCallerLeft bounds the log lines of requests that were sent long after their callers had left.
+	afterCallerLeft rate.Sometimes
 	// leaving counts the incarnations of backend servers that announced that they leave, and pauses the times that one wanted no requests.
 	leaving, pauses atomic.Int64
 
@@ -52,12 +56,19 @@
 	// latencyDigits is the precision of histograms, in significant decimal digits; a single digit keeps them small.
 	latencyDigits = 1
 	maxLatencyMs  = int64(60 * time.Second / time.Millisecond)
+	// maxCallerLeftLogs is the number of requests sent long after their callers had left that are logged each; of later ones, one per
+	// callerLeftLogPeriod is.
+	maxCallerLeftLogs   = 100
+	callerLeftLogPeriod = time.Second
+	// callerLeftTolerance is the time from which a request that is sent after its caller has left counts as late.
+	callerLeftTolerance = 500 * time.Millisecond
 )
 
 func newMetrics(e *Edge) *metrics {
 	return &metrics{
 		edge: e, store: new(expvar.Map).Init(), requests: new(expvar.Map).Init(), attempts: new(expvar.Map).Init(), lost: new(expvar.Map).Init(),
-		latencies: map[string]*hdrhistogram.Histogram{}, customers: newCustomerCounters(), lines: newLineLimiter(e.clock, e.log),
+		afterCallerLeft: rate.Sometimes{First: maxCallerLeftLogs, Interval: callerLeftLogPeriod},
+		latencies:       map[string]*hdrhistogram.Histogram{}, customers: newCustomerCounters(), lines: newLineLimiter(e.clock, e.log),
 	}
 }
 
@@ -109,6 +120,9 @@
 	if v.Customer != "" {
 		args = append(args, "customer", string(v.Customer))
 	}
+	if v.CallerLeftAfter > 0 {
+		args = append(args, "callerLeftAfterMs", v.CallerLeftAfter.Milliseconds())
+	}
 	if v.Refusal != nil {
 		args = append(args, "outcome", string(v.Refusal.Outcome), "reason", string(v.Refusal.Reason), "detail", v.Refusal.Detail, "retryAfterMs", v.Refusal.RetryAfter.Milliseconds())
 	}
@@ -118,6 +132,11 @@
 // observeAttempt counts an attempt, and logs its result.
 func (e *Edge) observeAttempt(r *forward.Request, slot *dispatch.Slot, took time.Duration, reply *forward.Reply, failure *forward.Failure) {
 	s := slot.Server
+	if failure != nil {
+		e.observeAfterCallerLeft(r, slot, took, failure.Sending, failure.Sent)
+	} else {
+		e.observeAfterCallerLeft(r, slot, took, reply.Sending, true)
+	}
 	switch {
 	case failure != nil:
 		e.metrics.attempts.Add("failed", 1)
@@ -136,6 +155,29 @@
 	}
 }
 
+// observeAfterCallerLeft counts a request that was sent after its caller had left, and logs it if that was long after. If it isn't known when it was written, the end of the
+// attempt counts.
+func (e *Edge) observeAfterCallerLeft(r *forward.Request, slot *dispatch.Slot, took time.Duration, sending forward.Sending, sent bool) {
+	if !sent || r.CallerLeft == nil {
+		return
+	}
+	now, left := e.clock.Boot(), r.CallerLeft()
+	at := cmp.Or(sending.WrittenAt, now)
+	if left == 0 || at <= left {
+		return
+	}
+	e.metrics.attempts.Add("afterCallerLeft", 1)
+	if at.Sub(left) <= callerLeftTolerance {
+		return
+	}
+	e.metrics.attempts.Add("longAfterCallerLeft", 1)
+	e.metrics.afterCallerLeft.Do(func() {
+		e.log.Info("a request was sent long after its caller had left", "request", r.ID, "service", string(r.Service), "server", string(slot.Server.Server),
+			"idempotent", r.Route.Idempotent, "keyed", r.Keyed, "leftAfterMs", left.Sub(r.Arrived).Milliseconds(), "begunAfterMs", now.Sub(r.Arrived).Milliseconds()-took.Milliseconds(),
+			"writtenAfterMs", at.Sub(r.Arrived).Milliseconds(), "endedAfterMs", now.Sub(r.Arrived).Milliseconds(), "relayed", sending.Relayed, "writeKnown", sending.WrittenAt > 0)
+	})
+}
+
 // observeLost counts and logs a request whose connection ended before its response was written.
 func (e *Edge) observeLost(l http1server.Lost) {
 	level, cause := slog.LevelError, "closed here"
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -151,6 +151,7 @@
 		if failure := e.mayBegin(a); failure != nil {
 			return relay.Result{Failure: failure}, true
 		}
+		askedAt := e.clock.Boot()
 		result, err := e.attemptThrough(ctx, peer, left)
 		isUnreached := err == nil && result.Failure != nil && !result.Failure.Sent && !result.Failure.AtConnectionLimit && !result.Failure.Withheld
 		switch {
@@ -162,7 +163,7 @@
 			continue
 		case err == nil:
 			e.metrics.attempts.Add("relayed", 1)
-			result.Relayed, result.WriteReturnedAt = true, e.clock.Boot()
+			result.Relayed, result.AskedAt, result.WriteReturnedAt = true, askedAt, e.clock.Boot()
 			if inc, ok := e.respondent(a, result.Header); ok {
 				e.observeLeaving(inc, result.Header)
 			}
@@ -222,6 +223,9 @@
 	begun := e.clock.Boot()
 	r = e.attemptDirectly(ctx, a)
 	isUnsent := r.Failure != nil && !r.Failure.Sent
+	if r.WrittenAt > 0 {
+		r.WriteDelay = max(1, r.WrittenAt.Sub(begun))
+	}
 	if a.Command && a.Method == http.MethodPost {
 		e.log.Info("an order was made for another VM", "server", string(a.Server), "born", int64(a.Born), "path", a.Target, "body", string(a.Body), "status", r.Status,
 			"sent", !isUnsent, "writtenAfter", max(0, r.WrittenAt.Sub(begun)).String(), "endedAfter", e.clock.Boot().Sub(begun).String())
--- a/edge/send.go
+++ b/edge/send.go
@@ -31,8 +31,9 @@
 		RequestID: r.ID, Timeout: a.Timeout, MaxConnections: a.Slot.MaxConnections, NewConnection: a.NewConnection, Detached: !r.Route.Idempotent,
 	}
 	result := e.attempt(ctx, attempt)
+	sending := sendingOf(result)
 	if f := result.Failure; f != nil {
-		return nil, &forward.Failure{Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Abandoned: f.Abandoned, Cause: errors.New(f.Cause)}
+		return nil, &forward.Failure{Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Abandoned: f.Abandoned, Cause: errors.New(f.Cause), Sending: sending}
 	}
 	meta := platform.ParseResponseHeader(result.Status, result.Header)
 	if inc, ok := e.respondent(attempt, result.Header); !ok || inc != server.Incarnation {
@@ -45,9 +46,19 @@
 		NotRun:    meta.NotRun,
 		Misplaced: meta.Misplaced,
 		Unsigned:  isSuccess(result.Status) && !meta.NotRun && !meta.Signed,
+		Sending:   sending,
 	}, nil
 }
 
+// sendingOf returns when an attempt was written. Through another VM that is the earliest time, without the time on the link between the VMs.
+func sendingOf(r relay.Result) (s forward.Sending) {
+	s.Relayed, s.WrittenAt = r.Relayed, r.WrittenAt
+	if r.Relayed && r.WriteDelay > 0 {
+		s.WrittenAt = r.AskedAt.Add(r.WriteDelay)
+	}
+	return s
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -91,6 +91,8 @@
 	Status   int
 	Attempts int
 	Duration time.Duration
+	// CallerLeftAfter is the time from the request's arrival until its caller left, or 0 if the caller waited for the answer.
+	CallerLeftAfter time.Duration
 	// Refusal is nil if a backend server's response was forwarded.
 	Refusal *outcome.Error
 }
@@ -177,7 +179,14 @@
 		return nil, err
 	}
 	fault = outcome.Unknown
-	return h.forward(r, request, customer)
+	caller, stop := watchCaller(r.Context(), h.deps.Clock)
+	defer stop()
+	request.CallerLeft = caller.left
+	response, err = h.forward(r, request, customer)
+	if left := caller.left(); left > 0 {
+		e.CallerLeftAfter = left.Sub(started)
+	}
+	return response, err
 }
 
 // survive is to be deferred. It reports a panic of the function that defers it and calls then.
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -59,22 +59,32 @@
 // serve runs f with a server in virtual time that answers each forwarded request with its body. It returns the bodies of
 // the forwarded requests.
 func serve(t *testing.T, f func(l *pipeListener)) (forwarded []string) {
+	t.Helper()
+	serveWith(t, func(d *entry.Dependencies) {
+		d.Forward = func(_ context.Context, r *forward.Request) (*forward.Answer, error) {
+			forwarded = append(forwarded, string(r.Body))
+			return &forward.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r.Body}, nil
+		}
+	}, f)
+	return forwarded
+}
+
+// serveWith runs f with a server in virtual time whose handler has the dependencies that change sets.
+func serveWith(t *testing.T, change func(d *entry.Dependencies), f func(l *pipeListener)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		snapshot := &fleet.Snapshot{Configuration: fleet.NewConfiguration(1, []fleet.Route{{
 			Name: "r", Host: "a.example", Prefix: "/", Timeout: 5 * time.Second, Objective: time.Second, Targets: []fleet.Target{{Service: "s", Weight: 1}},
 		}}, map[id.Service]fleet.Service{"s": {Name: "s"}}, fleet.Limits{MaxBody: 4 << 10})}
-		h := entry.NewHandler(entry.Dependencies{
+		d := entry.Dependencies{
 			Clock:   clock.Runtime{Origin: time.Now().Add(-time.Hour)},
 			Headers: entry.HeaderNames{RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key"},
 			Bodies:  http1.NewQuota(1 << 20), View: func() (*fleet.Snapshot, bool) { return snapshot, true },
 			PickService: func(r *fleet.Route) id.Service { return r.Targets[0].Service },
-			Forward: func(_ context.Context, r *forward.Request) (*forward.Answer, error) {
-				forwarded = append(forwarded, string(r.Body))
-				return &forward.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r.Body}, nil
-			},
-			Observe: func(entry.Event) {},
-		})
+			Observe:     func(entry.Event) {},
+		}
+		change(&d)
+		h := entry.NewHandler(d)
 		l := newPipeListener()
 		server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
 		done := make(chan error, 1)
@@ -89,7 +99,6 @@
 		// The server closes its connections some time after their last response.
 		time.Sleep(time.Minute)
 	})
-	return forwarded
 }
 
 // A caller that sends its body too slowly, or more than the limit, must get a refusal that is true: the request isn't
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -103,8 +103,12 @@
 	Header  http.Header `cbor:"2,keyasint"`
 	Body    []byte      `cbor:"3,keyasint"`
 	Failure *Failure    `cbor:"4,keyasint"`
+	// WriteDelay is the time from the beginning of the attempt at another VM to the beginning of its write; 0 if there was none.
+	WriteDelay time.Duration `cbor:"5,keyasint,omitempty"`
 	// Relayed says that the attempt was made through another VM. The VM that asked for it sets it.
 	Relayed bool `cbor:"-"`
+	// AskedAt is when this VM asked another one to make the attempt; 0 if it didn't.
+	AskedAt clock.Instant `cbor:"-"`
 	// WrittenAt is when this VM began to write the request; 0 if it didn't.
 	WrittenAt clock.Instant `cbor:"-"`
 	// WriteReturnedAt is a time at which the write had returned, at this VM or at the other one; 0 if none is known.
