Soak: callers that leave while backend servers are silent

Cause: callers of the soak stayed until their time was up, and nothing looked at what backend servers do for callers that have gone (GONE). Change: the faults "callers leave" (close, reset, half-close) and "servers silent" (half or more of each service). With faults that leave the VMs in contact, the soak checks that no request that must run at most once reaches a backend server more than 0.5 s after its caller has left, and few others do; that at most a quarter of the idempotent work that would have lasted so long does; and that other work that has begun runs to its end. Callers and servers read one clock: nothing is added to the half second. Both faults are drawn by default, so that recorded seeds of runs with all faults draw others now.

--- a/cmd/hickorysoak/backends.go
+++ b/cmd/hickorysoak/backends.go
@@ -3,7 +3,10 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
+
+	"github.com/hickorylug/hickorylug/standin/faultproxy"
 )
 
 const (
@@ -29,6 +32,45 @@
 	return b
 }
 
+// maxSilence is the longest time for which backend servers are silent.
+const maxSilence = 2500 * time.Millisecond
+
+// silenceBackends makes half or more of the backend servers of each service silent, as if failure domains had lost power, and resets their
+// connections when they return.
+func (e *environment) silenceBackends(random *rand.Rand, d time.Duration) {
+	byService := map[string][]*backend{}
+	e.mu.Lock()
+	for _, b := range e.backends {
+		byService[b.service] = append(byService[b.service], b)
+	}
+	e.mu.Unlock()
+	var silent []*backend
+	for _, service := range []string{keyedService, unkeyedService} {
+		all := byService[service]
+		for _, i := range random.Perm(len(all))[:max(0, len(all)-1-random.IntN(2))] {
+			silent = append(silent, all[i])
+		}
+	}
+	d = min(d, maxSilence)
+	for _, b := range silent {
+		e.notes.add("%s is silent for %s", b.id, d)
+	}
+	begin := time.Now()
+	setModes(silent, faultproxy.Silent)
+	time.Sleep(d)
+	setModes(silent, faultproxy.Pass)
+	e.departures.addSilences(silent, begin)
+}
+
+// setModes changes the modes of several backend servers' proxies at the same time.
+func setModes(backends []*backend, mode faultproxy.Mode) {
+	var wg sync.WaitGroup
+	for _, b := range backends {
+		wg.Go(func() { b.proxy.SetMode(mode) })
+	}
+	wg.Wait()
+}
+
 // replaceBackend replaces a random backend server by a new incarnation with the same ID at another address.
 func (e *environment) replaceBackend(random *rand.Rand, d time.Duration, graceful bool) {
 	b := e.takeBackend(random)
--- a/cmd/hickorysoak/environment.go
+++ b/cmd/hickorysoak/environment.go
@@ -89,6 +89,9 @@
 	// crashes records the crashes that requests cause, and crashed waits for the next incarnations.
 	crashes crashLog
 	crashed sync.WaitGroup
+	// departures records the callers that left, and measuresDepartures says that backend servers drop requests whose connections end.
+	departures         departures
+	measuresDepartures bool
 	// customers is nil if the configuration has no customers.
 	customers *customerBook
 	// strictRevocation is the setting of the VMs.
@@ -98,7 +101,7 @@
 }
 
 // newEnvironment starts the store, the backend servers and the entry VMs.
-func newEnvironment(seed uint64, c command) (e *environment, err error) {
+func newEnvironment(seed uint64, c command, injected []fault) (e *environment, err error) {
 	defer func() { err = errors.Wrap(err, "start environment") }()
 	folder, err := os.MkdirTemp("", "hickorysoak")
 	if err != nil {
@@ -111,6 +114,7 @@
 		defer mu.Unlock()
 		return random.Float64()
 	})}
+	e.measuresDepartures = measuresDepartures(injected)
 	if seed%2 == 0 {
 		e.customers, e.strictRevocation = newCustomerBook(), seed%4 == 0
 	}
@@ -196,6 +200,10 @@
 	opts := []worker.Option{
 		worker.WithLateOrders(e.lateGrants, e.seed<<16+e.startCount),
 		worker.WithOnRequest(func(r *http.Request) { e.crashBackend(b, r) }),
+		worker.WithServiceTimes(serviceTime),
+	}
+	if e.measuresDepartures {
+		opts = append(opts, worker.WithDroppedRequests())
 	}
 	if service == keyedService {
 		opts = append(opts, worker.WithKeys())
--- a/cmd/hickorysoak/faults.go
+++ b/cmd/hickorysoak/faults.go
@@ -25,6 +25,9 @@
 	isPlanned bool
 	// keepsEvidence says that VMs can tell each other what crashes backend servers all the while, so that the number of crashes is limited.
 	keepsEvidence bool
+	// keepsContact says that the VMs run, and reach the store, each other and all backend servers that aren't silent, so that the bound for
+	// requests whose callers have left holds.
+	keepsContact bool
 	// needsCustomers says that it changes customers; it is left out where the configuration has none.
 	needsCustomers bool
 }
@@ -46,7 +49,7 @@
 	{name: "leader first", run: func(e *environment, random *rand.Rand, d time.Duration) { e.strikeLeader(random, d) }},
 	{name: "reload", run: func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.randomVM(random).signal(syscall.SIGHUP)
-	}, isPlanned: true, keepsEvidence: true},
+	}, isPlanned: true, keepsEvidence: true, keepsContact: true},
 	{name: "cut", run: func(e *environment, random *rand.Rand, d time.Duration) { e.cutVMs(random, d) }},
 	{name: "store down", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.injectStoreFault(kv.Fault{Down: true}, d) }},
 	{name: "store slow", run: func(e *environment, _ *rand.Rand, d time.Duration) {
@@ -65,16 +68,18 @@
 		e.notes.add("the link of %s is disturbed for %s", b.id, d)
 		disturb(b.proxy, random, d)
 	}},
-	{name: "server restarts", run: func(e *environment, random *rand.Rand, d time.Duration) { e.replaceBackend(random, d, false) }},
+	{name: "servers silent", run: func(e *environment, random *rand.Rand, d time.Duration) { e.silenceBackends(random, d) }, keepsContact: true},
+	{name: "callers leave", run: func(e *environment, random *rand.Rand, d time.Duration) { e.sendAndLeave(random, 2*d) }, keepsContact: true},
+	{name: "server restarts", run: func(e *environment, random *rand.Rand, d time.Duration) { e.replaceBackend(random, d, false) }, keepsContact: true},
 	{name: "server starts again", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.startBackendAgain(random) }},
 	{name: "crashing request", run: func(e *environment, random *rand.Rand, d time.Duration) { e.repeatCrashingRequest(random, d) }, keepsEvidence: true},
-	{name: "server drains", run: func(e *environment, random *rand.Rand, d time.Duration) { e.replaceBackend(random, d, true) }},
+	{name: "server drains", run: func(e *environment, random *rand.Rand, d time.Duration) { e.replaceBackend(random, d, true) }, keepsContact: true},
 	{name: "store restored", run: func(e *environment, _ *rand.Rand, d time.Duration) { e.restoreStore(d) }},
 	{name: "configuration", run: func(e *environment, random *rand.Rand, _ time.Duration) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.writeConfiguration(time.Duration(800+random.IntN(800)) * time.Millisecond)
-	}, isPlanned: true, keepsEvidence: true},
+	}, isPlanned: true, keepsEvidence: true, keepsContact: true},
 	{name: "revoke", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.revoke(random) }, isPlanned: true, needsCustomers: true},
 	{name: "allotment", run: func(e *environment, random *rand.Rand, _ time.Duration) { e.changeAllotment(random) }, isPlanned: true, needsCustomers: true},
 }
--- a/cmd/hickorysoak/main.go
+++ b/cmd/hickorysoak/main.go
@@ -12,6 +12,11 @@
 // With the faults "crashing request", kill, terminate, reload and configuration
 // alone, a request that crashes backend servers is refused after few crashes.
 //
+// With faults that leave the VMs in contact, such as "callers leave" and
+// "servers silent", hardly any request reaches a backend server half a second
+// after its caller has left, and none that must run at most once; work for
+// idempotent ones ends by then, and other work that has begun isn't cut off.
+//
 // The backend servers keep no promise that the users' pages don't make: see
 // package worker. For each time in which two of them hold the same keys, the
 // log lines of all VMs that concern these keys are printed in order of time.
@@ -45,7 +50,7 @@
 	VMs     int           `help:"Number of entry VMs." default:"4" name:"vms"`
 	Logs    string        `help:"Folder for the logs of failed seeds." default:"soak-logs"`
 	Grouped bool          `help:"Inject faults in groups of three to nine within some seconds in all seeds; otherwise in every second pair of seeds."`
-	Faults  []string      `help:"Names of the faults to draw from, separated by commas; all if empty. With planned work alone, no request that was run may be cut off; with 'crashing request', kill and planned work alone, one request crashes few backend servers."`
+	Faults  []string      `help:"Names of the faults to draw from, separated by commas; all if empty. With planned work alone, no request that was run may be cut off; with 'crashing request', kill and planned work alone, one request crashes few backend servers; with 'callers leave', 'servers silent' and others that leave the VMs in contact, no work begins for callers that have left."`
 }
 
 // errViolated means that at least one seed violated a guarantee.
--- a/cmd/hickorysoak/run.go
+++ b/cmd/hickorysoak/run.go
@@ -55,7 +55,7 @@
 
 // runSeed runs one seed: it starts the environment, injects the selected faults under load, and checks the guarantees.
 func runSeed(seed uint64, c command, selected []fault) (r *result, err error) {
-	e, err := newEnvironment(seed, c)
+	e, err := newEnvironment(seed, c, selected)
 	if err != nil {
 		return nil, err
 	}
@@ -123,6 +123,9 @@
 	if !slices.ContainsFunc(injected, func(f fault) bool { return !f.keepsEvidence }) {
 		r.faults += "; " + e.crashes.check(r)
 	}
+	if e.measuresDepartures {
+		r.faults += "; " + e.checkDepartures(r)
+	}
 	r.violations = append(r.violations, e.journal.Violations()...)
 	e.traceConflicts(r)
 	if e.customers != nil {
@@ -204,6 +207,16 @@
 	}
 }
 
+// setHeader sets the header fields of the request.
+func (q *request) setHeader(h http.Header, method string) {
+	h.Set("Attempt-Id", q.id)
+	h.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	if method == http.MethodGet {
+		h.Set("Shard-Key", fmt.Sprint(q.key))
+	}
+	q.sign(h)
+}
+
 // sendRequest sends one request and checks the response; it returns the status, or 0 if there was no response.
 func (e *environment) sendRequest(client *http.Client, r *result, v *vm, q request) (status int) {
 	method, path, body := q.target()
@@ -214,12 +227,7 @@
 	req.Host = host
 	// Without GetBody, net/http doesn't retry a request with a body after a connection failure.
 	req.GetBody = nil
-	req.Header.Set("Attempt-Id", q.id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
-	if method == http.MethodGet {
-		req.Header.Set("Shard-Key", fmt.Sprint(q.key))
-	}
-	q.sign(req.Header)
+	q.setHeader(req.Header, method)
 	resp, err := client.Do(req)
 	var text []byte
 	if err == nil {
