Don't write a request whose context has ended on a connection that is there

Now the bytes of a request are made once the connection is there, and the context is looked at last. Besides, a request may have a second context, Wanted, that counts until it is written and not after: it ends the dial and the write. TellsUnwanted closes the writing side when it ends later, so that the other side learns of it and can still answer. BeforeWrite may set header and body.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -81,7 +81,7 @@
 	}
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
-	request.BeforeWrite = func(age time.Duration) error { return e.beforeWrite(ctx, a, age, &r) }
+	request.BeforeWrite = func(_ *http1.Request, age time.Duration) error { return e.beforeWrite(ctx, a, age, &r) }
 	request.AfterWrite = func() { r.WriteReturnedAt = e.clock.Boot() }
 	wait := e.reach.Begin(a.Server, func() {
 		if !a.Detached {
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -163,6 +163,14 @@
 // roundTrip sends an encoded request and reads the head of its response.
 func (c *connection) roundTrip(ctx context.Context, r Request, data []byte) (response *Response, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
+	if r.TellsUnwanted && r.Wanted != nil {
+		stopDeadline, stopTelling := stop, context.AfterFunc(r.Wanted, func() { _ = c.socket.(*net.TCPConn).CloseWrite() })
+		stop = func() bool {
+			// Both are stopped. A connection whose writing side is closed can't be reused.
+			isTold := !stopTelling()
+			return stopDeadline() && !isTold
+		}
+	}
 	defer func() {
 		if err != nil {
 			stop()
@@ -188,7 +196,7 @@
 }
 
 // encode returns the bytes of the request.
-func (r Request) encode() (data []byte, err error) {
+func (r *Request) encode() (data []byte, err error) {
 	var b bytes.Buffer
 	b.Grow(512 + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
--- a/transport/http1/ended_test.go
+++ b/transport/http1/ended_test.go
@@ -39,7 +39,7 @@
 			defer end()
 			ended := request(s, "2")
 			if test.beforeWrite {
-				ended.BeforeWrite = func(time.Duration) error { end(); return nil }
+				ended.BeforeWrite = func(*http1.Request, time.Duration) error { end(); return nil }
 			} else {
 				end()
 			}
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -46,8 +46,14 @@
 	// OnHead is called with the head of each response that is read on the connection, also of those to other requests; nil means no call.
 	OnHead func(status int, h http.Header)
 	// BeforeWrite is called when a connection is there, right before the request is written, with the time since the connection was opened; nil
-	// means no call. After an error the request isn't sent, and the connection is kept.
-	BeforeWrite func(age time.Duration) error
+	// means no call. It may set the header and the body. After an error the request isn't sent, and the connection is kept.
+	BeforeWrite func(r *Request, age time.Duration) error
+	// Wanted ends when the request is no longer wanted unless it was sent: it ends the wait for a connection, and after it nothing is written.
+	// Once the request is written it has no effect. Nil means that only the context of the exchange counts.
+	Wanted context.Context
+	// TellsUnwanted closes the writing side of the connection if Wanted ends after the request was written, so that the other side learns of it
+	// and can still answer.
+	TellsUnwanted bool
 	// AfterWrite is called when the write of a short request has returned, also if it failed; nil means no call. Its bytes are in the kernel's
 	// buffer then.
 	AfterWrite func()
@@ -88,6 +94,8 @@
 
 // Errors of attempts that did not reach a backend server.
 var (
+	// ErrUnwanted means that the request was no longer wanted before it was written.
+	ErrUnwanted = errors.New("the request is no longer wanted")
 	// ErrNoConnection means that MaxConnections connections are open.
 	ErrNoConnection = errors.New("all connections to the backend server are in use")
 	// ErrRefused means that no process listens at the address.
@@ -135,12 +143,7 @@
 // The context applies to the whole exchange, until the body is closed.
 func (c *Client) Do(ctx context.Context, r Request) (response *Response, err error) {
 	defer func() { err = errors.Wrapf(err, "send to %s", r.Address) }()
-	key := poolKey{r.Address, r.Server}
-	data, err := r.encode()
-	if err != nil {
-		return nil, err
-	}
-	conn, err := c.acquire(ctx, key, r)
+	conn, err := c.acquire(ctx, poolKey{r.Address, r.Server}, r)
 	if err != nil {
 		return nil, err
 	}
@@ -154,12 +157,11 @@
 	if err := conn.setUserTimeout(cmp.Or(r.UserTimeout, c.options.UserTimeout)); err != nil {
 		return nil, err
 	}
-	if r.BeforeWrite != nil {
-		if err := r.BeforeWrite(time.Since(conn.openedAt)); err != nil {
-			isSound = true
-			conn.keep()
-			return nil, err
-		}
+	data, err := r.prepare(ctx, time.Since(conn.openedAt))
+	if err != nil {
+		isSound = true
+		conn.keep()
+		return nil, err
 	}
 	if response, err = conn.roundTrip(ctx, r, data); err != nil {
 		return nil, errors.Mark(err, errSent)
@@ -168,6 +170,28 @@
 	return response, nil
 }
 
+// prepare returns the bytes of a request that is about to be written, or an error if it must not be sent any more.
+func (r *Request) prepare(ctx context.Context, age time.Duration) (data []byte, err error) {
+	if r.BeforeWrite != nil {
+		if err := r.BeforeWrite(r, age); err != nil {
+			return nil, err
+		}
+	}
+	if data, err = r.encode(); err != nil {
+		return nil, err
+	}
+	// The last check, since the functions above may have waited.
+	if r.isUnwanted(ctx) {
+		return nil, ErrUnwanted
+	}
+	return data, nil
+}
+
+// isUnwanted reports whether a request that isn't written yet must not be sent any more.
+func (r *Request) isUnwanted(ctx context.Context) bool {
+	return ctx.Err() != nil || r.Wanted != nil && r.Wanted.Err() != nil
+}
+
 // acquire returns an idle connection that is still open, or dials a new one.
 func (c *Client) acquire(ctx context.Context, key poolKey, r Request) (conn *connection, err error) {
 	for !r.NewConnection {
@@ -183,6 +207,12 @@
 	if err := c.reserve(key, r.MaxConnections); err != nil {
 		return nil, err
 	}
+	if r.Wanted != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(r.Wanted, cancel)()
+	}
 	conn, err = c.dial(ctx, key)
 	if err != nil {
 		c.release(key)
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -371,7 +371,7 @@
 			}
 			held := request(s, "9")
 			held.MaxConnections = 1
-			held.BeforeWrite = func(time.Duration) error { return errHeld }
+			held.BeforeWrite = func(*http1.Request, time.Duration) error { return errHeld }
 			_, err := c.Do(context.Background(), held)
 			is.True(errors.Is(err, errHeld))
 			is.True(!http1.WasSent(err))
@@ -415,7 +415,7 @@
 			errHeld := errors.New("held back")
 			var openedAt time.Time
 			held := request(s, "2")
-			held.BeforeWrite = func(age time.Duration) error { openedAt = time.Now().Add(-age); return errHeld }
+			held.BeforeWrite = func(_ *http1.Request, age time.Duration) error { openedAt = time.Now().Add(-age); return errHeld }
 			unused := held
 			unused.NewConnection = true
 			_, err := c.Do(context.Background(), unused)
@@ -442,7 +442,7 @@
 	c := http1.NewClient()
 	var calls []string
 	attempt := request(s, "1")
-	attempt.BeforeWrite = func(age time.Duration) error {
+	attempt.BeforeWrite = func(_ *http1.Request, age time.Duration) error {
 		is.True(age > 0)
 		calls = append(calls, "before")
 		return nil
@@ -507,7 +507,7 @@
 				var got []time.Duration
 				attempt := request(s, "1")
 				attempt.UserTimeout = r.timeout
-				attempt.BeforeWrite = func(time.Duration) error {
+				attempt.BeforeWrite = func(*http1.Request, time.Duration) error {
 					got = append(got, getUserTimeout(t, socket))
 					if r.held {
 						return errors.New("held back")
