A request belongs to its caller until its first byte is written

Now a request has two contexts. The one that waits ends with the caller, whatever the kind of request; the one of the exchange outlives it, for requests that must run at most once. http1.Client changes from one to the other at the write. The VM that asks another one closes its writing side when the caller leaves: the other VM withholds an attempt that it hasn't written, and finishes one that it has. A caller that closes only its sending side counts as having left: before the write it gets a true "not run", after it its answer.

A dial, a VM or a backend server that is given up with the caller isn't blamed for it.

TestRequestsReadAfterTheirCallersLeftAreNotSent uses the product's own server now, which has HasLeft, and a send function that asks for clearance as the real one does; its verdict is as strict.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -22,6 +22,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorylug/hickorylug/coordination/clearance"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
@@ -60,6 +61,19 @@
 	// ChargeAttempt charges one more attempt to the customer's allotment, after one that may have run, and reports whether it is allowed.
 	// Nil means no limit.
 	ChargeAttempt func() bool
+	// Exchange is the context of an attempt once it was sent. It outlives the one given to Forward, which ends when the caller leaves. Nil means
+	// that the caller's leaving ends the attempt.
+	Exchange context.Context
+	// HasCallerLeft reports whether the caller has left, maybe before the context ends. Nil means that the context says it.
+	HasCallerLeft func() bool
+}
+
+// exchange returns the context of an attempt once it was sent.
+func (r *Request) exchange(ctx context.Context) context.Context {
+	if r.Exchange != nil {
+		return r.Exchange
+	}
+	return ctx
 }
 
 // Answer is the complete answer of a backend server.
@@ -80,6 +94,10 @@
 	Timeout time.Duration
 	// NewConnection says that the attempt must not reuse a connection.
 	NewConnection bool
+	// Wanted ends when the request is no longer wanted unless it was sent.
+	Wanted context.Context
+	// Clear decides right before the request is written whether it may still be sent.
+	Clear func() clearance.Verdict
 }
 
 // Reply is the answer to one attempt.
@@ -113,7 +131,9 @@
 	AtConnectionLimit bool
 	// Abandoned says that this VM gave the attempt up, so that it says nothing of the backend server.
 	Abandoned bool
-	Cause     error
+	// Withheld says that the request must not be sent any more. It says nothing of the backend server.
+	Withheld bool
+	Cause    error
 	Sending
 }
 
@@ -141,6 +161,9 @@
 // ErrStopping is the cause of a context that ends since this VM does, and not since the caller left.
 var ErrStopping = errors.New("this VM stops")
 
+// ErrCallerLeft is the cause of a context that ends since the caller has left.
+var ErrCallerLeft = errors.New("the caller left")
+
 // Forwarder sends the requests of one VM to backend servers. It is safe for concurrent use.
 type Forwarder struct {
 	options    Options
@@ -201,6 +224,9 @@
 func (f *Forwarder) attemptUntilDone(ctx context.Context, s *requestState) (answer *Answer, err error) {
 	r := s.request
 	for {
+		if ctx.Err() != nil {
+			return nil, s.finalError(refuseEnded(ctx))
+		}
 		if !f.options.Accepts(r) {
 			return nil, s.finalError(RefuseStopping())
 		}
@@ -227,6 +253,10 @@
 			slot.Done(dispatch.Cancelled, dispatch.Report{})
 		}
 	}()
+	if ctx.Err() != nil {
+		// The slot became free as the wait ended.
+		return nil, false, s.finalError(refuseEnded(ctx))
+	}
 	if !f.options.Accepts(r) {
 		return nil, false, s.finalError(RefuseStopping())
 	}
@@ -296,13 +326,19 @@
 		return nil, false, s.finalError(outcome.NotRun(outcome.Overloaded, "no time is left for a sending"))
 	}
 	s.attempts++
-	began := f.options.Clock.Boot()
+	began, exchange, verdict := f.options.Clock.Boot(), r.exchange(ctx), clearance.Granted
 	f.options.Crashes.Begin(began, slot.Server.Incarnation, s.fingerprint)
-	reply, failure := f.options.Send(ctx, Attempt{Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1})
-	f.recordSigns(ctx, s, slot.Server, began, reply, failure)
+	reply, failure := f.options.Send(exchange, Attempt{
+		Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1, Wanted: ctx,
+		Clear: func() clearance.Verdict { verdict = f.clear(ctx, s); return verdict },
+	})
+	f.recordSigns(exchange, s, slot.Server, began, reply, failure)
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
-	if failure != nil {
-		return f.handleFailure(ctx, s, slot, failure)
+	switch {
+	case failure != nil && failure.Sent:
+		return f.handleNoResponse(exchange, s, slot, failure)
+	case failure != nil:
+		return f.handleUnsent(ctx, s, slot, failure, verdict)
 	}
 	s.received++
 	if reply.Misplaced || reply.NotRun {
@@ -337,7 +373,7 @@
 		slot.Done(dispatch.Misplaced, reply.Report)
 		s.misplaced++
 		if s.request.Keyed && !f.sleep(ctx, misplacedDelay) {
-			return nil, false, s.finalError(outcome.NotRun(outcome.CallerDisconnected, "the caller left"))
+			return nil, false, s.finalError(refuseEnded(ctx))
 		}
 	} else {
 		slot.Done(dispatch.Shed, reply.Report)
@@ -351,34 +387,40 @@
 	return nil, true, nil
 }
 
-// handleFailure handles an attempt without an answer.
-func (f *Forwarder) handleFailure(ctx context.Context, s *requestState, slot *dispatch.Slot, failure *Failure) (answer *Answer, retry bool, err error) {
-	server := slot.Server.Server
-	if !failure.Sent {
-		if failure.Refused {
-			s.recordUnreachable(slot.Server.Domain)
-		}
-		result := dispatch.Unreachable
-		if failure.AtConnectionLimit {
-			result = dispatch.Shed
-		}
-		slot.Done(result, dispatch.Report{})
-		if ctx.Err() != nil {
-			return nil, false, s.finalError(outcome.NotRun(outcome.CallerDisconnected, "the caller left before the request was sent"))
-		}
-		if s.rejections++; s.rejections >= maxRejections {
-			return nil, false, s.finalError(outcome.NotRun(outcome.NoServer, "%d backend servers were out of reach", s.rejections).WithRetryAfter(retryAfterShed))
-		}
-		if !s.request.Keyed {
-			s.tried = append(s.tried, server)
-		}
-		return nil, true, nil
+// handleUnsent handles an attempt that was certainly not sent.
+func (f *Forwarder) handleUnsent(ctx context.Context, s *requestState, slot *dispatch.Slot, failure *Failure, verdict clearance.Verdict) (answer *Answer, retry bool, err error) {
+	isUnwanted := errors.Is(ctx.Err(), context.Canceled)
+	if failure.Refused {
+		s.recordUnreachable(slot.Server.Domain)
+	}
+	switch {
+	case failure.Withheld || isUnwanted:
+		slot.Done(dispatch.Cancelled, dispatch.Report{})
+	case failure.AtConnectionLimit:
+		slot.Done(dispatch.Shed, dispatch.Report{})
+	default:
+		slot.Done(dispatch.Unreachable, dispatch.Report{})
+	}
+	if ctx.Err() != nil || verdict == clearance.CallerLeft {
+		return nil, false, s.finalError(refuseEnded(ctx))
+	}
+	if s.rejections++; s.rejections >= maxRejections {
+		return nil, false, s.finalError(outcome.NotRun(outcome.NoServer, "%d backend servers were out of reach", s.rejections).WithRetryAfter(retryAfterShed))
 	}
+	if !s.request.Keyed {
+		s.tried = append(s.tried, slot.Server.Server)
+	}
+	return nil, true, nil
+}
+
+// handleNoResponse handles an attempt that was sent and got no answer. exchange is the context of the attempt.
+func (f *Forwarder) handleNoResponse(exchange context.Context, s *requestState, slot *dispatch.Slot, failure *Failure) (answer *Answer, retry bool, err error) {
+	server := slot.Server.Server
 	s.recordRun(slot)
 	s.received++
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(exchange.Err(), context.Canceled) {
 		slot.Done(dispatch.Cancelled, dispatch.Report{})
-		if errors.Is(context.Cause(ctx), ErrStopping) {
+		if errors.Is(context.Cause(exchange), ErrStopping) {
 			return nil, false, outcome.Unknown(outcome.Stopping, "this VM stopped while backend server %s had the request", server)
 		}
 		return nil, false, outcome.Unknown(outcome.CallerDisconnected, "the caller left while backend server %s had the request", server)
@@ -387,14 +429,14 @@
 	switch {
 	case failure.Abandoned:
 		result = dispatch.Cancelled
-	case ctx.Err() == nil:
+	case exchange.Err() == nil:
 		result = dispatch.ConnectionBroken
 	}
 	slot.Done(result, dispatch.Report{})
-	if ctx.Err() != nil {
+	if exchange.Err() != nil {
 		return nil, false, outcome.Unknown(outcome.DeadlineExceeded, "backend server %s did not answer in time", server)
 	}
-	return f.handleNoAnswer(ctx, s, server, failure.Cause)
+	return f.handleNoAnswer(exchange, s, server, failure.Cause)
 }
 
 // handleNoAnswer handles an attempt that may have run and whose answer is missing or can't be passed on.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -208,7 +208,7 @@
 			APIKey: platform.HeaderAPIKey, Customer: platform.HeaderCustomer,
 		},
 		Bodies: e.bodies, View: e.view, MayHoldRevokedKeys: e.mayHoldRevokedKeys, PickService: e.splitter.pick, Accepts: e.accepts, Admit: e.allotments.admit,
-		Forward: e.forwarder.Forward, Observe: e.observeRequest, OnPanic: e.observeRequestPanic,
+		Forward: e.forwarder.Forward, Observe: e.observeRequest, HasLeft: http1server.HasLeft, OnPanic: e.observeRequestPanic,
 	})
 	e.callers = e.newCallerServer()
 	e.keys = newKeyManager(e)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -25,8 +25,15 @@
 var (
 	errLate           = errors.New("the latest time to send it has passed")
 	errConnectionLate = errors.New("the leadership wasn't confirmed after the connection was opened")
+	// errWithheld marks reasons for which a request must not be sent any more.
+	errWithheld = errors.New("the request was withheld")
 )
 
+// isWithheld reports whether an attempt was given up before its first byte, for a reason that says nothing of the backend server.
+func isWithheld(err error) bool {
+	return errors.IsAny(err, errLate, errConnectionLate, errWithheld, http1.ErrUnwanted)
+}
+
 // attempt makes an attempt at a backend server: directly or, where this VM may be cut off from all of them, through another VM.
 //
 // What the other VM says counts as if this VM had seen it. An attempt that was
@@ -40,7 +47,7 @@
 	}
 	a.Timeout = deadline.Sub(e.clock.Boot())
 	r := e.attemptDirectly(ctx, a)
-	if f := r.Failure; f == nil || f.Sent || f.AtConnectionLimit || f.Withheld || ctx.Err() != nil || !e.reach.IsSuspected() {
+	if f := r.Failure; f == nil || f.Sent || f.AtConnectionLimit || f.Withheld || !a.IsWanted(ctx) || !e.reach.IsSuspected() {
 		return r
 	}
 	// Only connections failed, and those to other backend servers as well.
@@ -63,7 +70,7 @@
 	header := a.Header
 	request := http1.Request{
 		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
-		MaxConnections: a.MaxConnections,
+		MaxConnections: a.MaxConnections, Wanted: a.Wanted,
 		// A connection that was opened for a grant and is young yet is kept for its next try.
 		NewConnection: a.NewConnection && a.OpenedBy == nil, UnusedConnection: a.NewConnection, OldestConnection: a.OpenedBy != nil,
 		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
@@ -79,7 +86,8 @@
 		request.Header = header
 		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, a.RequestID) }
 	}
-	ctx, abandon := context.WithCancelCause(ctx)
+	whole := ctx
+	ctx, abandon := context.WithCancelCause(whole)
 	defer abandon(nil)
 	request.BeforeWrite = func(_ *http1.Request, age time.Duration) error { return e.beforeWrite(ctx, a, age, &r) }
 	request.AfterWrite = func() { r.WriteReturnedAt = e.clock.Boot() }
@@ -94,7 +102,7 @@
 	if err != nil {
 		r.Failure = &relay.Failure{
 			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection),
-			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Withheld: errors.Is(err, errLate) || errors.Is(err, errConnectionLate), Cause: err.Error(),
+			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Withheld: isWithheld(err) || !http1.WasSent(err) && a.IsCancelled(whole), Cause: err.Error(),
 		}
 		return r
 	}
@@ -125,6 +133,11 @@
 	if a.IsLate(now) {
 		return errLate
 	}
+	if a.Clear != nil {
+		if err := a.Clear(); err != nil {
+			return err
+		}
+	}
 	r.WrittenAt = now
 	return nil
 }
@@ -145,7 +158,7 @@
 	distrusted := false
 	for _, peer := range e.relays.Candidates(e.settings.VM, s.Peers, s.Servers[a.Server].Domain, rand.IntN) {
 		left := a
-		if left.Timeout -= e.clock.Boot().Sub(started); left.Timeout <= 0 || ctx.Err() != nil {
+		if left.Timeout -= e.clock.Boot().Sub(started); left.Timeout <= 0 || !a.IsWanted(ctx) {
 			break
 		}
 		if failure := e.mayBegin(a); failure != nil {
@@ -173,6 +186,8 @@
 			return result, true
 		case !errors.Is(err, relay.ErrDeclined):
 			return relay.Result{Failure: &relay.Failure{Sent: true, Cause: err.Error()}, Relayed: true}, true
+		case isWithheld(err) || a.IsCancelled(ctx):
+			return relay.Result{Failure: &relay.Failure{Withheld: true, Cause: err.Error()}}, true
 		}
 		e.metrics.attempts.Add("declined", 1)
 		e.relays.Avoid(peer.VM)
--- a/edge/send.go
+++ b/edge/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorylug/hickorylug/coordination/clearance"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/coordination/ratelimit"
@@ -29,11 +30,22 @@
 	attempt := relay.Attempt{
 		Server: server.Server, Born: server.Born, Address: server.Address, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body,
 		RequestID: r.ID, Timeout: a.Timeout, MaxConnections: a.Slot.MaxConnections, NewConnection: a.NewConnection, Detached: !r.Route.Idempotent,
+		Wanted: a.Wanted,
+	}
+	if a.Clear != nil {
+		attempt.Clear = func() error {
+			if v := a.Clear(); v != clearance.Granted {
+				return errors.Mark(errors.New(v.String()), errWithheld)
+			}
+			return nil
+		}
 	}
 	result := e.attempt(ctx, attempt)
 	sending := sendingOf(result)
 	if f := result.Failure; f != nil {
-		return nil, &forward.Failure{Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Abandoned: f.Abandoned, Cause: errors.New(f.Cause), Sending: sending}
+		return nil, &forward.Failure{
+			Sent: f.Sent, Refused: f.Refused, AtConnectionLimit: f.AtConnectionLimit, Abandoned: f.Abandoned, Withheld: f.Withheld, Cause: errors.New(f.Cause), Sending: sending,
+		}
 	}
 	meta := platform.ParseResponseHeader(result.Status, result.Header)
 	if inc, ok := e.respondent(attempt, result.Header); !ok || inc != server.Incarnation {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -67,6 +67,9 @@
 	Forward func(ctx context.Context, r *forward.Request) (*forward.Answer, error)
 	// Observe is called once for each request, after it was answered.
 	Observe func(e Event)
+	// HasLeft reports whether the caller of the request with the given context has left, maybe before the context ends. Nil means that the context
+	// says it.
+	HasLeft func(ctx context.Context) bool
 	// OnPanic is called with the id of a request, and the value and the stack of a panic while it was handled.
 	OnPanic func(request string, value any, stack []byte)
 }
@@ -124,6 +127,9 @@
 	if d.Accepts == nil {
 		d.Accepts = func(*forward.Request) bool { return true }
 	}
+	if d.HasLeft == nil {
+		d.HasLeft = func(context.Context) bool { return false }
+	}
 	if d.OnPanic == nil {
 		d.OnPanic = func(string, any, []byte) {}
 	}
@@ -199,16 +205,18 @@
 
 // forward charges a request to its customer's allotment and sends it to a backend server.
 func (h *Handler) forward(r *http.Request, request *forward.Request, customer *fleet.Customer) (response *forward.Answer, err error) {
-	parent := r.Context()
-	if !request.Route.Idempotent {
-		// A request that isn't idempotent is completed even if its caller disconnects, since the caller may rely on its
-		// effect.
-		parent = context.WithoutCancel(parent)
-	}
-	parent, giveUp := context.WithCancelCause(parent)
+	exchange, giveUp := context.WithCancelCause(context.WithoutCancel(r.Context()))
 	defer context.AfterFunc(h.givenUp, func() { giveUp(forward.ErrStopping) })()
-	ctx, cancel := context.WithTimeout(parent, request.Deadline.Sub(h.deps.Clock.Boot()))
+	exchange, cancel := context.WithTimeout(exchange, request.Deadline.Sub(h.deps.Clock.Boot()))
 	defer cancel()
+	ctx, leave := context.WithCancelCause(exchange)
+	defer leave(nil)
+	defer context.AfterFunc(r.Context(), func() { leave(forward.ErrCallerLeft) })()
+	if !request.Route.Idempotent {
+		// Once it was sent, a request that isn't idempotent is completed even if its caller leaves, since the caller may rely on its effect.
+		request.Exchange = exchange
+	}
+	request.HasCallerLeft = func() bool { return h.deps.HasLeft(r.Context()) }
 	if h.deps.Admit == nil || customer == nil || !customer.Allotment.IsLimited() {
 		return h.deps.Forward(ctx, request)
 	}
--- a/transport/entry/leftcallers_test.go
+++ b/transport/entry/leftcallers_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/coordination/clearance"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
@@ -18,6 +19,7 @@
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
 const (
@@ -214,17 +216,20 @@
 	dispatcher.Update(snapshot)
 	sent, ended := make(chan string, requests), make(chan entry.Event, requests)
 	forwarder := forward.NewForwarder(dispatcher, forward.WithSend(func(_ context.Context, a forward.Attempt) (*forward.Reply, *forward.Failure) {
+		if v := a.Clear(); v != clearance.Granted {
+			return nil, &forward.Failure{Withheld: true, Cause: errors.New(v.String())}
+		}
 		sent <- a.Request.ID
 		return &forward.Reply{Answer: forward.Answer{Status: http.StatusOK, Header: http.Header{}}}, nil
 	}))
 	h := entry.NewHandler(entry.Dependencies{
 		Clock: clock.System{}, Headers: entry.HeaderNames{RequestID: "X-Id"}, View: func() (*fleet.Snapshot, bool) { return snapshot, true },
-		PickService: func(r *fleet.Route) id.Service { return r.Targets[0].Service }, Forward: forwarder.Forward, Observe: func(e entry.Event) { ended <- e },
+		PickService: func(r *fleet.Route) id.Service { return r.Targets[0].Service }, Forward: forwarder.Forward, HasLeft: http1server.HasLeft, Observe: func(e entry.Event) { ended <- e },
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	held := &heldListener{l, make(chan struct{})}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	server := http1server.New(h)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(held) }()
 	for n := range requests {
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -102,7 +102,7 @@
 	}
 	ctx := r.Context()
 	if a.Detached {
-		ctx = context.WithoutCancel(ctx)
+		a.Wanted, ctx = ctx, context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -73,8 +73,13 @@
 	Timeout        time.Duration `cbor:"10,keyasint"`
 	MaxConnections int           `cbor:"11,keyasint"`
 	NewConnection  bool          `cbor:"12,keyasint"`
-	// Detached says that the attempt goes on if the VM that asked for it disconnects.
+	// Detached says that the attempt goes on once it was sent, if the VM that asked for it disconnects or closes its sending side. Before that it ends.
 	Detached bool `cbor:"13,keyasint"`
+	// Wanted ends when the attempt is no longer wanted unless it was sent; nil means that only the context counts.
+	Wanted context.Context `cbor:"-"`
+	// Clear returns why the request must not be sent any more, or nil, right before it is written or passed on to the other VM; nil means that it
+	// may always be sent.
+	Clear func() error `cbor:"-"`
 	// NotAfter is the latest time at which this VM may begin to write the request; 0 means no limit.
 	NotAfter clock.Instant `cbor:"-"`
 	// OpenedBy returns the latest time at which the connection may have been opened. It may try to move the time up to that at which the connection
@@ -94,6 +99,16 @@
 	At      clock.Instant `cbor:"2,keyasint"`
 }
 
+// IsWanted reports whether an attempt that isn't sent yet is still wanted; ctx is that of the attempt.
+func (a Attempt) IsWanted(ctx context.Context) bool {
+	return ctx.Err() == nil && (a.Wanted == nil || a.Wanted.Err() == nil)
+}
+
+// IsCancelled reports whether an attempt that isn't sent yet was given up, and not because its time is over; ctx is that of the attempt.
+func (a Attempt) IsCancelled(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) || a.Wanted != nil && errors.Is(a.Wanted.Err(), context.Canceled)
+}
+
 // IsLate reports whether the latest time to write the request has passed.
 func (a Attempt) IsLate(now clock.Instant) bool { return a.NotAfter > 0 && now.After(a.NotAfter) }
 
@@ -125,8 +140,8 @@
 	AtConnectionLimit bool `cbor:"3,keyasint"`
 	// Abandoned says that the VM gave the attempt up as its own links hang, so that it says nothing of the backend server.
 	Abandoned bool `cbor:"5,keyasint,omitempty"`
-	// Withheld says that the VM had a connection and didn't write the request: its latest time had passed, or the connection was opened too late.
-	// It says nothing of the backend server.
+	// Withheld says that the VM didn't write the request: its latest time had passed, the connection was opened too late, or the request was no
+	// longer wanted or allowed. It says nothing of the backend server.
 	Withheld bool   `cbor:"6,keyasint,omitempty"`
 	Cause    string `cbor:"4,keyasint"`
 }
@@ -151,14 +166,19 @@
 			return r, errors.Mark(err, ErrDeclined)
 		}
 	}
-	data, err := cbor.Marshal(a)
-	if err != nil {
-		return r, errors.Mark(err, ErrDeclined)
-	}
 	response, err := c.client.Do(ctx, http1.Request{
-		Address: address, Server: string(vm), Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{}, Body: data,
+		Address: address, Server: string(vm), Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{},
 		// The other VM may stop and close an idle connection while the attempt is on its way.
-		NewConnection: a.Detached,
+		NewConnection: a.Detached, Wanted: a.Wanted, TellsUnwanted: a.Detached,
+		BeforeWrite: func(r *http1.Request, _ time.Duration) (err error) {
+			if a.Clear != nil {
+				if err := a.Clear(); err != nil {
+					return err
+				}
+			}
+			r.Body, err = cbor.Marshal(a)
+			return err
+		},
 	})
 	if err != nil {
 		if !http1.WasSent(err) {
@@ -170,7 +190,8 @@
 	if response.Status != http.StatusOK {
 		return r, errors.Mark(errors.Newf("unexpected HTTP status %d", response.Status), ErrDeclined)
 	}
-	if data, err = http1.ReadBody(response.Body, maxResultBytes, c.quota); err != nil {
+	data, err := http1.ReadBody(response.Body, maxResultBytes, c.quota)
+	if err != nil {
 		return r, err
 	}
 	return r, decode(data, &r)
