Compute the deadline of an attempt where it is written

Now both are computed when the connection is there, by the VM that writes, and an attempt whose time is over is withheld.

TestAttemptsNameTheirBackendServer has a clock that stands still, since it wants the exact value.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -67,9 +67,9 @@
 	if failure := e.mayBegin(a); failure != nil {
 		return relay.Result{Failure: failure}
 	}
-	header := a.Header
+	deadline := e.clock.Boot().Add(a.Timeout)
 	request := http1.Request{
-		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: header, Body: a.Body,
+		Address: a.Address, Server: string(a.Server), ID: a.RequestID, Method: a.Method, Target: a.Target, Host: a.Host, Header: a.Header, Body: a.Body,
 		MaxConnections: a.MaxConnections, Wanted: a.Wanted,
 		// A connection that was opened for a grant and is young yet is kept for its next try.
 		NewConnection: a.NewConnection && a.OpenedBy == nil, UnusedConnection: a.NewConnection, OldestConnection: a.OpenedBy != nil,
@@ -81,15 +81,18 @@
 	if a.Command {
 		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, "") }
 	} else {
-		header = header.Clone()
-		platform.SetAttemptHeaders(header, a.RequestID, a.Timeout, a.Server)
-		request.Header = header
+		request.Header = a.Header.Clone()
 		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, a.RequestID) }
 	}
 	whole := ctx
 	ctx, abandon := context.WithCancelCause(whole)
 	defer abandon(nil)
-	request.BeforeWrite = func(_ *http1.Request, age time.Duration) error { return e.beforeWrite(ctx, a, age, &r) }
+	request.BeforeWrite = func(request *http1.Request, age time.Duration) error {
+		if a.Command {
+			return e.clearCommand(ctx, a, age, &r)
+		}
+		return e.clearRequest(request, a, deadline, &r)
+	}
 	request.AfterWrite = func() { r.WriteReturnedAt = e.clock.Boot() }
 	wait := e.reach.Begin(a.Server, func() {
 		if !a.Detached {
@@ -122,8 +125,24 @@
 	return r
 }
 
-// beforeWrite checks the conditions of an attempt right before it is written on a connection that was opened some time ago.
-func (e *Edge) beforeWrite(ctx context.Context, a relay.Attempt, age time.Duration, r *relay.Result) error {
+// clearRequest checks the conditions of a caller's request right before it is written, and sets the header fields that depend on the time.
+func (e *Edge) clearRequest(request *http1.Request, a relay.Attempt, deadline clock.Instant, r *relay.Result) error {
+	if a.Clear != nil {
+		if err := a.Clear(); err != nil {
+			return err
+		}
+	}
+	now := e.clock.Boot()
+	if now >= deadline {
+		return errLate
+	}
+	platform.SetAttemptHeaders(request.Header, a.RequestID, deadline.Sub(now), a.Server)
+	r.WrittenAt = now
+	return nil
+}
+
+// clearCommand checks the conditions of a command right before it is written on a connection that was opened some time ago.
+func (e *Edge) clearCommand(ctx context.Context, a relay.Attempt, age time.Duration, r *relay.Result) error {
 	if a.OpenedBy != nil {
 		if opened := e.clock.Boot().Add(-age); opened.After(e.confirm(ctx, a, opened)) {
 			return errConnectionLate
@@ -133,11 +152,6 @@
 	if a.IsLate(now) {
 		return errLate
 	}
-	if a.Clear != nil {
-		if err := a.Clear(); err != nil {
-			return err
-		}
-	}
 	r.WrittenAt = now
 	return nil
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -91,8 +91,10 @@
 				w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
 			}))
 			defer server.Close()
+			// The deadline is computed when the attempt is written.
+			var now settableClock
 			e := &Edge{
-				clock: clock.System{}, backends: http1.NewClient(), reach: reach.NewDetector(), departures: departure.NewRecords(time.Second),
+				clock: &now, backends: http1.NewClient(), reach: reach.NewDetector(), departures: departure.NewRecords(time.Second),
 				dispatcher: dispatch.NewDispatcher("a", "east"),
 			}
 			a := test.attempt
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -155,12 +155,14 @@
 
 // NewClient returns a client without connections. Long heads and results are read within the quota.
 func NewClient(quota *http1.Quota, opts ...Option) *Client {
-	return &Client{options: newOptions(opts), client: http1.NewClient(http1.WithDialTimeout(dialTimeout), http1.WithQuota(quota)), quota: quota}
+	o := newOptions(opts)
+	return &Client{options: o, client: http1.NewClient(http1.WithDialTimeout(dialTimeout), http1.WithDial(o.Dial), http1.WithQuota(quota)), quota: quota}
 }
 
 // Do asks the VM at an address to make an attempt. The error is marked with ErrDeclined unless the attempt may have been made.
 func (c *Client) Do(ctx context.Context, vm id.VM, address string, a Attempt) (r Result, err error) {
 	defer func() { err = errors.Wrapf(err, "send through VM %s", vm) }()
+	deadline := c.options.Clock.Boot().Add(a.Timeout)
 	if a.NotAfter > 0 {
 		if err := c.limit(ctx, vm, address, &a); err != nil {
 			return r, errors.Mark(err, ErrDeclined)
@@ -176,6 +178,7 @@
 					return err
 				}
 			}
+			a.Timeout = deadline.Sub(c.options.Clock.Boot())
 			r.Body, err = cbor.Marshal(a)
 			return err
 		},
