Check all that a request rests on right before it is written

What became known while the connection to a backend server was opened had no effect: that it drains, is replaced, evacuated or wants a pause, that the request's key has moved, that the request crashes this version of the software, that the VM stops, that hardly any time is left. Up to 0.8 s may pass there (a dial of 0.4 s; another VM with dials of 0.3 and 0.4 s).

Now coordination/clearance decides by all of them, at the VM that has the request before it writes or passes it on, and the VM that sends for another applies what it knows of the backend server. A request that is withheld hasn't been sent: it goes to another backend server, or is refused as not run. The slot says nothing of the backend server then, and the connection is kept.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -327,6 +327,23 @@
 	return d.snapshot.UsableForKeys(now, c.Server) && now >= c.pausedUntil && d.pauses.left(now, c.Incarnation) == 0
 }
 
+// IsUsable reports whether the backend server of a slot may still get its request: it is in use, wants requests, and owns the request's key
+// under the same grant if it is keyed.
+func (d *Dispatcher) IsUsable(slot *Slot, keyed bool, key fleet.Key) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, inc := d.options.Clock.Boot(), slot.Server.Incarnation
+	c, ok := d.servers[inc.Server]
+	if !ok || c.Incarnation != inc || d.pauses.left(now, inc) > 0 {
+		return false
+	}
+	if !keyed {
+		return d.snapshot.Usable(c.Server)
+	}
+	owner, fence := d.ownerAndFence(slot.Server.Service, key)
+	return owner == c && fence == slot.Fence && d.snapshot.UsableForKeys(now, c.Server)
+}
+
 // hasUsableServer reports whether the snapshot has a usable backend server of a service.
 func (d *Dispatcher) hasUsableServer(name id.Service) bool {
 	return slices.ContainsFunc(d.snapshot.ByService[name], func(n id.Server) bool {
--- a/coordination/forward/clear.go
+++ b/coordination/forward/clear.go
@@ -6,23 +6,42 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorylug/hickorylug/coordination/clearance"
+	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 )
 
-// clear decides whether a request that is about to be written may still be sent. ctx ends when the caller leaves.
-func (f *Forwarder) clear(ctx context.Context, s *requestState) clearance.Verdict {
+// clear decides whether a request that is about to be written may still be sent to the backend server of a slot. ctx ends when the caller leaves.
+func (f *Forwarder) clear(ctx context.Context, s *requestState, slot *dispatch.Slot) clearance.Verdict {
 	r := s.request
-	return clearance.Decide(clearance.Facts{HasCallerLeft: errors.Is(ctx.Err(), context.Canceled) || r.HasCallerLeft != nil && r.HasCallerLeft()})
+	return clearance.Decide(f.options.Clock.Boot(), clearance.Facts{
+		HasCallerLeft: errors.Is(ctx.Err(), context.Canceled) || r.HasCallerLeft != nil && r.HasCallerLeft(),
+		Deadline:      r.Deadline,
+		IsStopping:    !f.options.Accepts(r),
+		IsCrashing:    !f.mayRun(s, slot.Server.Version),
+		IsServerOut:   !f.dispatcher.IsUsable(slot, r.Keyed, r.Key),
+	})
 }
 
-// refuseEnded returns the refusal of a request whose wait was ended by its context, or by its caller's leaving.
+// refuse returns the refusal of a request that no backend server may get any more.
+func refuse(v clearance.Verdict) *outcome.Error {
+	switch v {
+	case clearance.CallerLeft:
+		return outcome.NotRun(outcome.CallerDisconnected, "the caller left before the request was sent")
+	case clearance.Stopping:
+		return RefuseStopping()
+	default:
+		return outcome.NotRun(outcome.Overloaded, "no time is left for a sending")
+	}
+}
+
+// refuseEnded returns the refusal of a request whose wait was ended by its context.
 func refuseEnded(ctx context.Context) *outcome.Error {
 	switch {
 	case errors.Is(context.Cause(ctx), ErrStopping):
 		return RefuseStopping()
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return outcome.NotRun(outcome.Overloaded, "no time is left for a sending")
+	case errors.Is(ctx.Err(), context.Canceled):
+		return refuse(clearance.CallerLeft)
 	default:
-		return outcome.NotRun(outcome.CallerDisconnected, "the caller left before the request was sent")
+		return refuse(clearance.TooLate)
 	}
 }
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -150,8 +150,6 @@
 	// maxUnreachableOfDomain is the number of backend servers of a failure domain that must refuse a request's connection before the
 	// request avoids the failure domain.
 	maxUnreachableOfDomain = 2
-	// minAttemptTimeout is the minimum time to the deadline for another attempt.
-	minAttemptTimeout = 20 * time.Millisecond
 	// misplacedDelay is the delay before the next attempt at a key that is being moved.
 	misplacedDelay = 40 * time.Millisecond
 	// retryAfterShed is the RetryAfter of requests that are refused after failed attempts, or because the retry budget is used up.
@@ -321,7 +319,7 @@
 func (f *Forwarder) attempt(ctx context.Context, s *requestState, slot *dispatch.Slot) (answer *Answer, retry bool, err error) {
 	r := s.request
 	timeout := r.Deadline.Sub(f.options.Clock.Boot())
-	if timeout < minAttemptTimeout {
+	if timeout < clearance.MinTime {
 		slot.Done(dispatch.Cancelled, dispatch.Report{})
 		return nil, false, s.finalError(outcome.NotRun(outcome.Overloaded, "no time is left for a sending"))
 	}
@@ -330,7 +328,7 @@
 	f.options.Crashes.Begin(began, slot.Server.Incarnation, s.fingerprint)
 	reply, failure := f.options.Send(exchange, Attempt{
 		Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1, Wanted: ctx,
-		Clear: func() clearance.Verdict { verdict = f.clear(ctx, s); return verdict },
+		Clear: func() clearance.Verdict { verdict = f.clear(ctx, s, slot); return verdict },
 	})
 	f.recordSigns(exchange, s, slot.Server, began, reply, failure)
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
@@ -401,8 +399,11 @@
 	default:
 		slot.Done(dispatch.Unreachable, dispatch.Report{})
 	}
-	if ctx.Err() != nil || verdict == clearance.CallerLeft {
+	switch {
+	case ctx.Err() != nil:
 		return nil, false, s.finalError(refuseEnded(ctx))
+	case verdict != clearance.Granted && !verdict.IsOfServer():
+		return nil, false, s.finalError(refuse(verdict))
 	}
 	if s.rejections++; s.rejections >= maxRejections {
 		return nil, false, s.finalError(outcome.NotRun(outcome.NoServer, "%d backend servers were out of reach", s.rejections).WithRetryAfter(retryAfterShed))
@@ -453,7 +454,7 @@
 func (f *Forwarder) canRetry(ctx context.Context, s *requestState) bool {
 	r := s.request
 	return r.Route.Idempotent && s.possibleRuns < r.Route.MaxAttempts && ctx.Err() == nil &&
-		r.Deadline.Sub(f.options.Clock.Boot()) > minAttemptTimeout && f.followCrashes(s) == nil
+		r.Deadline.Sub(f.options.Clock.Boot()) > clearance.MinTime && f.followCrashes(s) == nil
 }
 
 // RefuseStopping returns the refusal of a request that may outlast this VM.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -127,6 +127,9 @@
 
 // clearRequest checks the conditions of a caller's request right before it is written, and sets the header fields that depend on the time.
 func (e *Edge) clearRequest(request *http1.Request, a relay.Attempt, deadline clock.Instant, r *relay.Result) error {
+	if failure := e.mayBegin(a); failure != nil {
+		return errors.Mark(errors.New(failure.Cause), errWithheld)
+	}
 	if a.Clear != nil {
 		if err := a.Clear(); err != nil {
 			return err
@@ -238,16 +241,17 @@
 		return r, false
 	}
 	if !a.Command {
-		s := e.snapshot.Load()
-		server, known := s.Servers[a.Server]
-		isUsable := s.Usable(server)
-		if s.Tables[server.Service] != nil {
-			isUsable = s.UsableForKeys(e.clock.Boot(), server)
-		}
-		if !known || server.Born != a.Born || !isUsable {
-			return relay.Result{Failure: &relay.Failure{Cause: "the backend server is not in use here"}}, true
+		server, inUse := e.inUse(a)
+		if !inUse {
+			return relay.Result{Failure: &relay.Failure{Cause: errNotInUse.Error()}}, true
 		}
 		a.Address = server.Address
+		a.Clear = func() error {
+			if server, inUse := e.inUse(a); !inUse || server.Address != a.Address {
+				return errors.Mark(errNotInUse, errWithheld)
+			}
+			return nil
+		}
 	}
 	begun := e.clock.Boot()
 	r = e.attemptDirectly(ctx, a)
@@ -262,6 +266,20 @@
 	return r, !isUnsent || !e.reach.IsCutOff()
 }
 
+// errNotInUse means that this VM doesn't know the backend server of an attempt for another VM, or wouldn't send there itself.
+var errNotInUse = errors.New("the backend server is not in use here")
+
+// inUse returns the backend server of an attempt for another VM, and whether this VM would send there itself.
+func (e *Edge) inUse(a relay.Attempt) (server fleet.Server, inUse bool) {
+	s := e.snapshot.Load()
+	server, known := s.Servers[a.Server]
+	isUsable := s.Usable(server)
+	if s.Tables[server.Service] != nil {
+		isUsable = s.UsableForKeys(e.clock.Boot(), server)
+	}
+	return server, known && server.Born == a.Born && isUsable
+}
+
 // drainRelayed waits for the attempts that are made for other VMs, until the context ends.
 func (e *Edge) drainRelayed(ctx context.Context, poll time.Duration) {
 	for e.relayHandler.InFlight() > 0 && ctx.Err() == nil {
