A VM that sends for another one asks its socket whether that one still waits

The VM that has the caller asks its socket right before the write; the VM that sends for it does now, too.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -12,6 +12,7 @@
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/transport/http1"
+	"github.com/hickorylug/hickorylug/transport/http1server"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
@@ -246,12 +247,7 @@
 			return relay.Result{Failure: &relay.Failure{Cause: errNotInUse.Error()}}, true
 		}
 		a.Address = server.Address
-		a.Clear = func() error {
-			if server, inUse := e.inUse(a); !inUse || server.Address != a.Address {
-				return errors.Mark(errNotInUse, errWithheld)
-			}
-			return nil
-		}
+		a.Clear = func() error { return e.clearForOther(ctx, a) }
 	}
 	begun := e.clock.Boot()
 	r = e.attemptDirectly(ctx, a)
@@ -266,6 +262,17 @@
 	return r, !isUnsent || !e.reach.IsCutOff()
 }
 
+// clearForOther returns why an attempt for another VM must not be written any more, or nil. ctx is that of the other VM's request.
+func (e *Edge) clearForOther(ctx context.Context, a relay.Attempt) error {
+	if http1server.HasLeft(ctx) {
+		return errors.Mark(errors.New("the other VM no longer waits for it"), errWithheld)
+	}
+	if server, inUse := e.inUse(a); !inUse || server.Address != a.Address {
+		return errors.Mark(errNotInUse, errWithheld)
+	}
+	return nil
+}
+
 // errNotInUse means that this VM doesn't know the backend server of an attempt for another VM, or wouldn't send there itself.
 var errNotInUse = errors.New("the backend server is not in use here")
 
