--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -163,14 +163,6 @@
 // roundTrip sends an encoded request and reads the head of its response.
 func (c *connection) roundTrip(ctx context.Context, r Request, data []byte) (response *Response, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
-	if r.TellsUnwanted && r.Wanted != nil {
-		stopDeadline, stopTelling := stop, context.AfterFunc(r.Wanted, func() { _ = c.socket.(*net.TCPConn).CloseWrite() })
-		stop = func() bool {
-			// Both are stopped. A connection whose writing side is closed can't be reused.
-			isTold := !stopTelling()
-			return stopDeadline() && !isTold
-		}
-	}
 	defer func() {
 		if err != nil {
 			stop()
@@ -184,6 +176,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.TellsUnwanted && r.Wanted != nil {
+		stop = both(stop, c.tellUnwanted(r.Wanted, written))
+	}
 	got, err := c.readHead(r) //nolint:bodyclose // The returned body closes it or resets the connection.
 	if err != nil {
 		if ctx.Err() != nil {
@@ -195,6 +190,32 @@
 	return &Response{Status: got.StatusCode, Header: got.Header, Body: b, Length: got.ContentLength}, nil
 }
 
+// both returns a function that calls two stop functions and reports whether both have stopped what they are for.
+func both(a, b func() bool) (stop func() bool) {
+	return func() bool {
+		first, second := a(), b()
+		return first && second
+	}
+}
+
+// tellUnwanted closes the writing side once wanted has ended and the request is written, unless stop is called before. stop reports false if it was
+// or may be closed.
+func (c *connection) tellUnwanted(wanted context.Context, written <-chan struct{}) (stop func() bool) {
+	finished := make(chan struct{})
+	stopWaiting := context.AfterFunc(wanted, func() {
+		select {
+		case <-written:
+			// An error means that the connection is closed.
+			_ = c.socket.(*net.TCPConn).CloseWrite()
+		case <-finished:
+		}
+	})
+	return func() bool {
+		close(finished)
+		return stopWaiting()
+	}
+}
+
 // encode returns the bytes of the request.
 func (r *Request) encode() (data []byte, err error) {
 	var b bytes.Buffer
