Dials don't end with their callers

Found by the review of: a dial that ended with its caller said nothing of a silent backend server, so that neither the dispatcher nor the check of this VM's own links noticed the silence while callers left early. Now a dial goes on to its own end: it fails and counts, or its connection is kept. Nothing is written on it, which is all that the caller's leaving asks for. A request that may be repeated still ends with its caller once it is written (http1.EndUnwanted).

TestDialsOutliveTheirCallers and TestUnwantedRequestsEndIfTheyMayBeRepeated hold the contract of http1.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -61,14 +61,14 @@
 	// ChargeAttempt charges one more attempt to the customer's allotment, after one that may have run, and reports whether it is allowed.
 	// Nil means no limit.
 	ChargeAttempt func() bool
-	// Exchange is the context of an attempt once it was sent. It outlives the one given to Forward, which ends when the caller leaves. Nil means
-	// that the caller's leaving ends the attempt.
+	// Exchange is the context of the request without its caller: it ends at the deadline or when this VM stops. Nil means the context given to Forward,
+	// which also ends when the caller leaves.
 	Exchange context.Context
 	// HasCallerLeft reports whether the caller has left, maybe before the context ends. Nil means that the context says it.
 	HasCallerLeft func() bool
 }
 
-// exchange returns the context of an attempt once it was sent.
+// exchange returns the context of the request without its caller.
 func (r *Request) exchange(ctx context.Context) context.Context {
 	if r.Exchange != nil {
 		return r.Exchange
@@ -76,6 +76,15 @@
 	return ctx
 }
 
+// whileSent returns the context that ends an attempt once it was sent. A request that isn't idempotent is completed even if its caller leaves,
+// since the caller may rely on its effect.
+func (r *Request) whileSent(ctx context.Context) context.Context {
+	if r.Route.Idempotent {
+		return ctx
+	}
+	return r.exchange(ctx)
+}
+
 // Answer is the complete answer of a backend server.
 type Answer struct {
 	Status int
@@ -94,7 +103,7 @@
 	Timeout time.Duration
 	// NewConnection says that the attempt must not reuse a connection.
 	NewConnection bool
-	// Wanted ends when the request is no longer wanted unless it was sent.
+	// Wanted ends when the request is no longer wanted unless it was sent. One that is idempotent ends with it then, too.
 	Wanted context.Context
 	// Clear decides right before the request is written whether it may still be sent.
 	Clear func() clearance.Verdict
@@ -324,17 +333,17 @@
 		return nil, false, s.finalError(outcome.NotRun(outcome.Overloaded, "no time is left for a sending"))
 	}
 	s.attempts++
-	began, exchange, verdict := f.options.Clock.Boot(), r.exchange(ctx), clearance.Granted
+	began, whileSent, verdict := f.options.Clock.Boot(), r.whileSent(ctx), clearance.Granted
 	f.options.Crashes.Begin(began, slot.Server.Incarnation, s.fingerprint)
-	reply, failure := f.options.Send(exchange, Attempt{
+	reply, failure := f.options.Send(r.exchange(ctx), Attempt{
 		Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1, Wanted: ctx,
 		Clear: func() clearance.Verdict { verdict = f.clear(ctx, s, slot); return verdict },
 	})
-	f.recordSigns(exchange, s, slot.Server, began, reply, failure)
+	f.recordSigns(whileSent, s, slot.Server, began, reply, failure)
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
 	switch {
 	case failure != nil && failure.Sent:
-		return f.handleNoResponse(exchange, s, slot, failure)
+		return f.handleNoResponse(whileSent, s, slot, failure)
 	case failure != nil:
 		return f.handleUnsent(ctx, s, slot, failure, verdict)
 	}
@@ -387,12 +396,11 @@
 
 // handleUnsent handles an attempt that was certainly not sent.
 func (f *Forwarder) handleUnsent(ctx context.Context, s *requestState, slot *dispatch.Slot, failure *Failure, verdict clearance.Verdict) (answer *Answer, retry bool, err error) {
-	isUnwanted := errors.Is(ctx.Err(), context.Canceled)
 	if failure.Refused {
 		s.recordUnreachable(slot.Server.Domain)
 	}
 	switch {
-	case failure.Withheld || isUnwanted:
+	case failure.Withheld || errors.Is(s.request.exchange(ctx).Err(), context.Canceled):
 		slot.Done(dispatch.Cancelled, dispatch.Report{})
 	case failure.AtConnectionLimit:
 		slot.Done(dispatch.Shed, dispatch.Report{})
@@ -414,14 +422,14 @@
 	return nil, true, nil
 }
 
-// handleNoResponse handles an attempt that was sent and got no answer. exchange is the context of the attempt.
-func (f *Forwarder) handleNoResponse(exchange context.Context, s *requestState, slot *dispatch.Slot, failure *Failure) (answer *Answer, retry bool, err error) {
+// handleNoResponse handles an attempt that was sent and got no answer. ctx is that of the attempt once it was sent.
+func (f *Forwarder) handleNoResponse(ctx context.Context, s *requestState, slot *dispatch.Slot, failure *Failure) (answer *Answer, retry bool, err error) {
 	server := slot.Server.Server
 	s.recordRun(slot)
 	s.received++
-	if errors.Is(exchange.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		slot.Done(dispatch.Cancelled, dispatch.Report{})
-		if errors.Is(context.Cause(exchange), ErrStopping) {
+		if errors.Is(context.Cause(ctx), ErrStopping) {
 			return nil, false, outcome.Unknown(outcome.Stopping, "this VM stopped while backend server %s had the request", server)
 		}
 		return nil, false, outcome.Unknown(outcome.CallerDisconnected, "the caller left while backend server %s had the request", server)
@@ -430,14 +438,14 @@
 	switch {
 	case failure.Abandoned:
 		result = dispatch.Cancelled
-	case exchange.Err() == nil:
+	case ctx.Err() == nil:
 		result = dispatch.ConnectionBroken
 	}
 	slot.Done(result, dispatch.Report{})
-	if exchange.Err() != nil {
+	if ctx.Err() != nil {
 		return nil, false, outcome.Unknown(outcome.DeadlineExceeded, "backend server %s did not answer in time", server)
 	}
-	return f.handleNoAnswer(exchange, s, server, failure.Cause)
+	return f.handleNoAnswer(ctx, s, server, failure.Cause)
 }
 
 // handleNoAnswer handles an attempt that may have run and whose answer is missing or can't be passed on.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -76,6 +76,9 @@
 		NewConnection: a.NewConnection && a.OpenedBy == nil, UnusedConnection: a.NewConnection, OldestConnection: a.OpenedBy != nil,
 		OnHead: func(status int, h http.Header) { e.observeHead(a, status, h) },
 	}
+	if !a.Detached {
+		request.IfUnwanted = http1.EndUnwanted
+	}
 	if a.NotAfter > 0 {
 		request.UserTimeout = grantUserTimeout
 	}
@@ -85,8 +88,7 @@
 		request.Header = a.Header.Clone()
 		request.Match = func(_ int, h http.Header) http1.Match { return platform.MatchResponse(h, a.RequestID) }
 	}
-	whole := ctx
-	ctx, abandon := context.WithCancelCause(whole)
+	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
 	request.BeforeWrite = func(request *http1.Request, age time.Duration) error {
 		if a.Command {
@@ -106,7 +108,7 @@
 	if err != nil {
 		r.Failure = &relay.Failure{
 			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection),
-			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Withheld: isWithheld(err) || !http1.WasSent(err) && a.IsCancelled(whole), Cause: err.Error(),
+			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Withheld: isWithheld(err), Cause: err.Error(),
 		}
 		return r
 	}
@@ -204,7 +206,7 @@
 			return result, true
 		case !errors.Is(err, relay.ErrDeclined):
 			return relay.Result{Failure: &relay.Failure{Sent: true, Cause: err.Error()}, Relayed: true}, true
-		case isWithheld(err) || a.IsCancelled(ctx):
+		case isWithheld(err):
 			return relay.Result{Failure: &relay.Failure{Withheld: true, Cause: err.Error()}}, true
 		}
 		e.metrics.attempts.Add("declined", 1)
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -212,10 +212,7 @@
 	ctx, leave := context.WithCancelCause(exchange)
 	defer leave(nil)
 	defer context.AfterFunc(r.Context(), func() { leave(forward.ErrCallerLeft) })()
-	if !request.Route.Idempotent {
-		// Once it was sent, a request that isn't idempotent is completed even if its caller leaves, since the caller may rely on its effect.
-		request.Exchange = exchange
-	}
+	request.Exchange = exchange
 	request.HasCallerLeft = func() bool { return h.deps.HasLeft(r.Context()) }
 	if h.deps.Admit == nil || customer == nil || !customer.Allotment.IsLimited() {
 		return h.deps.Forward(ctx, request)
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -162,7 +162,11 @@
 
 // roundTrip sends an encoded request and reads the head of its response.
 func (c *connection) roundTrip(ctx context.Context, r Request, data []byte) (response *Response, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
+	end := func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) }
+	stop := context.AfterFunc(ctx, end)
+	if r.Wanted != nil && r.IfUnwanted == EndUnwanted {
+		stop = both(stop, context.AfterFunc(r.Wanted, end))
+	}
 	defer func() {
 		if err != nil {
 			stop()
@@ -176,7 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.TellsUnwanted && r.Wanted != nil {
+	if r.Wanted != nil && r.IfUnwanted == TellUnwanted {
 		stop = both(stop, c.tellUnwanted(r.Wanted, written))
 	}
 	got, err := c.readHead(r) //nolint:bodyclose // The returned body closes it or resets the connection.
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -48,12 +48,11 @@
 	// BeforeWrite is called when a connection is there, right before the request is written, with the time since the connection was opened; nil
 	// means no call. It may set the header and the body. After an error the request isn't sent, and the connection is kept.
 	BeforeWrite func(r *Request, age time.Duration) error
-	// Wanted ends when the request is no longer wanted unless it was sent: it ends the wait for a connection, and after it nothing is written.
-	// Once the request is written it has no effect. Nil means that only the context of the exchange counts.
+	// Wanted ends when the request is no longer wanted unless it was sent: after it nothing is written. A connection that is being opened then is
+	// kept, or its failure is reported, since it says as much of the server as before. Nil means that only the context of the exchange counts.
 	Wanted context.Context
-	// TellsUnwanted closes the writing side of the connection if Wanted ends after the request was written, so that the other side learns of it
-	// and can still answer.
-	TellsUnwanted bool
+	// IfUnwanted says what becomes of a request that was written when Wanted ends.
+	IfUnwanted Unwanted
 	// AfterWrite is called when the write of a short request has returned, also if it failed; nil means no call. Its bytes are in the kernel's
 	// buffer then.
 	AfterWrite func()
@@ -69,6 +68,19 @@
 	OldestConnection bool
 }
 
+// Unwanted is what becomes of a request that is no longer wanted once it was written.
+type Unwanted int
+
+const (
+	// FinishUnwanted finishes the exchange as if it were wanted.
+	FinishUnwanted Unwanted = iota
+	// TellUnwanted closes the writing side of the connection once the request is written completely, so that the other side learns of it and can
+	// still answer.
+	TellUnwanted
+	// EndUnwanted ends the exchange.
+	EndUnwanted
+)
+
 // Match says whether a response belongs to a request.
 type Match int
 
@@ -207,12 +219,6 @@
 	if err := c.reserve(key, r.MaxConnections); err != nil {
 		return nil, err
 	}
-	if r.Wanted != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		defer cancel()
-		defer context.AfterFunc(r.Wanted, cancel)()
-	}
 	conn, err = c.dial(ctx, key)
 	if err != nil {
 		c.release(key)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -75,7 +75,8 @@
 	NewConnection  bool          `cbor:"12,keyasint"`
 	// Detached says that the attempt goes on once it was sent, if the VM that asked for it disconnects or closes its sending side. Before that it ends.
 	Detached bool `cbor:"13,keyasint"`
-	// Wanted ends when the attempt is no longer wanted unless it was sent; nil means that only the context counts.
+	// Wanted ends when the attempt is no longer wanted unless it was sent; one that isn't Detached ends with it then, too. Nil means that only the
+	// context counts.
 	Wanted context.Context `cbor:"-"`
 	// Clear returns why the request must not be sent any more, or nil, right before it is written or passed on to the other VM; nil means that it
 	// may always be sent.
@@ -104,11 +105,6 @@
 	return ctx.Err() == nil && (a.Wanted == nil || a.Wanted.Err() == nil)
 }
 
-// IsCancelled reports whether an attempt that isn't sent yet was given up, and not because its time is over; ctx is that of the attempt.
-func (a Attempt) IsCancelled(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) || a.Wanted != nil && errors.Is(a.Wanted.Err(), context.Canceled)
-}
-
 // IsLate reports whether the latest time to write the request has passed.
 func (a Attempt) IsLate(now clock.Instant) bool { return a.NotAfter > 0 && now.After(a.NotAfter) }
 
@@ -168,10 +164,14 @@
 			return r, errors.Mark(err, ErrDeclined)
 		}
 	}
+	ifUnwanted := http1.EndUnwanted
+	if a.Detached {
+		ifUnwanted = http1.TellUnwanted
+	}
 	response, err := c.client.Do(ctx, http1.Request{
 		Address: address, Server: string(vm), Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{},
 		// The other VM may stop and close an idle connection while the attempt is on its way.
-		NewConnection: a.Detached, Wanted: a.Wanted, TellsUnwanted: a.Detached,
+		NewConnection: a.Detached, Wanted: a.Wanted, IfUnwanted: ifUnwanted,
 		BeforeWrite: func(r *http1.Request, _ time.Duration) (err error) {
 			if a.Clear != nil {
 				if err := a.Clear(); err != nil {
