Suspect a request of a crash only once it was written

A crash that became known during the dial made the request a suspect; after two of them it was refused as one that crashes what runs it, though nothing had ever read it. Now the ledger of crashes has it from the last check before the write.

The fleet of the crash tests asks for clearance before it runs a request, as the real connection does.

--- a/coordination/forward/clear.go
+++ b/coordination/forward/clear.go
@@ -8,8 +8,39 @@
 	"github.com/hickorylug/hickorylug/coordination/clearance"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
+	"github.com/hickorylug/hickorylug/state/clock"
 )
 
+// writing is the moment at which an attempt is written.
+type writing struct {
+	forwarder *Forwarder
+	state     *requestState
+	slot      *dispatch.Slot
+	// verdict is the last one; Granted if none was asked for.
+	verdict clearance.Verdict
+	// begun says that the ledger of crashes has the attempt, and began is when the write began; before it, when the attempt did.
+	begun bool
+	began clock.Instant
+}
+
+// clear returns the verdict on the request. If it is granted, the attempt counts as in flight at the backend server from now on.
+func (w *writing) clear(ctx context.Context) clearance.Verdict {
+	if w.verdict = w.forwarder.clear(ctx, w.state, w.slot); w.verdict == clearance.Granted && !w.begun {
+		w.began = w.forwarder.options.Clock.Boot()
+		w.begin()
+	}
+	return w.verdict
+}
+
+// begin records that the attempt is in flight at the backend server.
+func (w *writing) begin() {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	w.forwarder.options.Crashes.Begin(w.began, w.slot.Server.Incarnation, w.state.fingerprint)
+}
+
 // clear decides whether a request that is about to be written may still be sent to the backend server of a slot. ctx ends when the caller leaves.
 func (f *Forwarder) clear(ctx context.Context, s *requestState, slot *dispatch.Slot) clearance.Verdict {
 	r := s.request
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/hickorylug/hickorylug/coordination/clearance"
 	"github.com/hickorylug/hickorylug/coordination/dispatch"
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
@@ -277,6 +278,9 @@
 		}
 		return unreachable(ctx)
 	}
+	if v := a.Clear(); v != clearance.Granted {
+		return nil, &forward.Failure{Withheld: true, Cause: errors.New(v.String())}
+	}
 	took := 100 * time.Millisecond
 	if a.Request.Target == crashTarget {
 		took = 30 * time.Millisecond
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -333,19 +333,26 @@
 		return nil, false, s.finalError(outcome.NotRun(outcome.Overloaded, "no time is left for a sending"))
 	}
 	s.attempts++
-	began, whileSent, verdict := f.options.Clock.Boot(), r.whileSent(ctx), clearance.Granted
-	f.options.Crashes.Begin(began, slot.Server.Incarnation, s.fingerprint)
+	began, whileSent := f.options.Clock.Boot(), r.whileSent(ctx)
+	w := &writing{forwarder: f, state: s, slot: slot, began: began}
 	reply, failure := f.options.Send(r.exchange(ctx), Attempt{
 		Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1, Wanted: ctx,
-		Clear: func() clearance.Verdict { verdict = f.clear(ctx, s, slot); return verdict },
+		Clear: func() clearance.Verdict { return w.clear(ctx) },
 	})
-	f.recordSigns(whileSent, s, slot.Server, began, reply, failure)
+	if failure == nil || failure.Sent {
+		w.begin()
+	}
+	if w.begun {
+		f.recordSigns(whileSent, s, slot.Server, w.began, reply, failure)
+	} else if failure.Refused {
+		f.RecordCrash(slot.Server)
+	}
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
 	switch {
 	case failure != nil && failure.Sent:
 		return f.handleNoResponse(whileSent, s, slot, failure)
 	case failure != nil:
-		return f.handleUnsent(ctx, s, slot, failure, verdict)
+		return f.handleUnsent(ctx, s, slot, failure, w.verdict)
 	}
 	s.received++
 	if reply.Misplaced || reply.NotRun {
