Close the connections of removed servers when their requests end

Found by the review: connections that were in use when the idle ones of a removed server were closed became idle afterwards, and stayed open for ever, since nothing uses that pool again. Withheld requests, whose connections are kept, make it more frequent. Now a pool whose idle connections were closed keeps none until a connection is opened there again.

TestConnectionsOfRemovedServersAreNotKept failed in its two cases of a removed server.

--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -136,6 +136,8 @@
 type pool struct {
 	idle []*connection
 	open int
+	// closing says that no connection has been wanted since the idle ones were closed, so that those in use are closed when they become idle.
+	closing bool
 }
 
 // NewClient returns a client without open connections.
@@ -277,6 +279,7 @@
 		return ErrNoConnection
 	}
 	p.open++
+	p.closing = false
 	c.opened++
 	return nil
 }
@@ -286,9 +289,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[key]
-	if p == nil {
-		return
+	if p != nil {
+		c.releaseLocked(key, p)
 	}
+}
+
+// releaseLocked is release for a known pool; the lock must be held.
+func (c *Client) releaseLocked(key poolKey, p *pool) {
 	if p.open--; p.open <= 0 && len(p.idle) == 0 {
 		delete(c.pools, key)
 	}
@@ -299,8 +306,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[conn.key]
-	if p == nil {
+	if p == nil || p.closing {
 		_ = conn.socket.Close()
+		if p != nil {
+			c.releaseLocked(conn.key, p)
+		}
 		return
 	}
 	if !conn.used {
@@ -348,7 +358,7 @@
 		_ = conn.socket.Close()
 		p.open--
 	}
-	p.idle = nil
+	p.idle, p.closing = nil, true
 	if p.open <= 0 {
 		delete(c.pools, key)
 	}
