--- a/transport/http1server/left_test.go
+++ b/transport/http1server/left_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/hickorylug/hickorylug/transport/http1server"
@@ -42,7 +43,7 @@
 			}))
 			ended := make(chan error, 1)
 			go func() { ended <- s.Serve(l) }()
-			defer func() { s.Close(); <-ended }()
+			defer func() { is.NoErr(s.Close()); is.True(errors.Is(<-ended, http.ErrServerClosed)) }()
 			c, err := net.Dial("tcp", l.Addr().String())
 			is.NoErr(err)
 			defer c.Close()
@@ -67,7 +68,7 @@
 	}))
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l) }()
-	defer func() { s.Close(); <-ended }()
+	defer func() { is.NoErr(s.Close()); is.True(errors.Is(<-ended, http.ErrServerClosed)) }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	defer c.Close()
