--- a/edge/relay.go
+++ b/edge/relay.go
@@ -43,7 +43,7 @@
 func (e *Edge) attempt(ctx context.Context, a relay.Attempt) relay.Result {
 	deadline := e.clock.Boot().Add(a.Timeout)
 	if e.reach.IsSuspected() {
-		if r, ok := e.attemptThroughOthers(ctx, a); ok || e.reach.IsCutOff() {
+		if r, ok := e.attemptThroughOthers(ctx, a); ok || e.reach.IsCutOff() || !a.IsWanted(ctx) {
 			return r
 		}
 	}
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -157,6 +157,9 @@
 // The context applies to the whole exchange, until the body is closed.
 func (c *Client) Do(ctx context.Context, r Request) (response *Response, err error) {
 	defer func() { err = errors.Wrapf(err, "send to %s", r.Address) }()
+	if r.isUnwanted(ctx) {
+		return nil, ErrUnwanted
+	}
 	conn, err := c.acquire(ctx, poolKey{r.Address, r.Server}, r)
 	if err != nil {
 		return nil, err
--- a/transport/http1/wanted_test.go
+++ b/transport/http1/wanted_test.go
@@ -101,6 +101,17 @@
 	is.True(<-ended != nil)
 }
 
+// A connection was opened for a request that nobody wanted any more.
+func TestUnwantedRequestsOpenNoConnections(t *testing.T) {
+	is := is.New(t)
+	wanted, leave := context.WithCancel(context.Background())
+	leave()
+	c := http1.NewClient()
+	_, err := c.Do(context.Background(), http1.Request{Address: "127.0.0.1:1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Wanted: wanted})
+	is.True(errors.Is(err, http1.ErrUnwanted))
+	is.Equal(c.OpenedConnections(), int64(0))
+}
+
 // A request that was sent must not be cut off when it is no longer wanted: the other side learns of it and still answers.
 func TestOtherSideLearnsThatARequestIsUnwanted(t *testing.T) {
 	for name, tells := range map[string]bool{"it is told": true, "it isn't": false} {
