A refusal on suspected links is no crash, also after the caller has left

It is never a sign of a crash there, whether the caller waits or not. An attempt that isn't passed on since nobody waits says so, and one that is given up as links hang isn't taken for withheld.

TestRefusalsOnSuspectedLinksAreNotCrashesAfterCallersLeft failed where the caller has left. TestBackendServersAreNotDialedAfterCallersLeftDuringOtherWaits failed before.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -43,19 +43,21 @@
 func (e *Edge) attempt(ctx context.Context, a relay.Attempt) relay.Result {
 	deadline := e.clock.Boot().Add(a.Timeout)
 	if e.reach.IsSuspected() {
-		if r, ok := e.attemptThroughOthers(ctx, a); ok || e.reach.IsCutOff() || !a.IsWanted(ctx) {
+		if r, ok := e.attemptThroughOthers(ctx, a); ok || e.reach.IsCutOff() {
 			return r
 		}
 	}
 	a.Timeout = deadline.Sub(e.clock.Boot())
 	r := e.attemptDirectly(ctx, a)
-	if f := r.Failure; f == nil || f.Sent || f.AtConnectionLimit || f.Withheld || !a.IsWanted(ctx) || !e.reach.IsSuspected() {
+	if f := r.Failure; f == nil || f.Sent || f.AtConnectionLimit || f.Withheld || !e.reach.IsSuspected() {
 		return r
 	}
 	// Only connections failed, and those to other backend servers as well.
 	a.Timeout = deadline.Sub(e.clock.Boot())
-	if relayed, ok := e.attemptThroughOthers(ctx, a); ok {
-		return relayed
+	if a.IsWanted(ctx) {
+		if relayed, ok := e.attemptThroughOthers(ctx, a); ok {
+			return relayed
+		}
 	}
 	r.Failure.Refused = false
 	return r
@@ -107,9 +109,10 @@
 	defer func() { e.reach.End(wait, answered) }()
 	resp, err := e.backends.Do(ctx, request)
 	if err != nil {
+		isAbandoned := errors.Is(context.Cause(ctx), errLinksHang)
 		r.Failure = &relay.Failure{
 			Sent: http1.WasSent(err), Refused: errors.Is(err, http1.ErrRefused), AtConnectionLimit: errors.Is(err, http1.ErrNoConnection),
-			Abandoned: errors.Is(context.Cause(ctx), errLinksHang), Withheld: isWithheld(err), Cause: err.Error(),
+			Abandoned: isAbandoned, Withheld: isWithheld(err) && !isAbandoned, Cause: err.Error(),
 		}
 		return r
 	}
@@ -179,9 +182,12 @@
 	distrusted := false
 	for _, peer := range e.relays.Candidates(e.settings.VM, s.Peers, s.Servers[a.Server].Domain, rand.IntN) {
 		left := a
-		if left.Timeout -= e.clock.Boot().Sub(started); left.Timeout <= 0 || !a.IsWanted(ctx) {
+		if left.Timeout -= e.clock.Boot().Sub(started); left.Timeout <= 0 {
 			break
 		}
+		if !a.IsWanted(ctx) {
+			return relay.Result{Failure: &relay.Failure{Withheld: true, Cause: http1.ErrUnwanted.Error()}}, true
+		}
 		if failure := e.mayBegin(a); failure != nil {
 			return relay.Result{Failure: failure}, true
 		}
