--- a/coordination/forward/clear.go
+++ b/coordination/forward/clear.go
@@ -11,34 +11,44 @@
 	"github.com/hickorylug/hickorylug/state/clock"
 )
 
-// writing is the moment at which an attempt is written.
+// writing is the write of an attempt, as the ledger of crashes knows it.
 type writing struct {
 	forwarder *Forwarder
 	state     *requestState
 	slot      *dispatch.Slot
 	// verdict is the last one; Granted if none was asked for.
 	verdict clearance.Verdict
-	// begun says that the ledger of crashes has the attempt, and began is when the write began; before it, when the attempt did.
-	begun bool
-	began clock.Instant
+	// since is when the attempt was last granted, or its beginning.
+	since clock.Instant
+	// isInFlight says that the ledger has the attempt.
+	isInFlight bool
 }
 
-// clear returns the verdict on the request. If it is granted, the attempt counts as in flight at the backend server from now on.
-func (w *writing) clear(ctx context.Context) clearance.Verdict {
-	if w.verdict = w.forwarder.clear(ctx, w.state, w.slot); w.verdict == clearance.Granted && !w.begun {
-		w.began = w.forwarder.options.Clock.Boot()
+// ask returns the verdict on the request. If it is granted, the attempt is in flight at the backend server from now on, and no longer since an
+// earlier grant: another VM has declined it after that one.
+func (w *writing) ask(ctx context.Context) clearance.Verdict {
+	w.end()
+	if w.verdict = w.forwarder.clear(ctx, w.state, w.slot); w.verdict == clearance.Granted {
+		w.since = w.forwarder.options.Clock.Boot()
 		w.begin()
 	}
 	return w.verdict
 }
 
-// begin records that the attempt is in flight at the backend server.
+// begin makes the attempt count as in flight at the backend server.
 func (w *writing) begin() {
-	if w.begun {
-		return
+	if !w.isInFlight {
+		w.isInFlight = true
+		w.forwarder.options.Crashes.Begin(w.since, w.slot.Server.Incarnation, w.state.fingerprint)
+	}
+}
+
+// end makes the attempt no longer count as in flight, as if it hadn't been sent.
+func (w *writing) end() {
+	if w.isInFlight {
+		w.isInFlight = false
+		w.forwarder.options.Crashes.End(w.slot.Server.Incarnation, w.state.fingerprint)
 	}
-	w.begun = true
-	w.forwarder.options.Crashes.Begin(w.began, w.slot.Server.Incarnation, w.state.fingerprint)
 }
 
 // clear decides whether a request that is about to be written may still be sent to the backend server of a slot. ctx ends when the caller leaves.
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -334,19 +334,17 @@
 	}
 	s.attempts++
 	began, whileSent := f.options.Clock.Boot(), r.whileSent(ctx)
-	w := &writing{forwarder: f, state: s, slot: slot, began: began}
+	w := &writing{forwarder: f, state: s, slot: slot, since: began}
+	// After a panic.
+	defer w.end()
 	reply, failure := f.options.Send(r.exchange(ctx), Attempt{
 		Request: r, Slot: slot, Timeout: timeout, NewConnection: !r.Route.Idempotent && s.attempts > 1, Wanted: ctx,
-		Clear: func() clearance.Verdict { return w.clear(ctx) },
+		Clear: func() clearance.Verdict { return w.ask(ctx) },
 	})
 	if failure == nil || failure.Sent {
 		w.begin()
 	}
-	if w.begun {
-		f.recordSigns(whileSent, s, slot.Server, w.began, reply, failure)
-	} else if failure.Refused {
-		f.RecordCrash(slot.Server)
-	}
+	f.recordSigns(whileSent, s, w, reply, failure)
 	f.options.Observe(r, slot, f.options.Clock.Boot().Sub(began), reply, failure)
 	switch {
 	case failure != nil && failure.Sent:
--- a/coordination/forward/suspects.go
+++ b/coordination/forward/suspects.go
@@ -6,7 +6,6 @@
 
 	"github.com/hickorylug/hickorylug/coordination/poison"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
-	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 )
@@ -52,24 +51,30 @@
 }
 
 // recordSigns records what the result of an attempt says of a crash of the process.
-func (f *Forwarder) recordSigns(ctx context.Context, s *requestState, server fleet.Server, began clock.Instant, reply *Reply, failure *Failure) {
+func (f *Forwarder) recordSigns(ctx context.Context, s *requestState, w *writing, reply *Reply, failure *Failure) {
+	server := w.slot.Server
 	ledger, now, process := f.options.Crashes, f.options.Clock.Boot(), server.Incarnation
 	switch {
-	case failure != nil && failure.Sent:
-		probe := ledger.Unanswered(now, process, s.fingerprint, began, ctx.Err() == nil && !failure.Abandoned)
-		f.options.OnSuspect(process.Server, s.fingerprint)
-		if probe {
-			f.options.Probe(server)
-		}
-	case failure != nil:
-		ledger.End(process, s.fingerprint)
+	case failure != nil && !failure.Sent:
+		w.end()
 		if failure.Refused {
 			f.RecordCrash(server)
 		}
-	case reply.Misplaced:
-		ledger.End(process, s.fingerprint)
-	default:
-		ledger.Answered(now, process, server.Version, s.fingerprint, began, !reply.NotRun && reply.Answer.Status < http.StatusInternalServerError)
+		return
+	case failure == nil && reply.Misplaced:
+		w.end()
+		return
+	}
+	// The ledger ends the attempt itself.
+	w.isInFlight = false
+	if failure == nil {
+		ledger.Answered(now, process, server.Version, s.fingerprint, w.since, !reply.NotRun && reply.Answer.Status < http.StatusInternalServerError)
+		return
+	}
+	probe := ledger.Unanswered(now, process, s.fingerprint, w.since, ctx.Err() == nil && !failure.Abandoned)
+	f.options.OnSuspect(process.Server, s.fingerprint)
+	if probe {
+		f.options.Probe(server)
 	}
 }
 
