--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -136,7 +136,7 @@
 type pool struct {
 	idle []*connection
 	open int
-	// closing says that no connection has been wanted since the idle ones were closed, so that those in use are closed when they become idle.
+	// closing says that no request has opened a connection since the idle ones were closed, so that those in use are closed when they become idle.
 	closing bool
 }
 
@@ -224,6 +224,7 @@
 	if err := c.reserve(key, r.MaxConnections); err != nil {
 		return nil, err
 	}
+	c.reopen(key)
 	conn, err = c.dial(ctx, key)
 	if err != nil {
 		c.release(key)
@@ -282,11 +283,19 @@
 		return ErrNoConnection
 	}
 	p.open++
-	p.closing = false
 	c.opened++
 	return nil
 }
 
+// reopen makes the pool keep connections again, since a request opens one.
+func (c *Client) reopen(key poolKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.pools[key]; p != nil {
+		p.closing = false
+	}
+}
+
 // release reduces the count of open connections by one that was closed or could not be opened.
 func (c *Client) release(key poolKey) {
 	c.mu.Lock()
