--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -48,8 +48,8 @@
 	// BeforeWrite is called when a connection is there, right before the request is written, with the time since the connection was opened; nil
 	// means no call. It may set the header and the body. After an error the request isn't sent, and the connection is kept.
 	BeforeWrite func(r *Request, age time.Duration) error
-	// Wanted ends when the request is no longer wanted unless it was sent: after it nothing is written. A connection that is being opened then is
-	// kept, or its failure is reported, since it says as much of the server as before. Nil means that only the context of the exchange counts.
+	// Wanted ends when the request is no longer wanted unless it was sent: after it no connection is opened and nothing is written. A connection that
+	// is being opened then is opened and kept, as its failure would say as much of the server. Nil means that only the context of the exchange counts.
 	Wanted context.Context
 	// IfUnwanted says what becomes of a request that was written when Wanted ends.
 	IfUnwanted Unwanted
