--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -48,8 +48,8 @@
 	// BeforeWrite is called when a connection is there, right before the request is written, with the time since the connection was opened; nil
 	// means no call. It may set the header and the body. After an error the request isn't sent, and the connection is kept.
 	BeforeWrite func(r *Request, age time.Duration) error
-	// Wanted ends when the request is no longer wanted unless it was sent: after it nothing is written. A connection that is being opened then is
-	// kept, or its failure is reported, since it says as much of the server as before. Nil means that only the context of the exchange counts.
+	// Wanted ends when the request is no longer wanted unless it was sent: after it no connection is opened and nothing is written. A connection that
+	// is being opened then is opened and kept, as its failure would say as much of the server. Nil means that only the context of the exchange counts.
 	Wanted context.Context
 	// IfUnwanted says what becomes of a request that was written when Wanted ends.
 	IfUnwanted Unwanted
@@ -136,7 +136,7 @@
 type pool struct {
 	idle []*connection
 	open int
-	// closing says that no connection has been wanted since the idle ones were closed, so that those in use are closed when they become idle.
+	// closing says that no request has opened a connection since the idle ones were closed, so that those in use are closed when they become idle.
 	closing bool
 }
 
@@ -157,6 +157,9 @@
 // The context applies to the whole exchange, until the body is closed.
 func (c *Client) Do(ctx context.Context, r Request) (response *Response, err error) {
 	defer func() { err = errors.Wrapf(err, "send to %s", r.Address) }()
+	if r.isUnwanted(ctx) {
+		return nil, ErrUnwanted
+	}
 	conn, err := c.acquire(ctx, poolKey{r.Address, r.Server}, r)
 	if err != nil {
 		return nil, err
@@ -221,6 +224,7 @@
 	if err := c.reserve(key, r.MaxConnections); err != nil {
 		return nil, err
 	}
+	c.reopen(key)
 	conn, err = c.dial(ctx, key)
 	if err != nil {
 		c.release(key)
@@ -279,11 +283,19 @@
 		return ErrNoConnection
 	}
 	p.open++
-	p.closing = false
 	c.opened++
 	return nil
 }
 
+// reopen makes the pool keep connections again, since a request opens one.
+func (c *Client) reopen(key poolKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.pools[key]; p != nil {
+		p.closing = false
+	}
+}
+
 // release reduces the count of open connections by one that was closed or could not be opened.
 func (c *Client) release(key poolKey) {
 	c.mu.Lock()
