--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -55,6 +55,8 @@
 	closed   bool
 	// fillers are the proxy's own connections that fill its queue of new connections while it is silent.
 	fillers []net.Conn
+	// holding says that the proxy is silent and has accepted its last connection.
+	holding bool
 }
 
 // Listen starts a proxy to target on a free loopback port.
@@ -98,24 +100,53 @@
 			abort(c)
 		}
 	}
-	p.mode = m
+	p.mode, p.holding = m, p.holding && m == Silent
 	return wasSilent
 }
 
 // fillerTimeout limits the time to open a connection that fills the queue; a caller may have taken its place.
 const fillerTimeout = 50 * time.Millisecond
 
-// fillQueue makes the kernel drop the packets that open connections: the queue has room for one, beside the one that serve holds.
+// fillQueue makes the kernel drop the packets that open connections, once serve accepts no further one: the queue has room for one.
 func (p *Proxy) fillQueue() {
 	p.mu.Lock()
 	listener := p.listener
 	p.mu.Unlock()
 	setBacklog(listener, 0)
-	for range 2 {
-		if c, err := net.DialTimeout("tcp", p.address, fillerTimeout); err == nil {
-			p.fillers = append(p.fillers, c)
-		}
+	for !p.isHolding() {
+		p.addFiller()
+	}
+	for isFull := false; !isFull; {
+		isFull = !p.addFiller()
+	}
+}
+
+// addFiller opens a connection of the proxy's own, and reports false if it could not be opened.
+func (p *Proxy) addFiller() bool {
+	c, err := net.DialTimeout("tcp", p.address, fillerTimeout)
+	if err != nil {
+		return false
+	}
+	p.fillers = append(p.fillers, c)
+	return true
+}
+
+// isHolding reports whether serve holds a connection and accepts no further one, or has ended.
+func (p *Proxy) isHolding() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.holding || p.closed
+}
+
+// hold records that a connection of a listener is held for the rest of a silence, and reports false if it is over.
+func (p *Proxy) hold(l net.Listener) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mode != Silent || p.listener != l {
+		return false
 	}
+	p.holding = true
+	return true
 }
 
 // setBacklog changes the number of connections that wait to be accepted.
@@ -183,7 +214,7 @@
 		case Reset:
 			abort(c)
 		case Silent:
-			for p.currentMode() == Silent {
+			for p.hold(l) {
 				time.Sleep(stallPollPeriod)
 			}
 			abort(c)
