--- /dev/null
+++ b/review/tools-2/stage/cold.go
@@ -0,0 +1,97 @@
+//go:build review
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/hickorylug/hickorylug/standin/faultproxy"
+)
+
+// awayTime is the time for which the store gives the leader no answers.
+const awayTime = 7 * time.Second
+
+// turnDelay is the time from then until the backend server turns cold.
+const turnDelay = 10 * time.Millisecond
+
+// playCold turns a backend server cold under load while the store gives the leader no answers.
+func playCold(ctx context.Context, d *deployment, trouble bool) (broken []string, err error) {
+	c := newCallers(d)
+	leader := d.leader()
+	for i := 0; leader == nil && i < 100; i++ {
+		time.Sleep(50 * time.Millisecond)
+		leader = d.leader()
+	}
+	if leader == nil {
+		return nil, fmt.Errorf("there is no leader")
+	}
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	for i, k := range d.layout.classes {
+		x := 1.0
+		if k.name == "sheet-read" {
+			x = 1.7
+		}
+		wg.Go(func() { c.load(loadCtx, k, x, d.anyVM, uint64(i+1)) })
+	}
+	time.Sleep(6 * time.Second)
+	if trouble {
+		d.record.line("the store gives %s, the leader, no answers", leader.name)
+		leader.storeLink.SetMode(faultproxy.Stall)
+	}
+	time.Sleep(turnDelay)
+	// The busiest backend server of the service turns cold again, and says so at once.
+	var busiest *backend
+	most := 0
+	for _, b := range d.allBackends() {
+		n := 0
+		for _, a := range b.all() {
+			if b.service.name == "sheetdesk" && time.Since(a.at) < 2*time.Second {
+				n++
+			}
+		}
+		if n > most {
+			busiest, most = b, n
+		}
+	}
+	if busiest == nil {
+		return nil, fmt.Errorf("no backend server has work")
+	}
+	d.record.line("%s turns cold; it had %d requests in the last 2 s", busiest.id, most)
+	busiest.mu.Lock()
+	busiest.coldUntil = time.Now().Add(busiest.service.warmup)
+	busiest.mu.Unlock()
+	d.register(busiest, busiest.service.warmup)
+	time.Sleep(awayTime - turnDelay)
+	leader.storeLink.SetMode(faultproxy.Pass)
+	stop()
+	wg.Wait()
+	var cold []time.Time
+	for _, a := range busiest.all() {
+		if a.wasCold {
+			cold = append(cold, a.at)
+		}
+	}
+	sort.Slice(cold, func(i, j int) bool { return cold[i].Before(cold[j]) })
+	worst := 0
+	for i := range cold {
+		n := 0
+		for _, t := range cold[i:] {
+			if t.Sub(cold[i]) < time.Second {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	bound := busiest.service.warmupRate*1.5 + 5
+	d.record.result("%s got %d requests in one second while it was cold; the bound is %.2f; it had %d in 2 s before; answers by status: %v", busiest.id, worst, bound, most, c.counts())
+	if float64(worst) > bound {
+		broken = append(broken, fmt.Sprintf("FAILBACK: a cold backend server got %d requests in one second; %.2f are allowed", worst, bound))
+	}
+	return broken, nil
+}
