--- a/review/tools-2/stage/backend.go
+++ b/review/tools-2/stage/backend.go
@@ -52,6 +52,8 @@
 	coldUntil time.Time
 	// onArrival is called with each request that isn't rejected for its address, before it may run; nil means no call.
 	onArrival func(b *backend, a *arrival)
+	// fails says whether a request that has run is answered with 503; nil means that none is.
+	fails func() bool
 }
 
 // startBackend starts a process of a backend server at a free address. It isn't registered yet.
@@ -266,6 +268,14 @@
 	}
 	b.setLoad(out)
 	out.Header().Set("Response-Signature", "signed."+a.id)
+	b.mu.Lock()
+	fails := b.fails
+	b.mu.Unlock()
+	if fails != nil && fails() {
+		b.d.record.line("request %s has run at %s, which answers 503", a.id, b.id)
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = io.WriteString(out, "answer to "+a.id)
 	b.mu.Lock()
 	a.answered = true
--- a/review/tools-2/stage/main.go
+++ b/review/tools-2/stage/main.go
@@ -32,6 +32,7 @@
 }{
 	"deadly": {layout: ardlarach(), play: playDeadly},
 	"cold":   {layout: ardlarach(), play: playCold},
+	"grey":   {layout: ardlarach(), play: playGrey},
 }
 
 // Exit codes.
