--- a/review/tools-2/stage/callers.go
+++ b/review/tools-2/stage/callers.go
@@ -68,6 +68,9 @@
 			a.retryAfter = time.Duration(seconds * float64(time.Second))
 		}
 	}
+	if a.status == http.StatusOK {
+		c.d.served.Add(1)
+	}
 	c.d.record.line("request %s is answered %d", id, a.status)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/tools-2/stage/cold.go
+++ b/review/tools-2/stage/cold.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
@@ -15,6 +14,13 @@
 // awayTime is the time for which the store gives the leader no answers.
 const awayTime = 7 * time.Second
 
+// burstX is how many times the usual traffic comes for burstTime, from burstBefore before the disruption on.
+const (
+	burstX      = 1.7
+	burstTime   = 3 * time.Second
+	burstBefore = 1500 * time.Millisecond
+)
+
 // turnDelay is the time from then until the backend server turns cold.
 const turnDelay = 10 * time.Millisecond
 
@@ -33,13 +39,14 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for i, k := range d.layout.classes {
-		x := 1.0
-		if k.name == "sheet-read" {
-			x = 1.7
-		}
-		wg.Go(func() { c.load(loadCtx, k, x, d.anyVM, uint64(i+1)) })
+		wg.Go(func() { c.load(loadCtx, k, 1, d.anyVM, uint64(i+1)) })
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(6*time.Second - burstBefore)
+	d.record.line("a burst of sheet-read begins")
+	burstCtx, endBurst := context.WithTimeout(loadCtx, burstTime)
+	defer endBurst()
+	wg.Go(func() { c.load(burstCtx, d.classOf("sheet-read"), burstX-1, d.anyVM, 9) })
+	time.Sleep(burstBefore)
 	if trouble {
 		d.record.line("the store gives %s, the leader, no answers", leader.name)
 		leader.storeLink.SetMode(faultproxy.Stall)
@@ -71,23 +78,7 @@
 	leader.storeLink.SetMode(faultproxy.Pass)
 	stop()
 	wg.Wait()
-	var cold []time.Time
-	for _, a := range busiest.all() {
-		if a.wasCold {
-			cold = append(cold, a.at)
-		}
-	}
-	sort.Slice(cold, func(i, j int) bool { return cold[i].Before(cold[j]) })
-	worst := 0
-	for i := range cold {
-		n := 0
-		for _, t := range cold[i:] {
-			if t.Sub(cold[i]) < time.Second {
-				n++
-			}
-		}
-		worst = max(worst, n)
-	}
+	worst := mostWithinASecond(busiest.all(), c.answers)
 	bound := busiest.service.warmupRate*1.5 + 5
 	d.record.result("%s got %d requests in one second while it was cold; the bound is %.2f; it had %d in 2 s before; answers by status: %v", busiest.id, worst, bound, most, c.counts())
 	if float64(worst) > bound {
@@ -95,3 +86,27 @@
 	}
 	return broken, nil
 }
+
+// mostWithinASecond returns the highest number of requests that were sent by their callers and arrived at a cold backend server inside one second.
+func mostWithinASecond(arrivals []arrival, answers []answer) (most int) {
+	sentAt := map[string]time.Time{}
+	for _, a := range answers {
+		sentAt[a.id] = a.sentAt
+	}
+	var cold []arrival
+	for _, a := range arrivals {
+		if _, known := sentAt[a.id]; known && a.wasCold {
+			cold = append(cold, a)
+		}
+	}
+	for _, first := range cold {
+		begin, n := sentAt[first.id], 0
+		for _, a := range cold {
+			if !sentAt[a.id].Before(begin) && a.at.Before(begin.Add(time.Second)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/review/tools-2/stage/deadly.go
+++ b/review/tools-2/stage/deadly.go
@@ -17,8 +17,8 @@
 	crashDownTime = 2 * time.Second
 	// deadlyPeriod is the time after which a deadly request comes again.
 	deadlyPeriod = 750 * time.Millisecond
-	// deadlyTraffic is the share of the usual traffic that comes beside them, that of the site file's quiet days. A deadly request is less than 3 in 100 of the requests of its class.
-	deadlyTraffic = 0.58
+	// deadlyTraffic is the share of the sheet's traffic that comes beside them, so that a deadly request is less than 3 in 100 of the requests of its class.
+	deadlyTraffic = 0.7
 	// deadlyRetries is the number of retries of a caller.
 	deadlyRetries = 2
 	// deadlyTime is the time for which deadly requests come.
@@ -56,6 +56,9 @@
 	}
 	stop()
 	wg.Wait()
+	if err := checkShares(d, c); err != nil {
+		return nil, err
+	}
 	return checkDeadly(d, c), nil
 }
 
@@ -71,6 +74,44 @@
 	}
 }
 
+// maxShare is the share of the requests of a class that a deadly request may be.
+const maxShare = 0.03
+
+// checkShares returns an error if a deadly request was a larger share of its class than it may be, from its first to its last sending.
+func checkShares(d *deployment, c *callers) error {
+	for _, k := range d.layout.classes {
+		var first, last time.Time
+		for _, a := range c.answers {
+			if a.path == k.prefix+"deadly" {
+				if first.IsZero() || a.sentAt.Before(first) {
+					first = a.sentAt
+				}
+				if a.sentAt.After(last) {
+					last = a.sentAt
+				}
+			}
+		}
+		deadly, all := 0, 0
+		for _, a := range c.answers {
+			if strings.HasPrefix(a.path, k.prefix) && !a.sentAt.Before(first) && !a.sentAt.After(last) {
+				all++
+				if a.path == k.prefix+"deadly" {
+					deadly++
+				}
+			}
+		}
+		if deadly == 0 {
+			continue
+		}
+		share := float64(deadly) / float64(all)
+		d.record.result("deadly requests are %d of %d %s, a share of %.4f", deadly, all, k.name, share)
+		if share > maxShare {
+			return fmt.Errorf("the share is above %.2f", maxShare)
+		}
+	}
+	return nil
+}
+
 // checkDeadly counts the arrivals of each deadly request later than stableWindow after it crashed its third backend server.
 func checkDeadly(d *deployment, c *callers) (broken []string) {
 	runs, lost := map[string][]arrival{}, 0
--- a/review/tools-2/stage/deployment.go
+++ b/review/tools-2/stage/deployment.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -79,7 +80,7 @@
 			{name: "sitelog", servers: []int{2, 3, 1, 2}, slots: 4, maxConnections: 54, warmup: 3 * time.Second, warmupRate: 7.9},
 		},
 		classes: []class{
-			{name: "sheet-read", service: "sheetdesk", method: http.MethodGet, prefix: "/sheets/", isIdempotent: true, rate: 153, work: 90 * time.Millisecond, aim: 300 * time.Millisecond, timeout: time.Second, deadline: 2 * time.Second, maxAttempts: 1},
+			{name: "sheet-read", service: "sheetdesk", method: http.MethodGet, prefix: "/sheets/", isIdempotent: true, rate: 153, work: 90 * time.Millisecond, aim: 300 * time.Millisecond, timeout: time.Second, deadline: 2 * time.Second, maxAttempts: 2},
 			{name: "cert-issue", service: "certworks", method: http.MethodPost, prefix: "/certs/", rate: 74.6, work: 120 * time.Millisecond, aim: 400 * time.Millisecond, timeout: 1200 * time.Millisecond, deadline: 2500 * time.Millisecond, bodyBytes: 4000, maxAttempts: 2},
 			{name: "insurer-history", service: "sitelog", method: http.MethodGet, prefix: "/history/", isIdempotent: true, rate: 29.8, work: 360 * time.Millisecond, aim: time.Second, timeout: 3 * time.Second, deadline: 6 * time.Second, maxAttempts: 2},
 		},
@@ -87,6 +88,16 @@
 	}
 }
 
+// withAttempts returns the layout with another MaxAttempts for a class.
+func (l layout) withAttempts(name string, n int) layout {
+	for i := range l.classes {
+		if l.classes[i].name == name {
+			l.classes[i].maxAttempts = n
+		}
+	}
+	return l
+}
+
 // deployment is a running deployment.
 type deployment struct {
 	layout  layout
@@ -101,6 +112,8 @@
 	storeServer  *http.Server
 
 	vms []*vm
+	// served is the number of requests that were answered with success.
+	served atomic.Int64
 
 	mu       sync.Mutex
 	backends []*backend
--- a/review/tools-2/stage/main.go
+++ b/review/tools-2/stage/main.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -30,7 +31,7 @@
 	layout layout
 	play   play
 }{
-	"deadly": {layout: ardlarach(), play: playDeadly},
+	"deadly": {layout: ardlarach().withAttempts("sheet-read", 1), play: playDeadly},
 	"cold":   {layout: ardlarach(), play: playCold},
 	"grey":   {layout: ardlarach(), play: playGrey},
 }
@@ -74,6 +75,9 @@
 		return notRun
 	}
 	broken, err := c.play(ctx, d, os.Getenv("TROUBLE") != "0")
+	if err == nil && d.served.Load() == 0 {
+		err = errors.New("nothing was served")
+	}
 	switch {
 	case err != nil:
 		record.result("the case couldn't run: %v", err)
