A response without a length that was reset during the upload isn't complete

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: Linux reports a reset to one system call only, the write in progress or the read. If the write takes it, the next read returns 0 bytes, as after the server's end of the stream. A long request is written by a goroutine of its own, whose error nobody asked for, so the body without a length ended with io.EOF. The same holds for a connection that times out, and for net/http's client.

Change: http1.Stream wraps a connection. At io.EOF its Read interrupts a write in progress and waits for its end, and returns the write's error if that says that the connection was aborted. All that reads responses uses it: http1.Client (backend servers and other VMs) and, by http1.NewTransport, serve, both clients of the store, and fetches from other VMs.

Why it works: a read returns 0 without the server's end of the stream only after a write has taken the error, and that write has returned, or returns it, before the Read is done. An answer that ended before the reset stays whole: EPIPE says that the end came first. The attempt counts as sent, so the caller of a request that isn't idempotent gets 502, and an idempotent one may be sent again.

--- a/edge/cutresponses_test.go
+++ b/edge/cutresponses_test.go
@@ -20,6 +20,7 @@
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/transport/entry"
+	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/relay"
 )
 
@@ -104,6 +105,7 @@
 func cutWays(t *testing.T) map[string]func(ctx context.Context, a relay.Attempt) relay.Result {
 	t.Helper()
 	e, other := newBareVM(), newBareVM()
+	e.bodies, other.bodies = http1.NewQuota(64<<20), http1.NewQuota(64<<20)
 	s := httptest.NewServer(relay.NewHandler(other.bodies, func(ctx context.Context, a relay.Attempt) (relay.Result, bool) {
 		return other.attemptDirectly(ctx, a), true
 	}))
@@ -137,7 +139,7 @@
 		PickService: func(r *fleet.Route) id.Service { return r.Targets[0].Service },
 		Forward: func(ctx context.Context, r *forward.Request) (*forward.Answer, error) {
 			result := send(ctx, relay.Attempt{
-				Server: "s", Address: server, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body, RequestID: r.ID, Timeout: time.Second,
+				Server: "s", Address: server, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body, RequestID: r.ID, Timeout: time.Minute,
 			})
 			if result.Failure != nil {
 				return nil, fmt.Errorf("sent: %s", result.Failure.Cause)
@@ -153,7 +155,14 @@
 
 // request sends a request that the backend server answers with n bytes. The status is 0 if the response isn't complete.
 func (c *cutCaller) request(n int) (status int, body string) {
-	r, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, fmt.Sprintf("%s/x/%d", c.address, n), nil)
+	c.t.Helper()
+	return c.send(http.MethodGet, fmt.Sprintf("/x/%d", n), "")
+}
+
+// send sends a request with a body. The status is 0 if the response isn't complete.
+func (c *cutCaller) send(method, path, upload string) (status int, body string) {
+	c.t.Helper()
+	r, err := http.NewRequestWithContext(c.t.Context(), method, c.address+path, strings.NewReader(upload))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -24,6 +24,7 @@
 	"github.com/hickorylug/hickorylug/protocol/backend"
 	"github.com/hickorylug/hickorylug/state/config"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/http1"
 )
 
 // maxControlResponseBytes bounds the body of the response to a grant or probe.
@@ -46,7 +47,7 @@
 
 type pool struct {
 	maxConns  int
-	transport *http.Transport
+	transport *http1.Transport
 }
 
 // NewTransport returns the functions with which a group calls its backend servers.
@@ -57,7 +58,7 @@
 
 // httpTransport returns the connection pool of a backend server, with at most limit connections. A change of the limit
 // replaces the pool. Control calls pass 0: they use the existing pool whatever its limit, or create one without a limit.
-func (t *transport) httpTransport(address string, limit int) *http.Transport {
+func (t *transport) httpTransport(address string, limit int) *http1.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.pools[address]
@@ -72,9 +73,9 @@
 	return p.transport
 }
 
-func (t *transport) newHTTPTransport(limit int) *http.Transport {
+func (t *transport) newHTTPTransport(limit int) *http1.Transport {
 	dialer := &net.Dialer{Timeout: t.options.DialTimeout}
-	return &http.Transport{
+	return http1.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -87,7 +88,7 @@
 		IdleConnTimeout:        t.options.IdleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
 
 // countingConn counts the bytes written, which shows whether an error came before the first byte of a request.
@@ -170,7 +171,11 @@
 }
 
 func (w *writeTracker) gotConn(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*countingConn)
+	stream, ok := info.Conn.(*http1.Stream)
+	if !ok {
+		return
+	}
+	c, ok := stream.NetConn().(*countingConn)
 	if !ok {
 		return
 	}
--- /dev/null
+++ b/transport/backend/broken_test.go
@@ -0,0 +1,62 @@
+package backend_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/coordination/group"
+	"github.com/hickorylug/hickorylug/standin/broken"
+	"github.com/hickorylug/hickorylug/state/config"
+	"github.com/hickorylug/hickorylug/transport/backend"
+)
+
+// sendUpload sends a long upload to a backend server and reads the whole response.
+func sendUpload(t *testing.T, g *group.Transport, address string) (status int, body string, err error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", strings.NewReader(strings.Repeat("u", 8<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := g.Send(t.Context(), config.Server{Address: address}, 1, r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// A backend server answered a long upload at once without a length and reset the connection while the upload was being written. The part that
+// had come was taken for the whole response.
+func TestResponsesResetDuringUploads(t *testing.T) {
+	// tries is how often an upload is tried: which call learns of a reset depends on the moment at which it comes.
+	const tries = 20
+	tests := map[string]struct {
+		end   broken.End
+		whole bool
+	}{
+		"reset":                     {end: broken.Reset},
+		"ended, the upload is read": {end: broken.EndAndRead, whole: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := broken.Listen("HTTP/1.1 200 OK\r\n\r\npart of it", test.end)
+			is.NoErr(err)
+			defer s.Close()
+			transport := backend.NewTransport()
+			defer transport.Close()
+			for range tries {
+				_, _, err := sendUpload(t, transport, s.Address())
+				is.Equal(err == nil, test.whole)
+				is.True(!errors.Is(err, group.ErrNotSent))
+			}
+			is.Equal(s.Requests(), int64(tries))
+		})
+	}
+}
--- /dev/null
+++ b/transport/caller/broken_test.go
@@ -0,0 +1,77 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorylug/hickorylug/protocol/exchange"
+	"github.com/hickorylug/hickorylug/protocol/outcome"
+	"github.com/hickorylug/hickorylug/standin/broken"
+	"github.com/hickorylug/hickorylug/state/config"
+	"github.com/hickorylug/hickorylug/transport/backend"
+)
+
+// serveFrom starts a VM whose backend server has the given address and returns its URL.
+func serveFrom(t *testing.T, address string) (url string) {
+	t.Helper()
+	transport := backend.NewTransport()
+	s := httptest.NewServer(newHandler(t, func(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
+		req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Target, r.Body)
+		if err != nil {
+			return nil, err
+		}
+		req.ContentLength = r.Length
+		resp, err := transport.Send(ctx, config.Server{Address: address}, 1, req)
+		if err != nil {
+			return nil, outcome.Unknown(outcome.ServerFailed, "%v", err)
+		}
+		return &exchange.Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength}, nil
+	}))
+	t.Cleanup(s.Close)
+	t.Cleanup(transport.Close)
+	return s.URL
+}
+
+// put sends an upload to a VM. The status is 0 if the response isn't complete.
+func put(t *testing.T, url, upload string) (status int, body string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url+"/uploads", strings.NewReader(upload))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Who", "7")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(data)
+}
+
+// A backend server answered a long upload at once without a length and reset the connection while the upload was being written. The caller got
+// the part that had come as a complete response.
+func TestResponsesResetDuringUploads(t *testing.T) {
+	// tries is how often an upload is tried: which call learns of a reset depends on the moment at which it comes.
+	const tries = 10
+	is := is.New(t)
+	s, err := broken.Listen("HTTP/1.1 200 OK\r\n\r\npart of it", broken.Reset)
+	is.NoErr(err)
+	defer s.Close()
+	url, upload := serveFrom(t, s.Address()), strings.Repeat("u", 8<<20)
+	for range tries {
+		status, body := put(t, url, upload)
+		is.True(status < 200 || status >= 300)
+		is.True(status == 0 || body != "part of it")
+	}
+	is.Equal(s.Requests(), int64(tries))
+}
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -25,7 +25,8 @@
 const baseConfig = `{
   "FailureDomains": {"east": {}},
   "Services": {"plans": {"Keyed": true, "Servers": {"p": {"Address": "10.0.0.1:80", "FailureDomain": "east"}}}},
-  "Routes": {"view": {"Service": "plans", "Methods": ["GET", "PUT"], "Path": "/plans", "Key": {"Header": "Who"}, "MaxBody": "10B", "Idempotent": true}}
+  "Routes": {"view": {"Service": "plans", "Methods": ["GET", "PUT"], "Path": "/plans", "Key": {"Header": "Who"}, "MaxBody": "10B", "Idempotent": true},
+    "upload": {"Service": "plans", "Methods": ["PUT"], "Path": "/uploads", "Key": {"Header": "Who"}, "MaxBody": "8MiB"}}
 }`
 
 func newHandler(t *testing.T, serve exchange.Handler) *caller.Handler {
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -27,6 +27,7 @@
 
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
+	"github.com/hickorylug/hickorylug/transport/http1"
 	"github.com/hickorylug/hickorylug/transport/http1server"
 )
 
@@ -87,7 +88,7 @@
 	}
 	s = &Socket{since: since, onLost: func(http1server.Lost) {}, mux: http.NewServeMux(), client: &http.Client{
 		Timeout:   fetchTimeout,
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		Transport: http1.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
 	}}
 	s.mux.HandleFunc(pathChanges, s.serveChanges)
 	for _, opt := range opts {
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -41,6 +41,7 @@
 	client *Client
 	key    poolKey
 	socket net.Conn
+	stream *Stream
 	source *source
 	reader *bufio.Reader
 	// reserved is what the response's head has taken from the quota.
@@ -68,9 +69,10 @@
 		}
 		return nil, err
 	}
-	from := &source{socket: socket}
+	stream := NewStream(socket)
+	from := &source{stream: stream}
 	return &connection{
-		client: c, key: key, socket: socket, source: from, reader: bufio.NewReaderSize(from, readBufferBytes),
+		client: c, key: key, socket: socket, stream: stream, source: from, reader: bufio.NewReaderSize(from, readBufferBytes),
 		openedAt: time.Now(), usableUntil: time.Now().Add(c.options.IdleTimeout), userTimeout: c.options.UserTimeout,
 	}, nil
 }
@@ -239,16 +241,16 @@
 // write sends an encoded request. written is closed once all of it has been written.
 //
 // A backend server may answer before it has read a long body, so a long request
-// is written concurrently with reading the response.
+// is written concurrently with reading the response. The stream keeps the error of that write.
 func (c *connection) write(data []byte) (written <-chan struct{}, err error) {
 	done := make(chan struct{})
 	if len(data) <= inlineWriteBytes {
-		_, err := c.socket.Write(data)
+		_, err := c.stream.Write(data)
 		close(done)
 		return done, err
 	}
 	go func() {
-		if _, err := c.socket.Write(data); err == nil {
+		if _, err := c.stream.Write(data); err == nil {
 			close(done)
 		}
 	}()
--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,17 +30,17 @@
 	errNoMemoryForHead = errors.Wrap(ErrQuota, "the head of the response")
 )
 
-// source is what a connection reads: bytes that were read ahead, and then the socket.
+// source is what a connection reads: bytes that were read ahead, and then the stream.
 type source struct {
-	socket net.Conn
+	stream *Stream
 	ahead  []byte
 }
 
-// Read reads from the bytes that were read ahead or, if there are none, from the socket.
+// Read reads from the bytes that were read ahead or, if there are none, from the stream.
 func (s *source) Read(p []byte) (n int, err error) {
 	if len(s.ahead) == 0 {
 		s.ahead = nil
-		return s.socket.Read(p)
+		return s.stream.Read(p)
 	}
 	n = copy(p, s.ahead)
 	s.ahead = s.ahead[n:]
--- a/transport/platform/options.go
+++ b/transport/platform/options.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/hickorylug/hickorylug/transport/http1"
 )
 
 // Default settings of a client; the rates are in calls per second and are shared by all clients of the store.
@@ -57,7 +59,7 @@
 func newOptions(opts []Option) Options {
 	o := Options{
 		Timeout:   defaultTimeout,
-		HTTP:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
+		HTTP:      &http.Client{Transport: http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes})},
 		CallStats: &CallStats{},
 	}
 	WithReadRate(defaultReadRate)(&o)
