A response with a status below 100 is malformed

What callers saw, on other systems: a backend server in trouble sent an answer with status 000, and the client got it as an answer. Here: edge took a status of 000 or 099 without a body for an informational response and passed on what followed it. serve passed a status of 0 to net/http's server, which panics, so the caller's connection was closed without an answer. The store's client took a write answered so for refused, which says that it had no effect.

Cause: net/http takes any three digits for a status, and each reader compared it only with the statuses that it knew.

Change: http1 takes a status line only with a status from 100, and http1.Transport a response only from 200, so also 101, which nobody asks for. A connection with a malformed head is closed, so that no later request reads the rest; net/http itself keeps one whose response has no body. The relay's client checks the result of another VM, which may be of an older build, in the same way.

Why it works: all that reads responses goes through one of the three. The attempt counts as sent: 502 for a request that isn't idempotent, and an unknown outcome for a write to the store. OnHead isn't called with such a head, so nothing in it is believed of the backend server.

Status 600 to 999 are passed on as before.

--- a/edge/brokenresponses_test.go
+++ b/edge/brokenresponses_test.go
@@ -49,3 +49,33 @@
 		}
 	}
 }
+
+// A backend server in trouble sent heads that are none. A caller must not get them, what follows them, or parts of them.
+func TestMalformedHeadsReachNoCaller(t *testing.T) {
+	const (
+		own   = "Attempt-Id: a\r\nResponse-Signature: s\r\n"
+		sound = "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 4\r\n\r\nbody"
+	)
+	tests := map[string]string{
+		"status 000":                         "HTTP/1.1 000 Trouble\r\n" + own + "Content-Length: 4\r\n\r\nbody",
+		"status 000 without a body":          "HTTP/1.1 000 Trouble\r\n" + own + "\r\n",
+		"status 000, then a sound response":  "HTTP/1.1 000 Trouble\r\n" + own + "\r\n" + sound,
+		"status 099":                         "HTTP/1.1 099 Trouble\r\n" + own + "Content-Length: 4\r\n\r\nbody",
+		"status 099, then a sound response":  "HTTP/1.1 099 Trouble\r\n" + own + "\r\n" + sound,
+		"no body in 000, a sound one behind": "HTTP/1.1 000 Trouble\r\n" + own + "Content-Length: 0\r\n\r\n" + sound,
+	}
+	for name, text := range tests {
+		for way, send := range cutWays(t) {
+			t.Run(way+": "+name, func(t *testing.T) {
+				is := is.New(t)
+				s, err := broken.Listen(text, broken.EndAndRead)
+				is.NoErr(err)
+				defer s.Close()
+				status, body := newCutCaller(t, s.Address(), send).send(http.MethodPost, "/x/", "")
+				is.Equal(status, http.StatusBadGateway) // It may have run.
+				is.True(!strings.Contains(body, "body"))
+				is.Equal(s.Requests(), int64(1))
+			})
+		}
+	}
+}
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -34,8 +34,6 @@
 	EndAndReset
 	// EndAndRead ends the response, reads the request to its end and closes the connection.
 	EndAndRead
-	// KeepOpen reads until the client closes the connection.
-	KeepOpen
 )
 
 // Server answers each connection with the same bytes. It is safe for concurrent use.
@@ -102,10 +100,10 @@
 	if _, err := io.WriteString(c, s.response); err != nil {
 		return
 	}
-	if s.end == EndAndReset || s.end == EndAndRead {
+	if s.end != Reset {
 		_ = c.CloseWrite()
 	}
-	if s.end == EndAndRead || s.end == KeepOpen {
+	if s.end == EndAndRead {
 		_, _ = io.Copy(io.Discard, reader)
 		return
 	}
--- a/transport/backend/broken_test.go
+++ b/transport/backend/broken_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickorylug/hickorylug/coordination/group"
+	protocol "github.com/hickorylug/hickorylug/protocol/backend"
 	"github.com/hickorylug/hickorylug/standin/broken"
 	"github.com/hickorylug/hickorylug/state/config"
 	"github.com/hickorylug/hickorylug/transport/backend"
@@ -60,3 +61,33 @@
 		})
 	}
 }
+
+// A backend server in trouble sent heads that are none. What they say, or what follows them, must not be taken for a response.
+func TestMalformedHeads(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	tests := map[string]string{
+		"status 000":                        "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"status 000 without a body":         "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
+		"status 000, then a sound response": "HTTP/1.1 000 Trouble\r\n\r\n" + sound,
+		"status 099":                        "HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"switching protocols":               "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := broken.Listen(text, broken.EndAndRead)
+			is.NoErr(err)
+			defer s.Close()
+			transport := backend.NewTransport()
+			defer transport.Close()
+			_, _, err = sendUpload(t, transport, s.Address())
+			is.True(err != nil)
+			is.True(!errors.Is(err, group.ErrNotSent))
+			_, err = transport.Probe(t.Context(), config.Server{Address: s.Address()}, "/health")
+			is.True(err != nil)
+			_, err = transport.Grant(t.Context(), config.Server{Address: s.Address()}, protocol.Grant{})
+			is.True(err != nil)
+			is.Equal(s.Requests(), int64(3))
+		})
+	}
+}
--- a/transport/caller/broken_test.go
+++ b/transport/caller/broken_test.go
@@ -75,3 +75,25 @@
 	}
 	is.Equal(s.Requests(), int64(tries))
 }
+
+// A backend server in trouble sent heads that are none. A caller must not get them, what follows them, or parts of them.
+func TestMalformedHeadsReachNoCaller(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	tests := map[string]string{
+		"status 000":                        "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"status 000, then a sound response": "HTTP/1.1 000 Trouble\r\n\r\n" + sound,
+		"status 099":                        "HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := broken.Listen(text, broken.EndAndRead)
+			is.NoErr(err)
+			defer s.Close()
+			status, body := put(t, serveFrom(t, s.Address()), "")
+			is.Equal(status, http.StatusBadGateway) // It may have run.
+			is.True(!strings.Contains(body, "body"))
+			is.Equal(s.Requests(), int64(1))
+		})
+	}
+}
--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -83,13 +83,16 @@
 // protocolName begins each status line.
 var protocolName = []byte("HTTP/")
 
-// isStatusLine reports whether net/http takes a line for a status line.
+// minStatus is the lowest status code (RFC 9110, section 15). net/http takes any three digits for one.
+const minStatus = 100
+
+// isStatusLine reports whether a line is a status line that net/http can parse.
 func isStatusLine(line string) bool {
 	protocol, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	number, err := strconv.Atoi(code)
 	_, _, ok := http.ParseHTTPVersion(protocol)
-	return ok && len(code) == 3 && err == nil && number >= 0
+	return ok && len(code) == 3 && err == nil && number >= minStatus
 }
 
 // isFieldLine reports whether a line can be a field or the continuation of one.
@@ -97,6 +100,14 @@
 	return line[0] == ' ' || line[0] == '\t' || bytes.IndexByte(line, ':') >= 0
 }
 
+// CheckStatus returns an error if a status can't be that of a final response.
+func CheckStatus(status int) error {
+	if status < http.StatusOK {
+		return errors.Newf("%03d is not the status of a response", status)
+	}
+	return nil
+}
+
 // parsedBytes returns the memory that the head takes once it is parsed.
 func (s *headScanner) parsedBytes() int { return s.scanned + s.lines*parsedLineBytes }
 
--- a/transport/http1/transport.go
+++ b/transport/http1/transport.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Transport is a transport of net/http that returns no broken response as a complete one. Its connections are Streams.
@@ -26,3 +29,20 @@
 	}
 	return &Transport{Transport: t}
 }
+
+// RoundTrip sends a request and returns its response, whose body is still to be read. A response with a malformed head is an error; its connection
+// is closed, since the bytes after the head may be anything.
+func (t *Transport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	resp, err = t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		err = errors.CombineErrors(err, resp.Body.Close())
+		// net/http keeps the connection of a response without a body.
+		return nil, errors.CombineErrors(err, conn.Close())
+	}
+	return resp, nil
+}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -155,7 +155,8 @@
 	return &Client{options: o, client: http1.NewClient(http1.WithDialTimeout(dialTimeout), http1.WithDial(o.Dial), http1.WithQuota(quota)), quota: quota}
 }
 
-// Do asks the VM at an address to make an attempt. The error is marked with ErrDeclined unless the attempt may have been made.
+// Do asks the VM at an address to make an attempt. The error is marked with ErrDeclined unless the attempt may have been made. A result
+// that is neither a failure nor a valid response is an error; a VM of an older build may send one.
 func (c *Client) Do(ctx context.Context, vm id.VM, address string, a Attempt) (r Result, err error) {
 	defer func() { err = errors.Wrapf(err, "send through VM %s", vm) }()
 	deadline := c.options.Clock.Boot().Add(a.Timeout)
@@ -197,7 +198,13 @@
 	if err != nil {
 		return r, err
 	}
-	return r, decode(data, &r)
+	if err := decode(data, &r); err != nil {
+		return r, err
+	}
+	if r.Failure != nil {
+		return r, nil
+	}
+	return r, http1.CheckStatus(r.Status)
 }
 
 // limit sets the limits of an attempt by the other VM's clock.
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -25,6 +25,7 @@
 	answer := relay.Result{Status: http.StatusTeapot, Header: http.Header{"A": {"b"}}, Body: []byte("body")}
 	// Field values and targets may hold any bytes, not only UTF-8.
 	latin := relay.Result{Status: http.StatusOK, Header: http.Header{"A": {"caf\xe9"}}, Body: []byte("body")}
+	withStatus := func(status int) relay.Result { return relay.Result{Status: status, Body: answer.Body} }
 	unsent := relay.Result{Failure: &relay.Failure{Refused: true, Cause: "refused"}}
 	send := func(r relay.Result, ok bool) http.Handler {
 		return relay.NewHandler(quota, func(context.Context, relay.Attempt) (relay.Result, bool) { return r, ok })
@@ -49,6 +50,9 @@
 		"an attempt without time":  {handler: send(answer, true), attempt: relay.Attempt{Server: "s", Method: http.MethodGet}, declined: true},
 		"the connection breaks":    {handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), failed: true},
 		"a panic":                  {handler: relay.NewHandler(quota, func(context.Context, relay.Attempt) (relay.Result, bool) { panic(http.ErrAbortHandler) }), failed: true},
+		"no status":                {handler: send(withStatus(0), true), failed: true},
+		"status 099":               {handler: send(withStatus(99), true), failed: true},
+		"informational status":     {handler: send(withStatus(103), true), failed: true},
 		"bytes that are no result": {handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("\xff")) }), failed: true},
 	}
 	for name, test := range tests {
