A response with a blank in a field's name is malformed

What callers saw, on other systems: a backend server in trouble sent an answer whose head has a field with a blank or a control byte in its name, and the client got it as an answer, with that line or with another body. Here: edge and serve passed on the answer; with "Content-Length : 4" its body had the bytes after the end, with "Transfer-Encoding : chunked" the sizes of the chunks.

Cause: net/http accepts blanks in names. It keeps such a field under its odd name, so it doesn't see the length or the encoding, and reads to the end of the connection.

Control bytes and tabs in names, and control bytes in values, were errors before, in edge and in serve; their tests stay.

For net/http, http1.Transport checks the names of the parsed head, and those of informational ones. The relay's client checks the result of another VM. As with a malformed status, the connection is closed and the attempt counts as sent.

Why it works: no reader gets a header with such a name, and no body is read by a length that a name hides.

--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -95,16 +96,28 @@
 	return ok && len(code) == 3 && err == nil && number >= minStatus
 }
 
-// isFieldLine reports whether a line can be a field or the continuation of one.
+// isFieldLine reports whether a line can be a field or the continuation of one. net/http accepts blanks in a name; it doesn't see the length of a
+// body in "Content-Length : 4".
 func isFieldLine(line []byte) bool {
-	return line[0] == ' ' || line[0] == '\t' || bytes.IndexByte(line, ':') >= 0
+	name, _, found := bytes.Cut(line, []byte{':'})
+	return line[0] == ' ' || line[0] == '\t' || found && httpguts.ValidHeaderFieldName(string(name))
 }
 
-// CheckStatus returns an error if a status can't be that of a final response.
-func CheckStatus(status int) error {
+// CheckHead returns an error if a status and a header can't be those of a final response.
+func CheckHead(status int, h http.Header) error {
 	if status < http.StatusOK {
 		return errors.Newf("%03d is not the status of a response", status)
 	}
+	return checkNames(h)
+}
+
+// checkNames returns an error if a field has a malformed name.
+func checkNames(h map[string][]string) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return shortened(errors.Newf("malformed field name %q", name))
+		}
+	}
 	return nil
 }
 
--- a/transport/http1/transport.go
+++ b/transport/http1/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/cockroachdb/errors"
 )
@@ -34,12 +35,15 @@
 // is closed, since the bytes after the head may be anything.
 func (t *Transport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
 	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(h) },
+	}
 	resp, err = t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckStatus(resp.StatusCode); err != nil {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		err = errors.CombineErrors(err, resp.Body.Close())
 		// net/http keeps the connection of a response without a body.
 		return nil, errors.CombineErrors(err, conn.Close())
--- a/transport/http1/transport_test.go
+++ b/transport/http1/transport_test.go
@@ -21,6 +21,8 @@
 		"status 000":                "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
 		"status 000 without length": "HTTP/1.1 000 Trouble\r\n\r\n",
 		"status 099 with a body":    "HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"blank in a name":           "HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 0\r\n\r\n",
+		"informational head":        "HTTP/1.1 103 Early Hints\r\nX Name: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	}
 	for name, head := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -204,7 +204,7 @@
 	if r.Failure != nil {
 		return r, nil
 	}
-	return r, http1.CheckStatus(r.Status)
+	return r, http1.CheckHead(r.Status, r.Header)
 }
 
 // limit sets the limits of an attempt by the other VM's clock.
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -53,6 +53,7 @@
 		"no status":                {handler: send(withStatus(0), true), failed: true},
 		"status 099":               {handler: send(withStatus(99), true), failed: true},
 		"informational status":     {handler: send(withStatus(103), true), failed: true},
+		"blank in a field's name":  {handler: send(relay.Result{Status: http.StatusOK, Header: http.Header{"Content-Length ": {"4"}}}, true), failed: true},
 		"bytes that are no result": {handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("\xff")) }), failed: true},
 	}
 	for name, test := range tests {
