serve: another VM's malformed head isn't a response

What callers saw: nothing here; found by looking for the same cause wherever answers are read. A VM that serves a request through the VM that holds the lease took any status and any field name for those of a response. A VM of an older build passes on status 000, or a field with a blank in its name, as it came.

Cause: the head was decoded and not checked, as in transport/relay.

Change: Relay checks the head as http1.Transport does. The outcome is unknown, since the backend server may have run the request.

--- a/transport/peer/relay.go
+++ b/transport/peer/relay.go
@@ -12,6 +12,7 @@
 	"github.com/hickorylug/hickorylug/protocol/peerpb"
 	"github.com/hickorylug/hickorylug/state/id"
 	"github.com/hickorylug/hickorylug/state/pool"
+	"github.com/hickorylug/hickorylug/transport/http1"
 )
 
 // chunkBytes is the maximum size of the chunks in which bodies are sent.
@@ -59,6 +60,11 @@
 		return nil, err
 	}
 	resp = decodeResponse(first.GetHead())
+	if err := http1.CheckHead(resp.Status, resp.Header); err != nil {
+		// A VM of an older build passes on what its backend server has sent.
+		cancel()
+		return nil, outcome.Unknown(outcome.ServerFailed, "the answer through VM %s: %v", vm, err)
+	}
 	resp.Body = &responseBody{stream: stream, cancel: cancel, unread: first.GetChunk(), complete: first.GetWhole()}
 	return resp, nil
 }
