--- a/edge/cutresponses_test.go
+++ b/edge/cutresponses_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/platform"
+	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -141,8 +142,11 @@
 			result := send(ctx, relay.Attempt{
 				Server: "s", Address: server, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body, RequestID: r.ID, Timeout: time.Minute,
 			})
-			if result.Failure != nil {
-				return nil, fmt.Errorf("sent: %s", result.Failure.Cause)
+			switch failure := result.Failure; {
+			case failure != nil && failure.Sent:
+				return nil, outcome.Unknown(outcome.ServerFailed, "%s", failure.Cause)
+			case failure != nil:
+				return nil, outcome.NotRun(outcome.NoServer, "%s", failure.Cause)
 			}
 			return &forward.Answer{Status: result.Status, Header: result.Header, Body: result.Body}, nil
 		},
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -2,7 +2,8 @@
 //
 // Unlike the transport of net/http it never retries a request, reports for each
 // failure whether the request may have been read, and never returns a response
-// that belongs to another request.
+// that belongs to another request, or one that broke off or is malformed as a
+// complete one. NewTransport gives the last to clients of net/http.
 //
 // # Usage
 //
@@ -11,6 +12,8 @@
 //	if http1.WasSent(err) {
 //		// The backend server may have run the request.
 //	}
+//
+//	store := &http.Client{Transport: http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4})}
 package http1
 
 import (
