Tests of broken answers share their malformed heads and their serving VM

Found in the last reading: four packages wrote the same list of heads, and transport/caller set up the same VM and the same caller twice.

--- a/edge/brokenresponses_test.go
+++ b/edge/brokenresponses_test.go
@@ -52,25 +52,7 @@
 
 // A backend server in trouble sent heads that are none. A caller must not get them, what follows them, or parts of them.
 func TestMalformedHeadsReachNoCaller(t *testing.T) {
-	const (
-		own   = "Attempt-Id: a\r\nResponse-Signature: s\r\n"
-		sound = "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 4\r\n\r\nbody"
-	)
-	tests := map[string]string{
-		"status 000":                         "HTTP/1.1 000 Trouble\r\n" + own + "Content-Length: 4\r\n\r\nbody",
-		"status 000 without a body":          "HTTP/1.1 000 Trouble\r\n" + own + "\r\n",
-		"status 000, then a sound response":  "HTTP/1.1 000 Trouble\r\n" + own + "\r\n" + sound,
-		"status 099":                         "HTTP/1.1 099 Trouble\r\n" + own + "Content-Length: 4\r\n\r\nbody",
-		"status 099, then a sound response":  "HTTP/1.1 099 Trouble\r\n" + own + "\r\n" + sound,
-		"blank in a name":                    "HTTP/1.1 200 OK\r\nX Name: a\r\n" + own + "Content-Length: 4\r\n\r\nbody",
-		"blank in the name of the length":    "HTTP/1.1 200 OK\r\n" + own + "Content-Length : 4\r\n\r\nbody and more",
-		"blank in the name of the encoding":  "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-		"control byte in a name":             "HTTP/1.1 200 OK\r\nX-\x01: a\r\n" + own + "Content-Length: 4\r\n\r\nbody",
-		"tab in a name":                      "HTTP/1.1 200 OK\r\nX\tName: a\r\n" + own + "Content-Length: 4\r\n\r\nbody",
-		"control byte in a value":            "HTTP/1.1 200 OK\r\nX-Name: \x01\r\n" + own + "Content-Length: 4\r\n\r\nbody",
-		"no body in 000, a sound one behind": "HTTP/1.1 000 Trouble\r\n" + own + "Content-Length: 0\r\n\r\n" + sound,
-	}
-	for name, text := range tests {
+	for name, text := range broken.Heads("Attempt-Id: a\r\nResponse-Signature: s\r\n", "body") {
 		for way, send := range cutWays(t) {
 			t.Run(way+": "+name, func(t *testing.T) {
 				is := is.New(t)
--- a/transport/backend/broken_test.go
+++ b/transport/backend/broken_test.go
@@ -64,21 +64,8 @@
 
 // A backend server in trouble sent heads that are none. What they say, or what follows them, must not be taken for a response.
 func TestMalformedHeads(t *testing.T) {
-	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
-	tests := map[string]string{
-		"status 000":                        "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
-		"status 000 without a body":         "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
-		"status 000, then a sound response": "HTTP/1.1 000 Trouble\r\n\r\n" + sound,
-		"status 099":                        "HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\nbody",
-		"blank in a name":                   "HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 4\r\n\r\nbody",
-		"blank in the name of the length":   "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
-		"blank in the name of the encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-		"control byte in a name":            "HTTP/1.1 200 OK\r\nX-\x01: a\r\nContent-Length: 4\r\n\r\nbody",
-		"tab in a name":                     "HTTP/1.1 200 OK\r\nX\tName: a\r\nContent-Length: 4\r\n\r\nbody",
-		"control byte in a value":           "HTTP/1.1 200 OK\r\nX-Name: \x01\r\nContent-Length: 4\r\n\r\nbody",
-		"in an informational head":          "HTTP/1.1 103 Early Hints\r\nX Name: a\r\n\r\n" + sound,
-		"switching protocols":               "HTTP/1.1 101 Switching Protocols\r\n\r\n",
-	}
+	tests := broken.Heads("", "body")
+	tests["switching protocols"] = "HTTP/1.1 101 Switching Protocols\r\n\r\n"
 	for name, text := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/transport/caller/broken_test.go
+++ b/transport/caller/broken_test.go
@@ -38,10 +38,10 @@
 	return s.URL
 }
 
-// put sends an upload to a VM. The status is 0 if the response isn't complete.
-func put(t *testing.T, url, upload string) (status int, body string) {
+// send sends a request to a VM. The status is 0 if the response isn't complete.
+func send(t *testing.T, method, url, upload string) (status int, body string) {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url+"/uploads", strings.NewReader(upload))
+	r, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(upload))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +69,7 @@
 	defer s.Close()
 	url, upload := serveFrom(t, s.Address()), strings.Repeat("u", 8<<20)
 	for range tries {
-		status, body := put(t, url, upload)
+		status, body := send(t, http.MethodPut, url+"/uploads", upload)
 		is.True(status < 200 || status >= 300)
 		is.True(status == 0 || body != "part of it")
 	}
@@ -78,25 +78,13 @@
 
 // A backend server in trouble sent heads that are none. A caller must not get them, what follows them, or parts of them.
 func TestMalformedHeadsReachNoCaller(t *testing.T) {
-	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
-	tests := map[string]string{
-		"status 000":                        "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
-		"blank in a name":                   "HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 4\r\n\r\nbody",
-		"blank in the name of the length":   "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
-		"blank in the name of the encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-		"control byte in a name":            "HTTP/1.1 200 OK\r\nX-\x01: a\r\nContent-Length: 4\r\n\r\nbody",
-		"tab in a name":                     "HTTP/1.1 200 OK\r\nX\tName: a\r\nContent-Length: 4\r\n\r\nbody",
-		"control byte in a value":           "HTTP/1.1 200 OK\r\nX-Name: \x01\r\nContent-Length: 4\r\n\r\nbody",
-		"status 000, then a sound response": "HTTP/1.1 000 Trouble\r\n\r\n" + sound,
-		"status 099":                        "HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\nbody",
-	}
-	for name, text := range tests {
+	for name, text := range broken.Heads("", "body") {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s, err := broken.Listen(text, broken.EndAndRead)
 			is.NoErr(err)
 			defer s.Close()
-			status, body := put(t, serveFrom(t, s.Address()), "")
+			status, body := send(t, http.MethodPut, serveFrom(t, s.Address())+"/uploads", "")
 			is.Equal(status, http.StatusBadGateway) // It may have run.
 			is.True(!strings.Contains(body, "body"))
 			is.Equal(s.Requests(), int64(1))
--- a/transport/caller/cut_test.go
+++ b/transport/caller/cut_test.go
@@ -2,20 +2,13 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
-
-	"github.com/hickorylug/hickorylug/protocol/exchange"
-	"github.com/hickorylug/hickorylug/protocol/outcome"
-	"github.com/hickorylug/hickorylug/state/config"
-	"github.com/hickorylug/hickorylug/transport/backend"
 )
 
 // A response that ends early, also within its head, must not reach the caller as a complete one, although its head is passed on before.
@@ -49,35 +42,8 @@
 					_ = c.Close()
 				}
 			}()
-			transport := backend.NewTransport()
-			handler := newHandler(t, func(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
-				req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+l.Addr().String()+r.Target, nil)
-				if err != nil {
-					return nil, err
-				}
-				resp, err := transport.Send(ctx, config.Server{Address: l.Addr().String()}, 1, req)
-				if err != nil {
-					return nil, outcome.Unknown(outcome.ServerFailed, "%v", err)
-				}
-				return &exchange.Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength}, nil
-			})
-			s := httptest.NewServer(handler)
-			defer s.Close()
-			request := func() (status int, body string) {
-				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL+"/plans", nil)
-				is.NoErr(err)
-				r.Header.Set("Who", "7")
-				resp, err := http.DefaultClient.Do(r)
-				if err != nil {
-					return 0, ""
-				}
-				defer resp.Body.Close()
-				data, err := io.ReadAll(resp.Body)
-				if err != nil {
-					return 0, ""
-				}
-				return resp.StatusCode, string(data)
-			}
+			url := serveFrom(t, l.Addr().String())
+			request := func() (status int, body string) { return send(t, http.MethodGet, url+"/plans", "") }
 			complete := test.complete
 			if complete == 0 {
 				complete = len(test.text)
--- a/transport/http1/stream.go
+++ b/transport/http1/stream.go
@@ -52,7 +52,8 @@
 	return n, err
 }
 
-// abortError returns the error with which a write has learned that the connection was aborted, or nil if none has.
+// abortError returns the error with which a write has learned that the connection was aborted, or nil if none has. It also returns why that can't be
+// told.
 //
 // A write in progress is interrupted, since it may be about to return that error. The rest of the request has no use: the server answers nothing
 // any more.
