http1: a connection has one way to its socket

Found in the last reading: a connection kept its socket, the stream of that socket, and the stream once more in its source, and a write to the socket itself would have passed the stream by. The socket is the stream now; tcp returns what its options need, in place of four conversions. Stream.NetConn goes: its embedded connection is exported.

--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -175,7 +175,7 @@
 	if !ok {
 		return
 	}
-	c, ok := stream.NetConn().(*countingConn)
+	c, ok := stream.Conn.(*countingConn)
 	if !ok {
 		return
 	}
--- a/transport/http1/connection.go
+++ b/transport/http1/connection.go
@@ -40,8 +40,7 @@
 type connection struct {
 	client *Client
 	key    poolKey
-	socket net.Conn
-	stream *Stream
+	socket *Stream
 	source *source
 	reader *bufio.Reader
 	// reserved is what the response's head has taken from the quota.
@@ -59,7 +58,7 @@
 func (c *Client) dial(ctx context.Context, key poolKey) (conn *connection, err error) {
 	dialCtx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
 	defer cancel()
-	socket, err := c.options.Dial(dialCtx, key.address)
+	dialed, err := c.options.Dial(dialCtx, key.address)
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		c.options.OnDial(key.server, err)
 	}
@@ -69,14 +68,17 @@
 		}
 		return nil, err
 	}
-	stream := NewStream(socket)
-	from := &source{stream: stream}
+	socket := NewStream(dialed)
+	from := &source{socket: socket}
 	return &connection{
-		client: c, key: key, socket: socket, stream: stream, source: from, reader: bufio.NewReaderSize(from, readBufferBytes),
+		client: c, key: key, socket: socket, source: from, reader: bufio.NewReaderSize(from, readBufferBytes),
 		openedAt: time.Now(), usableUntil: time.Now().Add(c.options.IdleTimeout), userTimeout: c.options.UserTimeout,
 	}, nil
 }
 
+// tcp returns the connection's socket for its options.
+func (c *connection) tcp() *net.TCPConn { return c.socket.Conn.(*net.TCPConn) }
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func (o Options) setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return setUserTimeout(raw, o.UserTimeout)
@@ -96,7 +98,7 @@
 	if d == c.userTimeout {
 		return nil
 	}
-	raw, err := c.socket.(*net.TCPConn).SyscallConn()
+	raw, err := c.tcp().SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -126,7 +128,7 @@
 
 // isIdle reports whether a connection is still open and has no unread bytes.
 func (c *connection) isIdle() bool {
-	raw, err := c.socket.(*net.TCPConn).SyscallConn()
+	raw, err := c.tcp().SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -146,7 +148,7 @@
 // request or a grant could arrive after it was abandoned.
 func (c *connection) reset() {
 	// Errors are ignored, since they mean that the connection is already closed.
-	_ = c.socket.(*net.TCPConn).SetLinger(0)
+	_ = c.tcp().SetLinger(0)
 	_ = c.socket.Close()
 	c.giveBack()
 	c.client.release(c.key)
@@ -212,7 +214,7 @@
 		select {
 		case <-written:
 			// An error means that the connection is closed.
-			_ = c.socket.(*net.TCPConn).CloseWrite()
+			_ = c.tcp().CloseWrite()
 		case <-finished:
 		}
 	})
@@ -241,16 +243,16 @@
 // write sends an encoded request. written is closed once all of it has been written.
 //
 // A backend server may answer before it has read a long body, so a long request
-// is written concurrently with reading the response. The stream keeps the error of that write.
+// is written concurrently with reading the response. The socket keeps the error of that write.
 func (c *connection) write(data []byte) (written <-chan struct{}, err error) {
 	done := make(chan struct{})
 	if len(data) <= inlineWriteBytes {
-		_, err := c.stream.Write(data)
+		_, err := c.socket.Write(data)
 		close(done)
 		return done, err
 	}
 	go func() {
-		if _, err := c.stream.Write(data); err == nil {
+		if _, err := c.socket.Write(data); err == nil {
 			close(done)
 		}
 	}()
--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -31,17 +31,17 @@
 	errNoMemoryForHead = errors.Wrap(ErrQuota, "the head of the response")
 )
 
-// source is what a connection reads: bytes that were read ahead, and then the stream.
+// source is what a connection reads: bytes that were read ahead, and then the socket.
 type source struct {
-	stream *Stream
+	socket *Stream
 	ahead  []byte
 }
 
-// Read reads from the bytes that were read ahead or, if there are none, from the stream.
+// Read reads from the bytes that were read ahead or, if there are none, from the socket.
 func (s *source) Read(p []byte) (n int, err error) {
 	if len(s.ahead) == 0 {
 		s.ahead = nil
-		return s.stream.Read(p)
+		return s.socket.Read(p)
 	}
 	n = copy(p, s.ahead)
 	s.ahead = s.ahead[n:]
--- a/transport/http1/stream.go
+++ b/transport/http1/stream.go
@@ -26,9 +26,6 @@
 // NewStream returns the stream of a new connection. Nothing else may read from the connection or write to it.
 func NewStream(c net.Conn) *Stream { return &Stream{Conn: c} }
 
-// NetConn returns the connection.
-func (s *Stream) NetConn() net.Conn { return s.Conn }
-
 // Write writes to the connection.
 func (s *Stream) Write(p []byte) (n int, err error) {
 	s.writing.Lock()
