Tests share how a caller takes a response, and how net/http's one is read

Test code only, assertions as before; the tests of transport/http1, transport/caller and the ones concerned in edge pass.

--- a/edge/cutresponses_test.go
+++ b/edge/cutresponses_test.go
@@ -17,6 +17,7 @@
 	"github.com/hickorylug/hickorylug/coordination/forward"
 	"github.com/hickorylug/hickorylug/platform"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
+	"github.com/hickorylug/hickorylug/standin/client"
 	"github.com/hickorylug/hickorylug/state/clock"
 	"github.com/hickorylug/hickorylug/state/fleet"
 	"github.com/hickorylug/hickorylug/state/id"
@@ -172,14 +173,5 @@
 	}
 	r.Host = "a.example"
 	r.Header.Set(platform.HeaderRequestID, "a")
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, string(data)
+	return client.Exchange(r)
 }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickorylug/hickorylug/edge"
+	"github.com/hickorylug/hickorylug/standin/client"
 	"github.com/hickorylug/hickorylug/standin/faultproxy"
 	"github.com/hickorylug/hickorylug/standin/kv"
 	"github.com/hickorylug/hickorylug/standin/loopback"
@@ -184,16 +184,7 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, string(data)
+	return client.Exchange(r)
 }
 
 // awaitStatus repeats a GET request until it returns the given status.
--- a/transport/caller/broken_test.go
+++ b/transport/caller/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/hickorylug/hickorylug/protocol/exchange"
 	"github.com/hickorylug/hickorylug/protocol/outcome"
 	"github.com/hickorylug/hickorylug/standin/broken"
+	"github.com/hickorylug/hickorylug/standin/client"
 	"github.com/hickorylug/hickorylug/state/config"
 	"github.com/hickorylug/hickorylug/transport/backend"
 )
@@ -46,16 +46,7 @@
 		t.Fatal(err)
 	}
 	r.Header.Set("Who", "7")
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, string(data)
+	return client.Exchange(r)
 }
 
 // A backend server answered a long upload at once without a length and reset the connection while the upload was being written. The caller got
--- a/transport/http1/reset_test.go
+++ b/transport/http1/reset_test.go
@@ -84,6 +84,11 @@
 	if err != nil {
 		return "", err
 	}
+	return roundTrip(transport, r)
+}
+
+// roundTrip sends a request by a transport of net/http and reads its response.
+func roundTrip(transport http.RoundTripper, r *http.Request) (body string, err error) {
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
 		return "", err
--- a/transport/http1/transport_test.go
+++ b/transport/http1/transport_test.go
@@ -53,13 +53,7 @@
 			get := func() (body string, err error) {
 				r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Addr().String(), nil)
 				is.NoErr(err)
-				resp, err := transport.RoundTrip(r)
-				if err != nil {
-					return "", err
-				}
-				defer resp.Body.Close()
-				data, err := io.ReadAll(resp.Body)
-				return string(data), err
+				return roundTrip(transport, r)
 			}
 			_, err = get()
 			is.True(err != nil)
