--- a/edge/brokenresponses_test.go
+++ b/edge/brokenresponses_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -21,9 +22,11 @@
 	)
 	tests := map[string]struct {
 		end   broken.End
+		pause time.Duration
 		whole bool
 	}{
-		"reset":                     {end: broken.Reset},
+		"reset at once":             {end: broken.Reset},
+		"reset later":               {end: broken.Reset, pause: 5 * time.Millisecond},
 		"ended, the upload is read": {end: broken.EndAndRead, whole: true},
 		"ended, then reset":         {end: broken.EndAndReset, whole: true},
 	}
@@ -31,7 +34,7 @@
 		for way, send := range cutWays(t) {
 			t.Run(way+": "+name, func(t *testing.T) {
 				is := is.New(t)
-				s, err := broken.Listen(head+"part of it", test.end)
+				s, err := broken.Listen(head+"part of it", test.end, broken.WithPause(test.pause))
 				is.NoErr(err)
 				defer s.Close()
 				caller := newCutCaller(t, s.Address(), send)
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -41,20 +42,30 @@
 	listener net.Listener
 	response string
 	end      End
+	pause    time.Duration
 	requests atomic.Int64
 
 	mu    sync.Mutex
 	conns []net.Conn
 }
 
+// Option sets one of the settings of a Server.
+type Option func(*Server)
+
+// WithPause sets the time between the response and the end of the connection.
+func WithPause(d time.Duration) Option { return func(s *Server) { s.pause = d } }
+
 // Listen starts a server at a free loopback address.
-func Listen(response string, end End) (s *Server, err error) {
+func Listen(response string, end End, opts ...Option) (s *Server, err error) {
 	defer func() { err = errors.Wrap(err, "start a server with broken responses") }()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s = &Server{listener: l, response: response, end: end}
+	for _, opt := range opts {
+		opt(s)
+	}
 	go s.accept()
 	return s, nil
 }
@@ -100,6 +111,7 @@
 	if _, err := io.WriteString(c, s.response); err != nil {
 		return
 	}
+	time.Sleep(s.pause)
 	if s.end != Reset {
 		_ = c.CloseWrite()
 	}
--- a/transport/backend/broken_test.go
+++ b/transport/backend/broken_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -39,15 +40,17 @@
 	const tries = 20
 	tests := map[string]struct {
 		end   broken.End
+		pause time.Duration
 		whole bool
 	}{
-		"reset":                     {end: broken.Reset},
+		"reset at once":             {end: broken.Reset},
+		"reset later":               {end: broken.Reset, pause: 5 * time.Millisecond},
 		"ended, the upload is read": {end: broken.EndAndRead, whole: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s, err := broken.Listen("HTTP/1.1 200 OK\r\n\r\npart of it", test.end)
+			s, err := broken.Listen("HTTP/1.1 200 OK\r\n\r\npart of it", test.end, broken.WithPause(test.pause))
 			is.NoErr(err)
 			defer s.Close()
 			transport := backend.NewTransport()
--- a/transport/caller/broken_test.go
+++ b/transport/caller/broken_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -54,17 +55,21 @@
 func TestResponsesResetDuringUploads(t *testing.T) {
 	// tries is how often an upload is tried: which call learns of a reset depends on the moment at which it comes.
 	const tries = 10
-	is := is.New(t)
-	s, err := broken.Listen("HTTP/1.1 200 OK\r\n\r\npart of it", broken.Reset)
-	is.NoErr(err)
-	defer s.Close()
-	url, upload := serveFrom(t, s.Address()), strings.Repeat("u", 8<<20)
-	for range tries {
-		status, body := send(t, http.MethodPut, url+"/uploads", upload)
-		is.True(status < 200 || status >= 300)
-		is.True(status == 0 || body != "part of it")
+	for name, pause := range map[string]time.Duration{"at once": 0, "later": 5 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := broken.Listen("HTTP/1.1 200 OK\r\n\r\npart of it", broken.Reset, broken.WithPause(pause))
+			is.NoErr(err)
+			defer s.Close()
+			url, upload := serveFrom(t, s.Address()), strings.Repeat("u", 8<<20)
+			for range tries {
+				status, body := send(t, http.MethodPut, url+"/uploads", upload)
+				is.True(status < 200 || status >= 300)
+				is.True(status == 0 || body != "part of it")
+			}
+			is.Equal(s.Requests(), int64(tries))
+		})
 	}
-	is.Equal(s.Requests(), int64(tries))
 }
 
 // A backend server in trouble sent heads that are none. A caller must not get them, what follows them, or parts of them.
--- a/transport/http1/transport_test.go
+++ b/transport/http1/transport_test.go
@@ -53,7 +53,7 @@
 			get := func() (body string, err error) {
 				r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Addr().String(), nil)
 				is.NoErr(err)
-				return roundTrip(transport, r)
+				return roundTrip(transport, r, 0)
 			}
 			_, err = get()
 			is.True(err != nil)
