--- /dev/null
+++ b/review/tools-3/held/traffic.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	longCallers  = 80
+	shortCallers = 12
+	// longPeriod is the time from one long request of a caller to its next, and shortPeriod that of a short one.
+	longPeriod  = 5 * time.Second
+	shortPeriod = 600 * time.Millisecond
+)
+
+// traffic is the callers' requests and what became of them.
+type traffic struct {
+	journal *journal
+	address string
+
+	mu      sync.Mutex
+	answers map[string]int
+	lost    []string
+}
+
+// run sends requests until their time is over or the process has ended.
+func (t *traffic) run(gone <-chan struct{}) {
+	t.answers = map[string]int{}
+	begin := time.Now()
+	var wg sync.WaitGroup
+	for i := range longCallers {
+		first := begin.Add(time.Duration(i) * longPeriod / longCallers)
+		wg.Go(func() { t.call(gone, fmt.Sprintf("c0%04x", i), longPath, first, begin.Add(trafficTime), longPeriod) })
+	}
+	for i := range shortCallers {
+		first := begin.Add(time.Duration(i) * shortPeriod / shortCallers)
+		wg.Go(func() { t.call(gone, fmt.Sprintf("5e%04x", i), shortPath, first, begin.Add(trafficTime), shortPeriod) })
+	}
+	wg.Wait()
+}
+
+// call sends the requests of one caller, one after the other on a kept connection.
+func (t *traffic) call(gone <-chan struct{}, name, path string, first, until time.Time, period time.Duration) {
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * routeTimeout}
+	next := first
+	for n := 0; !waitFor(next, gone) && time.Now().Before(until); n++ {
+		next = time.Now().Add(period)
+		t.send(client, path, fmt.Sprintf("%s%010x", name, n))
+	}
+}
+
+// send sends one request and records its result.
+func (t *traffic) send(client *http.Client, path, id string) {
+	method, size := http.MethodGet, 0
+	if path == longPath {
+		method, size = http.MethodPost, longBytes
+	}
+	r, err := http.NewRequest(method, "http://"+t.address+path+id, bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		panic(err)
+	}
+	isKept := false
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { isKept = i.Reused }}))
+	r.Host = host
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(routeTimeout.Milliseconds(), 10))
+	begin := time.Now()
+	result, cause := exchange(client, r)
+	isLost := path == shortPath && result == "no answer" && isKept && t.journal.hasBegun(id)
+	t.journal.add("caller: %s%s: %s after %s, kept connection %t, lost %t %s", path, id, result, time.Since(begin).Round(time.Millisecond), isKept, isLost, cause)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answers[path+" "+result]++
+	if isLost {
+		t.lost = append(t.lost, id)
+	}
+}
+
+// exchange sends a request and reads its answer.
+func exchange(client *http.Client, r *http.Request) (result, cause string) {
+	answer, err := client.Do(r)
+	if err != nil {
+		return "no answer", err.Error()
+	}
+	defer answer.Body.Close()
+	if size, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return "a part of an answer", fmt.Sprintf("%d bytes: %v", size, err)
+	}
+	return strconv.Itoa(answer.StatusCode), ""
+}
+
+// report records the numbers of answers and returns that of lost requests.
+func (t *traffic) report() (lost int) {
+	for result, n := range t.answers {
+		t.journal.add("answers: %s: %d", result, n)
+	}
+	return len(t.lost)
+}
