--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,5 +2,6 @@
 # Builds the stand-ins that the scripts of the third review start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p bin
-go build -o bin/ ./review/tools-3/...
+
+go build -tags review -o target/review-held ./review/tools-3/held
+go build -tags review -o target/review-cases ./review/tools/cases
--- a/review/tools-3/held/backends.go
+++ b/review/tools-3/held/backends.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/tools-3/held/main.go
+++ b/review/tools-3/held/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Held runs one entry VM in front of backend servers that read long bodies slowly, and checks that the process stays within its memory.
 //
 // The process is killed once it exceeds its memory, as the platform does. The rule
--- a/review/tools-3/held/traffic.go
+++ b/review/tools-3/held/traffic.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -13,10 +15,12 @@
 
 const (
 	longCallers  = 80
-	shortCallers = 12
+	shortCallers = 24
 	// longPeriod is the time from one long request of a caller to its next, and shortPeriod that of a short one.
 	longPeriod  = 5 * time.Second
 	shortPeriod = 600 * time.Millisecond
+	// longDelay is how much later the long requests begin, so that the callers of short ones have kept connections by then.
+	longDelay = 2 * time.Second
 )
 
 // traffic is the callers' requests and what became of them.
@@ -35,7 +39,7 @@
 	begin := time.Now()
 	var wg sync.WaitGroup
 	for i := range longCallers {
-		first := begin.Add(time.Duration(i) * longPeriod / longCallers)
+		first := begin.Add(longDelay + time.Duration(i)*longPeriod/longCallers)
 		wg.Go(func() { t.call(gone, fmt.Sprintf("c0%04x", i), longPath, first, begin.Add(trafficTime), longPeriod) })
 	}
 	for i := range shortCallers {
