--- a/review/tools-3/silent/backend.go
+++ b/review/tools-3/silent/backend.go
@@ -78,6 +78,22 @@
 
 // register writes the entry of a backend server to the store.
 func (d *deployment) register(b *backend, warmupLeft time.Duration) {
+	d.store.Put("servers/"+b.id, d.entryOf(b, warmupLeft))
+	d.record.line("backend %s of %s is registered, cold for %s", b.id, b.service.name, warmupLeft)
+}
+
+// registerLate does the same, but the store carries the write out late.
+func (d *deployment) registerLate(b *backend, warmupLeft, lateness time.Duration) {
+	entry := d.entryOf(b, warmupLeft)
+	time.AfterFunc(lateness, func() {
+		d.store.Put("servers/"+b.id, entry)
+		d.record.line("the store carries out the write of backend %s that it is cold for %s", b.id, warmupLeft)
+	})
+	d.record.line("backend %s of %s writes that it is cold for %s, and gets no answer", b.id, b.service.name, warmupLeft)
+}
+
+// entryOf returns the next entry of a backend server.
+func (d *deployment) entryOf(b *backend, warmupLeft time.Duration) []byte {
 	b.mu.Lock()
 	b.sequence++
 	entry, err := json.Marshal(map[string]any{
@@ -88,8 +104,7 @@
 	if err != nil {
 		panic(err)
 	}
-	d.store.Put("servers/"+b.id, entry)
-	d.record.line("backend %s of %s is registered, cold for %s", b.id, b.service.name, warmupLeft)
+	return entry
 }
 
 // end ends the process: its port is closed and its connections break.
--- a/review/tools-3/silent/cold.go
+++ b/review/tools-3/silent/cold.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -14,24 +15,25 @@
 
 // burstX is how many times the usual traffic comes for burstTime, from burstBefore before the disruption on.
 const (
+	burstClass  = "sheet-read"
 	burstX      = 1.7
 	burstTime   = 3 * time.Second
 	burstBefore = 1500 * time.Millisecond
 )
 
-// turnDelay is the time from then until the backend server turns cold.
-const turnDelay = 10 * time.Millisecond
+// turnDelay is the time from the silence of a connection until the backend server turns cold, and lateBefore that from the first late write.
+const (
+	turnDelay  = 10 * time.Millisecond
+	lateBefore = time.Second
+)
 
-// playCold turns a backend server cold under load while the connection with the leader's watch of the store is silent.
-func playCold(ctx context.Context, d *deployment, trouble bool) (broken []string, err error) {
+// playCold turns a backend server cold under load: right after the connection with the leader's watch of the store has gone silent, or while the store
+// carries writes out late.
+func playCold(ctx context.Context, d *deployment, isLate, trouble bool) (broken []string, err error) {
 	c := newCallers(d)
-	leader := d.leader()
-	for i := 0; leader == nil && i < 100; i++ {
-		time.Sleep(50 * time.Millisecond)
-		leader = d.leader()
-	}
-	if leader == nil {
-		return nil, fmt.Errorf("there is no leader")
+	leader, err := d.awaitLeader()
+	if err != nil {
+		return nil, err
 	}
 	loadCtx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -40,24 +42,62 @@
 		wg.Go(func() { c.load(loadCtx, k, 1, d.anyVM, uint64(i+1)) })
 	}
 	time.Sleep(6*time.Second - burstBefore)
-	d.record.line("a burst of sheet-read begins")
-	burstCtx, endBurst := context.WithTimeout(loadCtx, burstTime)
-	defer endBurst()
-	wg.Go(func() { c.load(burstCtx, d.classOf("sheet-read"), burstX-1, d.anyVM, 9) })
+	if !isLate {
+		d.record.line("a burst of %s begins", burstClass)
+		burstCtx, endBurst := context.WithTimeout(loadCtx, burstTime)
+		defer endBurst()
+		wg.Go(func() { c.load(burstCtx, d.classOf(burstClass), burstX-1, d.anyVM, 9) })
+	}
 	time.Sleep(burstBefore)
 	if trouble {
-		for i := 0; !leader.storeLink.silenceWatch(); i++ {
-			if i == 200 {
-				return nil, fmt.Errorf("%s, the leader, doesn't watch the store", leader.name)
-			}
-			time.Sleep(5 * time.Millisecond)
+		if err := disrupt(d, leader, isLate); err != nil {
+			return nil, err
 		}
-		d.record.line("the open connection on which %s, the leader, watches the store goes silent; all others, and new ones, work", leader.name)
+	}
+	busiest, most := d.busiest()
+	if busiest == nil {
+		return nil, errors.New("no backend server has work")
+	}
+	d.turnCold(busiest, isLate && trouble)
+	time.Sleep(observeTime)
+	stop()
+	wg.Wait()
+	worst := mostWithinASecond(busiest.all(), c.answers)
+	bound := busiest.service.warmupRate*1.5 + 5
+	d.record.result("%s got %d requests in one second while it was cold; the bound is %.2f; it had %d in 2 s before; answers by status: %v", busiest.id, worst, bound, most, c.counts())
+	if float64(worst) > bound {
+		broken = append(broken, fmt.Sprintf("FAILBACK: a cold backend server got %d requests in one second; %.2f are allowed", worst, bound))
+	}
+	return broken, nil
+}
+
+// disrupt begins the disruption and waits until the backend server is to turn cold.
+func disrupt(d *deployment, leader *vm, isLate bool) error {
+	if isLate {
+		d.delayWrites()
+		time.Sleep(lateBefore)
+		return nil
+	}
+	if err := silenceWatch(d, leader); err != nil {
+		return err
 	}
 	time.Sleep(turnDelay)
-	// The busiest backend server of the service turns cold again, and says so at once.
-	var busiest *backend
-	most := 0
+	return nil
+}
+
+// awaitLeader waits until there is a leader.
+func (d *deployment) awaitLeader() (leader *vm, err error) {
+	for range 100 {
+		if leader = d.leader(); leader != nil {
+			return leader, nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil, errors.New("there is no leader")
+}
+
+// busiest returns the backend server of sheetdesk that has got most requests in the last 2 s, and their number.
+func (d *deployment) busiest() (busiest *backend, most int) {
 	for _, b := range d.allBackends() {
 		n := 0
 		for _, a := range b.all() {
@@ -69,24 +109,23 @@
 			busiest, most = b, n
 		}
 	}
-	if busiest == nil {
-		return nil, fmt.Errorf("no backend server has work")
-	}
-	d.record.line("%s turns cold; it had %d requests in the last 2 s", busiest.id, most)
-	busiest.mu.Lock()
-	busiest.coldUntil = time.Now().Add(busiest.service.warmup)
-	busiest.mu.Unlock()
-	d.register(busiest, busiest.service.warmup)
-	time.Sleep(observeTime - turnDelay)
-	stop()
-	wg.Wait()
-	worst := mostWithinASecond(busiest.all(), c.answers)
-	bound := busiest.service.warmupRate*1.5 + 5
-	d.record.result("%s got %d requests in one second while it was cold; the bound is %.2f; it had %d in 2 s before; answers by status: %v", busiest.id, worst, bound, most, c.counts())
-	if float64(worst) > bound {
-		broken = append(broken, fmt.Sprintf("FAILBACK: a cold backend server got %d requests in one second; %.2f are allowed", worst, bound))
+	return busiest, most
+}
+
+// turnCold turns a backend server cold. It says so at once in its health responses and its entry, whose write may be one of those that are late; the
+// one of the next heartbeat isn't.
+func (d *deployment) turnCold(b *backend, entryIsLate bool) {
+	warmup := b.service.warmup
+	d.record.line("%s turns cold", b.id)
+	b.mu.Lock()
+	b.coldUntil = time.Now().Add(warmup)
+	b.mu.Unlock()
+	if !entryIsLate {
+		d.register(b, warmup)
+		return
 	}
-	return broken, nil
+	d.registerLate(b, warmup, (minLateness+maxLateness)/2)
+	time.AfterFunc(d.layout.heartbeat, func() { d.register(b, warmup-d.layout.heartbeat) })
 }
 
 // mostWithinASecond returns the highest number of requests that were sent by their callers and arrived at a cold backend server inside one second.
@@ -112,3 +151,23 @@
 	}
 	return most
 }
+
+// silenceWatch makes the open connection on which the leader watches the store go silent.
+func silenceWatch(d *deployment, leader *vm) error {
+	for i := 0; !leader.storeLink.silenceWatch(); i++ {
+		if i == 200 {
+			return fmt.Errorf("%s, the leader, doesn't watch the store", leader.name)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	d.record.line("the open connection on which %s, the leader, watches the store goes silent; all others, and new ones, work", leader.name)
+	return nil
+}
+
+// delayWrites makes the store carry a share of the writes out late from now on.
+func (d *deployment) delayWrites() {
+	d.mu.Lock()
+	d.lateUntil = time.Now().Add(lateTime)
+	d.mu.Unlock()
+	d.record.line("the store carries out %.2f of the writes late for %s, and leaves them unanswered", lateShare, lateTime)
+}
--- a/review/tools-3/silent/deployment.go
+++ b/review/tools-3/silent/deployment.go
@@ -112,6 +112,8 @@
 	lastBorn int64
 	lastID   int
 	isClosed bool
+	// lateUntil is until when the store carries a share of the writes out late and leaves them unanswered.
+	lateUntil time.Time
 }
 
 // newDeployment starts the store, the backend servers and the entry VMs, and waits until all VMs are ready. The deployment is never nil.
@@ -133,7 +135,7 @@
 		return d, err
 	}
 	d.address = listener.Addr().String()
-	d.storeServer = &http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}
+	d.storeServer = &http.Server{Handler: &lateWrites{d: d, random: rand.New(rand.NewPCG(3, 4))}, ReadHeaderTimeout: time.Second}
 	go func() { _ = d.storeServer.Serve(listener) }()
 	if err := d.writeConfiguration(1); err != nil {
 		return d, err
