--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,4 +5,3 @@
 
 go build -tags review -o target/review-held ./review/tools-3/held
 go build -tags review -o target/review-silent ./review/tools-3/silent
-go build -tags review -o target/review-cases ./review/tools/cases
--- a/review/tools-3/silent/backend.go
+++ b/review/tools-3/silent/backend.go
@@ -38,6 +38,7 @@
 	zone    string
 	address string
 	born    int64
+	speed   float64
 
 	server *http.Server
 	slots  chan struct{}
@@ -53,7 +54,7 @@
 }
 
 // startBackend starts a process of a backend server at a free address. It isn't registered yet.
-func (d *deployment) startBackend(s service, zone string) (b *backend, err error) {
+func (d *deployment) startBackend(s service, zone string, speed float64) (b *backend, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -67,7 +68,7 @@
 	d.lastBorn = max(d.lastBorn+1, time.Now().UnixMilli())
 	d.lastID++
 	b = &backend{
-		d: d, service: s, id: fmt.Sprintf("i-%06d", d.lastID), zone: zone, address: listener.Addr().String(), born: d.lastBorn,
+		d: d, service: s, id: fmt.Sprintf("i-%06d", d.lastID), zone: zone, address: listener.Addr().String(), born: d.lastBorn, speed: speed,
 		slots: make(chan struct{}, s.slots), ended: make(chan struct{}),
 	}
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
@@ -78,22 +79,6 @@
 
 // register writes the entry of a backend server to the store.
 func (d *deployment) register(b *backend, warmupLeft time.Duration) {
-	d.store.Put("servers/"+b.id, d.entryOf(b, warmupLeft))
-	d.record.line("backend %s of %s is registered, cold for %s", b.id, b.service.name, warmupLeft)
-}
-
-// registerLate does the same, but the store carries the write out late.
-func (d *deployment) registerLate(b *backend, warmupLeft, lateness time.Duration) {
-	entry := d.entryOf(b, warmupLeft)
-	time.AfterFunc(lateness, func() {
-		d.store.Put("servers/"+b.id, entry)
-		d.record.line("the store carries out the write of backend %s that it is cold for %s", b.id, warmupLeft)
-	})
-	d.record.line("backend %s of %s writes that it is cold for %s, and gets no answer", b.id, b.service.name, warmupLeft)
-}
-
-// entryOf returns the next entry of a backend server.
-func (d *deployment) entryOf(b *backend, warmupLeft time.Duration) []byte {
 	b.mu.Lock()
 	b.sequence++
 	entry, err := json.Marshal(map[string]any{
@@ -104,7 +89,8 @@
 	if err != nil {
 		panic(err)
 	}
-	return entry
+	d.store.Put("servers/"+b.id, entry)
+	d.record.line("backend %s of %s is registered, cold for %s", b.id, b.service.name, warmupLeft)
 }
 
 // end ends the process: its port is closed and its connections break.
@@ -230,7 +216,7 @@
 	a.ran = true
 	b.mu.Unlock()
 	select {
-	case <-time.After(b.d.workOf(r.URL.Path)):
+	case <-time.After(b.workOf(r.URL.Path)):
 	case <-ctx.Done():
 		b.setLoad(out)
 		out.WriteHeader(http.StatusGatewayTimeout)
@@ -247,11 +233,18 @@
 	b.mu.Unlock()
 }
 
-// workOf returns the time for which a request runs.
-func (d *deployment) workOf(path string) time.Duration {
-	for _, c := range d.layout.classes {
-		if strings.HasPrefix(path, c.prefix) {
-			return c.work
+// coldFactor is how much longer a cold backend server works on a request (ardlarach-rodcheck, cold_x).
+const coldFactor = 2
+
+// workOf returns the time for which a request runs that begins now.
+func (b *backend) workOf(path string) time.Duration {
+	for _, c := range b.d.layout.classes {
+		switch {
+		case !strings.HasPrefix(path, c.prefix):
+		case b.coldLeft(time.Now()) > 0:
+			return time.Duration(coldFactor * float64(c.work) / b.speed)
+		default:
+			return time.Duration(float64(c.work) / b.speed)
 		}
 	}
 	return 0
--- a/review/tools-3/silent/cold.go
+++ b/review/tools-3/silent/cold.go
@@ -21,15 +21,11 @@
 	burstBefore = 1500 * time.Millisecond
 )
 
-// turnDelay is the time from the silence of a connection until the backend server turns cold, and lateBefore that from the first late write.
-const (
-	turnDelay  = 10 * time.Millisecond
-	lateBefore = time.Second
-)
+// turnDelay is the time from the silence of the connection until the backend server turns cold.
+const turnDelay = 10 * time.Millisecond
 
-// playCold turns a backend server cold under load: right after the connection with the leader's watch of the store has gone silent, or while the store
-// carries writes out late.
-func playCold(ctx context.Context, d *deployment, isLate, trouble bool) (broken []string, err error) {
+// playCold turns a backend server cold under load, right after the connection with the leader's watch of the store has gone silent.
+func playCold(ctx context.Context, d *deployment, trouble bool) (broken []string, err error) {
 	c := newCallers(d)
 	leader, err := d.awaitLeader()
 	if err != nil {
@@ -42,23 +38,22 @@
 		wg.Go(func() { c.load(loadCtx, k, 1, d.anyVM, uint64(i+1)) })
 	}
 	time.Sleep(6*time.Second - burstBefore)
-	if !isLate {
-		d.record.line("a burst of %s begins", burstClass)
-		burstCtx, endBurst := context.WithTimeout(loadCtx, burstTime)
-		defer endBurst()
-		wg.Go(func() { c.load(burstCtx, d.classOf(burstClass), burstX-1, d.anyVM, 9) })
-	}
+	d.record.line("a burst of %s begins", burstClass)
+	burstCtx, endBurst := context.WithTimeout(loadCtx, burstTime)
+	defer endBurst()
+	wg.Go(func() { c.load(burstCtx, d.classOf(burstClass), burstX-1, d.anyVM, 9) })
 	time.Sleep(burstBefore)
 	if trouble {
-		if err := disrupt(d, leader, isLate); err != nil {
+		if err := silenceWatch(d, leader); err != nil {
 			return nil, err
 		}
 	}
+	time.Sleep(turnDelay)
 	busiest, most := d.busiest()
 	if busiest == nil {
 		return nil, errors.New("no backend server has work")
 	}
-	d.turnCold(busiest, isLate && trouble)
+	d.turnCold(busiest)
 	time.Sleep(observeTime)
 	stop()
 	wg.Wait()
@@ -71,20 +66,6 @@
 	return broken, nil
 }
 
-// disrupt begins the disruption and waits until the backend server is to turn cold.
-func disrupt(d *deployment, leader *vm, isLate bool) error {
-	if isLate {
-		d.delayWrites()
-		time.Sleep(lateBefore)
-		return nil
-	}
-	if err := silenceWatch(d, leader); err != nil {
-		return err
-	}
-	time.Sleep(turnDelay)
-	return nil
-}
-
 // awaitLeader waits until there is a leader.
 func (d *deployment) awaitLeader() (leader *vm, err error) {
 	for range 100 {
@@ -112,20 +93,13 @@
 	return busiest, most
 }
 
-// turnCold turns a backend server cold. It says so at once in its health responses and its entry, whose write may be one of those that are late; the
-// one of the next heartbeat isn't.
-func (d *deployment) turnCold(b *backend, entryIsLate bool) {
-	warmup := b.service.warmup
+// turnCold turns a backend server cold. It says so at once in its entry and its health responses.
+func (d *deployment) turnCold(b *backend) {
 	d.record.line("%s turns cold", b.id)
 	b.mu.Lock()
-	b.coldUntil = time.Now().Add(warmup)
+	b.coldUntil = time.Now().Add(b.service.warmup)
 	b.mu.Unlock()
-	if !entryIsLate {
-		d.register(b, warmup)
-		return
-	}
-	d.registerLate(b, warmup, (minLateness+maxLateness)/2)
-	time.AfterFunc(d.layout.heartbeat, func() { d.register(b, warmup-d.layout.heartbeat) })
+	d.register(b, b.service.warmup)
 }
 
 // mostWithinASecond returns the highest number of requests that were sent by their callers and arrived at a cold backend server inside one second.
@@ -163,11 +137,3 @@
 	d.record.line("the open connection on which %s, the leader, watches the store goes silent; all others, and new ones, work", leader.name)
 	return nil
 }
-
-// delayWrites makes the store carry a share of the writes out late from now on.
-func (d *deployment) delayWrites() {
-	d.mu.Lock()
-	d.lateUntil = time.Now().Add(lateTime)
-	d.mu.Unlock()
-	d.record.line("the store carries out %.2f of the writes late for %s, and leaves them unanswered", lateShare, lateTime)
-}
--- a/review/tools-3/silent/deployment.go
+++ b/review/tools-3/silent/deployment.go
@@ -49,6 +49,8 @@
 	warmup         time.Duration
 	// warmupRate is the number of requests per second that a cold backend server tolerates.
 	warmupRate float64
+	// speeds are those of the backend servers, in turn.
+	speeds []float64
 }
 
 // class is a kind of request.
@@ -77,9 +79,9 @@
 	return layout{
 		zones: []zone{{"scot-a", 3}, {"scot-b", 3}, {"scot-c", 2}, {"scot-d", 2}},
 		services: []service{
-			{name: sheetdesk, servers: []int{2, 2, 2, 2}, slots: 4, maxConnections: 54, warmup: 3 * time.Second, warmupRate: 7.9},
-			{name: "certworks", servers: []int{2, 2, 2, 2}, slots: 4, maxConnections: 54, warmup: 3 * time.Second, warmupRate: 7.9},
-			{name: "sitelog", servers: []int{2, 3, 1, 2}, slots: 4, maxConnections: 54, warmup: 3 * time.Second, warmupRate: 7.9},
+			{name: sheetdesk, servers: []int{2, 2, 2, 2}, slots: 4, maxConnections: 54, warmup: 3 * time.Second, warmupRate: 7.9, speeds: []float64{0.5, 1, 1, 1.5}},
+			{name: "certworks", servers: []int{2, 2, 2, 2}, slots: 4, maxConnections: 54, warmup: 3 * time.Second, warmupRate: 7.9, speeds: []float64{0.7, 0.7, 1.6}},
+			{name: "sitelog", servers: []int{2, 3, 1, 2}, slots: 4, maxConnections: 54, warmup: 3 * time.Second, warmupRate: 7.9, speeds: []float64{0.7, 0.7, 1.6}},
 		},
 		classes: []class{
 			{name: "sheet-read", service: sheetdesk, method: http.MethodGet, prefix: "/sheets/", isIdempotent: true, rate: 153, work: 90 * time.Millisecond, aim: 300 * time.Millisecond, timeout: time.Second, deadline: 2 * time.Second, maxAttempts: 2},
@@ -112,8 +114,6 @@
 	lastBorn int64
 	lastID   int
 	isClosed bool
-	// lateUntil is until when the store carries a share of the writes out late and leaves them unanswered.
-	lateUntil time.Time
 }
 
 // newDeployment starts the store, the backend servers and the entry VMs, and waits until all VMs are ready. The deployment is never nil.
@@ -135,18 +135,20 @@
 		return d, err
 	}
 	d.address = listener.Addr().String()
-	d.storeServer = &http.Server{Handler: &lateWrites{d: d, random: rand.New(rand.NewPCG(3, 4))}, ReadHeaderTimeout: time.Second}
+	d.storeServer = &http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = d.storeServer.Serve(listener) }()
 	if err := d.writeConfiguration(1); err != nil {
 		return d, err
 	}
 	for _, s := range l.services {
+		started := 0
 		for i, n := range s.servers {
 			for range n {
-				b, err := d.startBackend(s, l.zones[i].name)
+				b, err := d.startBackend(s, l.zones[i].name, s.speeds[started%len(s.speeds)])
 				if err != nil {
 					return d, err
 				}
+				started++
 				d.register(b, 0)
 			}
 		}
@@ -240,6 +242,8 @@
 	p := exec.Command(program, "edge")
 	p.Env = append(os.Environ(), "HICKORYLUG_BOOT="+v.settings)
 	p.Stdout, p.Stderr = v.log, v.log
+	// The process ends with this one, however that ends.
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.Start(); err != nil {
 		return err
 	}
--- a/review/tools-3/silent/main.go
+++ b/review/tools-3/silent/main.go
@@ -1,11 +1,11 @@
 //go:build review
 
-// Command silent plays cases 12 (with -late) and 13 of the review on loopback addresses: it starts entry VMs as processes of the project's program, beside stand-ins of the
+// Command silent plays case 12 of the review on loopback addresses: it starts entry VMs as processes of the project's program, beside stand-ins of the
 // platform's store, of backend servers and of callers, and checks one rule.
 //
 // # Usage
 //
-//	silent -late -program target/hickorylug -folder review/12
+//	silent -program target/hickorylug -folder review/12
 //
 // It writes record.txt into the folder and exits with 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run. With TROUBLE=0 in the
 // environment the disruption is left out.
@@ -33,13 +33,12 @@
 func main() {
 	program := flag.String("program", "target/hickorylug", "the project's program")
 	folder := flag.String("folder", ".", "folder of record.txt")
-	isLate := flag.Bool("late", false, "the store carries writes out late, in place of a silent connection")
 	limit := flag.Duration("limit", 110*time.Second, "longest time of the case")
 	flag.Parse()
-	os.Exit(run(*program, *folder, *isLate, *limit))
+	os.Exit(run(*program, *folder, *limit))
 }
 
-func run(program, folder string, isLate bool, limit time.Duration) (code int) {
+func run(program, folder string, limit time.Duration) (code int) {
 	record, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,7 +55,7 @@
 		record.result("the case couldn't run: %v", err)
 		return notRun
 	}
-	broken, err := playCold(ctx, d, isLate, os.Getenv("TROUBLE") != "0")
+	broken, err := playCold(ctx, d, os.Getenv("TROUBLE") != "0")
 	if err == nil && d.served.Load() == 0 {
 		err = errors.New("nothing was served")
 	}
